--- /dev/null
+++ b/foxspread/__init__.py
@@ -0,0 +1,1 @@
+"""foxspread: a sidecar balancer for service-to-service calls."""
--- /dev/null
+++ b/foxspread/logic.py
@@ -0,0 +1,606 @@
+"""All decisions of foxspread. A host calls a `Balancer`'s inputs (each only notes what is now known), pulls
+`next_decision(now)` until None, and wakes it by `wake_at()`. The plain types are in foxspread/model.py; the
+mechanism, its source and each exception to it are in docs/design.md. There is no clock and no I/O in here.
+"""
+
+import heapq
+import math
+import zlib
+from collections import deque
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from foxspread.model import Act, Category, Customer, Decision, Effect, ListedServer, Outcome, Readiness
+
+
+class Decaying:
+    """A sum in which what was added `span` ago counts 1/e; brought up to date when read."""
+
+    def __init__(self, span: float, value: float = 0.0) -> None:
+        self.span, self.value, self.at = span, value, math.inf   # a first value stands until first read
+
+    def read(self, now: float) -> float:
+        if now > self.at:
+            self.value *= math.exp((self.at - now) / self.span)
+        self.at = now
+        return self.value
+
+    def add(self, now: float, amount: float = 1.0) -> None:
+        self.value = self.read(now) + amount
+
+
+class Chance:
+    """Numbers from 0 up to 1, the same for the same seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed, self.count = seed, 0
+
+    def draw(self) -> float:
+        self.count += 1
+        return zlib.crc32(b"%d:%d" % (self.seed, self.count)) / 2**32
+
+
+class ServerList:
+    """Who is ready, since when, and how much a server that has just started may be sent."""
+
+    def __init__(self, sidecars: int, cold_from: float, cold_time: float, fall_multiple: float,
+                 chance: Chance) -> None:
+        self.sidecars, self.cold_from, self.cold_time = sidecars, cold_from, cold_time
+        self.headroom = fall_multiple / 2.5   # of the multiple; the rest is for small machines and bursts
+        self.chance = chance
+        self.known: dict[str, ListedServer] = {}
+        self.sends: dict[str, Decaying] = {}
+        self.tokens: dict[str, tuple[float, float]] = {}   # of cold servers: hand-offs in hand, as of when
+        self.zones: dict[str, list[str]] = {}              # ready servers by zone
+
+    def update(self, now: float, entries: Iterable[ListedServer], whole: bool) -> list[str]:
+        """Takes a list or its changes; returns the servers that are new or have started anew."""
+        entries = list(entries)
+        if whole:
+            named = {entry.server for entry in entries}
+            self.known = {server: old for server, old in self.known.items() if server in named}
+        fresh = []
+        for entry in entries:
+            old = self.known.get(entry.server)
+            if old is None or entry.started > old.started:
+                fresh.append(entry.server)
+                # A first share at random, so that the sidecars do not all send in the same moment.
+                self.tokens[entry.server] = (self.chance.draw() * 0.9, now)
+            self.known[entry.server] = entry
+            self.sends.setdefault(entry.server, Decaying(10.0))
+        self.zones = {}
+        for server in sorted(self.known):
+            if self.known[server].readiness is Readiness.READY:
+                self.zones.setdefault(self.known[server].zone, []).append(server)
+        return fresh
+
+    def ready(self, server: str) -> bool:
+        entry = self.known.get(server)
+        return entry is not None and entry.readiness is Readiness.READY
+
+    def warmth(self, now: float, server: str) -> float:
+        """The share of its capacity that a server has at least, by the time since its start."""
+        started = self.known[server].started
+        if started <= 0 or self.cold_time <= 0 or now - started >= self.cold_time:
+            return 1.0
+        return self.cold_from + (1 - self.cold_from) * max(0.0, now - started) / self.cold_time
+
+    def allowance(self, now: float, server: str) -> float:
+        """Hand-offs a second that this sidecar may give a cold server. Each sidecar sends its share of what
+        it sends a warm server on average; all together then send the share of what a warm server gets."""
+        zone = self.known[server].zone
+        for group in (self.zones.get(zone, []), [s for z in self.zones.values() for s in z]):
+            warm = [s for s in group if self.warmth(now, s) == 1.0]
+            if warm:
+                sent = sum(self.sends[s].read(now) for s in warm)
+                rate = sent / self.sends[server].span * self.known[server].size
+                return self.headroom * self.warmth(now, server) * rate / sum(self.known[s].size for s in warm)
+        sent = sum(self.sends[s].read(now) for s in group) / max(1, len(group))
+        return self.warmth(now, server) * max(sent / self.sends[server].span, 0.5 / self.sidecars)
+
+    def has_budget(self, now: float, server: str) -> bool:
+        if self.warmth(now, server) == 1.0:
+            return True
+        held, at = self.tokens.get(server, (0.0, now))
+        held = min(1.0, held + (now - at) * self.allowance(now, server))   # no savings: never a burst
+        self.tokens[server] = (held, now)
+        return held >= 1.0
+
+    def spend(self, now: float, server: str) -> None:
+        self.sends[server].add(now)
+        if self.warmth(now, server) < 1.0:
+            held, at = self.tokens.get(server, (0.0, now))
+            self.tokens[server] = (held - 1.0, at)
+
+
+@dataclass
+class Mark:
+    """What one server's outcomes say of it."""
+
+    fails: deque[float] = field(default_factory=deque)
+    streak: int = 0                # failures in a row, however long ago
+    failed: Decaying = field(default_factory=lambda: Decaying(10.0))
+    ended: Decaying = field(default_factory=lambda: Decaying(10.0))
+    until: float | None = None     # marked down; trials from then on
+    spell: float = 0.0
+    passes: int = 0
+    trial_out: bool = False
+    readmitted: float = -math.inf
+
+
+class Marks:
+    """NGINX's max_fails and fail_timeout, trials, and Envoy's panic floor."""
+
+    def __init__(self, max_fails: int = 3, fail_timeout: float = 10.0, spell: float = 4.0, trials: int = 2,
+                 panic: float = 0.4) -> None:
+        self.max_fails, self.fail_timeout, self.spell, self.trials = max_fails, fail_timeout, spell, trials
+        self.panic = panic
+        self.of: dict[str, Mark] = {}
+        self.failed, self.ended = Decaying(fail_timeout), Decaying(fail_timeout)
+
+    def reset(self, server: str) -> None:
+        self.of[server] = Mark()
+
+    def down(self, server: str) -> bool:
+        return self.of[server].until is not None
+
+    def trial_due(self, now: float, server: str) -> bool:
+        mark = self.of[server]
+        return mark.until is not None and now >= mark.until and not mark.trial_out
+
+    def in_panic(self, ready: list[str]) -> bool:
+        return sum(not self.down(s) for s in ready) < self.panic * len(ready)
+
+    def record(self, now: float, server: str, failure: bool, trial: bool) -> None:
+        mark = self.of[server]
+        for total, bad in ((mark.ended, mark.failed), (self.ended, self.failed)):
+            total.add(now)
+            bad.add(now, float(failure))
+        if trial:
+            mark.trial_out = False
+        if mark.until is not None:
+            if trial:
+                self._trial_ended(now, mark, failure)
+            return
+        if not failure:
+            mark.streak = 0
+            return
+        mark.streak += 1
+        mark.fails.append(now)
+        while mark.fails[0] < now - self.fail_timeout:
+            mark.fails.popleft()
+        # Quiet sidecars: a server that only ever fails is met too rarely to fill the window, so failures in a
+        # row count however long ago they were.
+        if max(len(mark.fails), mark.streak) >= self.max_fails and self._worse_than_rest(now, mark):
+            again = now - mark.readmitted < 3 * self.fail_timeout
+            # Flapping: a server that fails again soon after its trials stays away for longer each time.
+            mark.spell = min(mark.spell * 2, 4 * self.spell) if again and mark.spell else self.spell
+            mark.until, mark.passes = now + mark.spell, 0
+
+    def _worse_than_rest(self, now: float, mark: Mark) -> bool:
+        """Guards sound servers against failures that belong to lookups: those strike all servers alike."""
+        ended, failed = mark.ended.read(now), mark.failed.read(now)
+        rest = (self.failed.read(now) - failed + 0.1) / (max(0.0, self.ended.read(now) - ended) + 1.0)
+        return failed / max(ended, 1e-9) > min(0.9, 0.15 + 2 * rest)
+
+    def _trial_ended(self, now: float, mark: Mark, failure: bool) -> None:
+        mark.passes = 0 if failure else mark.passes + 1
+        if failure:
+            mark.until = now + mark.spell
+        elif mark.passes >= self.trials:
+            mark.until, mark.streak, mark.readmitted = None, 0, now
+            mark.fails.clear()
+            mark.failed, mark.ended = Decaying(self.fail_timeout), Decaying(self.fail_timeout)
+
+
+class Rotation:
+    """Which zone group a lookup goes to, and whose turn it is there."""
+
+    def __init__(self, zone: str, chance: Chance, spill: float = 1.4, well_over: float = 1.5,
+                 skip: float = 1.25, few: int = 2) -> None:
+        self.zone, self.chance, self.spill, self.well_over = zone, chance, spill, well_over
+        self.skip, self.few = skip, few
+        self.order: dict[str, float] = {}
+        self.cursor: dict[str, float] = {}
+
+    def zones(self, groups: dict[str, list[str]], healthy: dict[str, float], mean: dict[str, float]) -> list[str]:
+        """Zone groups, best first: the own zone up to 1.4 x its healthy fraction, and not while its servers
+        hold well over what this sidecar has in flight elsewhere."""
+        others = sorted((z for z in groups if z != self.zone), key=lambda z: -healthy[z] * self.chance.draw())
+        others.sort(key=lambda z: healthy[z] <= 0)
+        if self.zone not in groups:
+            return others
+        share = min(1.0, self.spill * healthy[self.zone] / len(groups[self.zone]))
+        elsewhere = min((mean[z] for z in others if healthy[z] > 0), default=math.inf)
+        crowded = mean[self.zone] > max(self.few, self.well_over * elsewhere)
+        if others and (crowded or self.chance.draw() >= share):
+            return [*others, self.zone]
+        return [self.zone, *others]
+
+    def pick(self, zone: str, servers: list[str], in_flight: dict[str, int], mean: float) -> str:
+        """The next in turn that does not hold well over the group's mean."""
+        for server in servers:
+            if server not in self.order:
+                self.order[server] = self.chance.draw()
+        at = self.cursor.setdefault(zone, self.chance.draw())
+        turn = sorted(servers, key=lambda s: (self.order[s] <= at, self.order[s]))
+        most = max(self.few, self.skip * mean)
+        chosen = next((s for s in turn if in_flight[s] < most), None)
+        if chosen is None:
+            chosen = min(turn, key=lambda s: in_flight[s])
+        self.cursor[zone] = self.order[chosen]
+        return chosen
+
+
+class Measures:
+    """Rates and times, as this sidecar saw them."""
+
+    def __init__(self, categories: Iterable[Category], span: float = 8.0) -> None:
+        self.span = span
+        self.times = {c.name: [Decaying(60.0, 1.0), Decaying(60.0, c.expected_time / 4),
+                               Decaying(60.0, c.expected_time ** 2 / 12)] for c in categories}
+        self.done: dict[str, Decaying] = {}
+        self.busy: dict[str, Decaying] = {}
+        self.busy_since: dict[str, float] = {}
+        self.rate = Decaying(span)
+
+    def add(self, server: str) -> None:
+        self.done[server], self.busy[server] = Decaying(self.span), Decaying(self.span)
+
+    def started(self, now: float, server: str, in_flight: int) -> None:
+        if in_flight == 1:
+            self.busy_since[server] = now
+
+    def ended(self, now: float, server: str, in_flight: int, category: str, took: float, done: bool) -> None:
+        self._settle(now, server)
+        if in_flight == 0:
+            self.busy_since.pop(server, None)
+        if done:
+            self.done[server].add(now)
+            self.rate.add(now)
+            for total, amount in zip(self.times[category], (1.0, took, took * took)):
+                total.add(now, amount)
+
+    def _settle(self, now: float, server: str) -> None:
+        if server in self.busy_since:
+            self.busy[server].add(now, now - self.busy_since[server])
+            self.busy_since[server] = now
+
+    def room(self, now: float, server: str, time: float, few: int) -> float:
+        """How many may be in flight: the rate seen while busy x the time they may take."""
+        self._settle(now, server)
+        done, busy = self.done[server].read(now), self.busy[server].read(now)
+        return max(few, (done + 1) / max(busy, 0.05) * time) if busy > 1.0 else max(few, 8)
+
+    def mean(self, now: float, category: str) -> float:
+        count, total, _ = self.times[category]
+        return total.read(now) / count.read(now)
+
+    def overdue(self, now: float, category: str) -> float:
+        """The time after which a hand-off is out well beyond what is usual."""
+        count, total, squares = (m.read(now) for m in self.times[category])
+        mean = total / count
+        return max(2.5 * mean, mean + 3 * math.sqrt(max(0.0, squares / count - mean * mean)))
+
+
+@dataclass
+class HandOff:
+    server: str
+    sent: float
+    trial: bool
+    outcome: Outcome | None = None
+    called_off: bool = False
+
+
+@dataclass
+class Lookup:
+    id: str
+    category: Category
+    taken: float
+    expected_at: float
+    abandon_at: float
+    worth: float
+    sent: list[HandOff] = field(default_factory=list)
+    over: bool = False             # answered, or the client has left
+    streaming: bool = False
+
+    def out(self) -> list[HandOff]:
+        return [h for h in self.sent if h.outcome is None]
+
+    def may_have_run(self) -> list[HandOff]:
+        return [h for h in self.sent if h.outcome is None or not h.outcome.never_ran]
+
+
+class Gate:
+    """The one place that every hand-off and every dismissal passes; each rule is enforced here, once."""
+
+    def __init__(self, servers: ServerList, max_hand_offs: int, copies: bool, margin: float = 0.25) -> None:
+        self.servers, self.max_hand_offs, self.copies, self.margin = servers, max_hand_offs, copies, margin
+
+    def open(self, now: float, lookup: Lookup) -> bool:
+        """May this lookup be handed off at all? One answer each, nothing after it, copies where allowed."""
+        if lookup.over or lookup.streaming or now >= lookup.abandon_at or len(lookup.sent) >= self.max_hand_offs:
+            return False
+        if lookup.out() and not self.copies:
+            return False
+        ran = lookup.may_have_run()
+        if ran and lookup.category.effect is Effect.IRREVERSIBLE:
+            return False
+        if ran and lookup.category.effect is Effect.LABELLED:
+            return now < ran[0].sent + lookup.category.repeat_window - self.margin
+        return True
+
+    def lets(self, now: float, lookup: Lookup, server: str) -> bool:
+        """May it go to this server? Nothing to a draining or gone one, repeats only where they are dropped,
+        and a cold one only within this sidecar's part of its budget."""
+        if not self.servers.ready(server):
+            return False
+        ran = lookup.may_have_run()
+        if ran and lookup.category.effect is Effect.LABELLED and not self.together(lookup, ran[0].server, server):
+            return False
+        return self.servers.has_budget(now, server)
+
+    def together(self, lookup: Lookup, one: str, other: str) -> bool:
+        """True where the two servers drop each other's repeats of this lookup."""
+        a, b, scope = self.servers.known.get(one), self.servers.known.get(other), lookup.category.scope
+        if a is None or b is None:
+            return False
+        same_zone = scope in ("all", "zone") and a.zone == b.zone
+        return scope == "all" or same_zone or (scope == "cell" and (a.zone, a.cell) == (b.zone, b.cell))
+
+    def may_dismiss(self, lookup: Lookup) -> bool:
+        """A dismissal says that trying again is harmless."""
+        effect = lookup.category.effect
+        return (effect is Effect.REDOABLE or not lookup.may_have_run()
+                or (effect is Effect.LABELLED and lookup.category.scope == "all"))
+
+
+class Balancer:
+    """Holds the lookups of one sidecar and joins the parts."""
+
+    def __init__(self, now: float, seed: int, zone: str, sidecars: int, categories: list[Category],
+                 customers: list[Customer], surplus_benefit: float, max_hand_offs: int, copies: bool,
+                 calling_off: bool, longest_back_in: float, tick: float, asks: bool,
+                 cold: tuple[float, float, float]) -> None:
+        chance = Chance(seed)
+        self.chance, self.tick, self.calling_off, self.longest_back_in = chance, tick, calling_off, longest_back_in
+        self.sidecars, self.surplus_benefit = sidecars, surplus_benefit
+        self.categories = {c.name: c for c in categories}
+        self.customers = {c.name: (c, Decaying(5.0)) for c in customers}
+        self.arrivals = Decaying(5.0)
+        self.servers = ServerList(sidecars, *cold, chance=chance)
+        self.marks, self.rotation = Marks(), Rotation(zone, chance)
+        self.measures = Measures(categories)
+        self.gate = Gate(self.servers, max_hand_offs, copies)
+        self.in_flight: dict[str, int] = {}
+        self.lookups: dict[str, Lookup] = {}
+        self.waiting: dict[str, Lookup] = {}     # to be looked at by the next decisions
+        self.alarms: list[tuple[float, str]] = []
+        self.oldest: dict[str, dict[tuple[str, int], float]] = {}   # hand-offs out: when each is overdue
+        self.ask_at = now if asks else math.inf
+        self.ask_again = 0.5
+        self.patience = 0.7        # of the shortest expected time: what the servers may hold of our work
+        self.time_bound = self.patience * min((c.expected_time for c in categories), default=1.0)
+        self.next_look = now
+        self.plan: Iterator[Decision] | None = None
+
+    # Inputs: each only brings what is known up to date.
+
+    def lookup_taken(self, now: float, id: str, category: str, time_left: float, customer: str = "",
+                     key: str = "", repeat: bool = False) -> None:
+        kind = self.categories[category]
+        lookup = Lookup(id, kind, now, now + min(kind.expected_time, time_left), now + time_left,
+                        kind.benefit * self._share_left(now, customer) / self.measures.mean(now, category))
+        self.lookups[id] = lookup
+        self.waiting[id] = lookup
+        heapq.heappush(self.alarms, (lookup.abandon_at - 2 * self.tick, id))
+
+    def hand_off_ended(self, now: float, id: str, number: int, outcome: Outcome, closed: bool,
+                       report: dict[str, float]) -> None:
+        lookup = self.lookups.get(id)
+        if lookup is None or number >= len(lookup.sent) or lookup.sent[number].outcome is not None:
+            return
+        hand_off = lookup.sent[number]
+        hand_off.outcome = outcome
+        server = hand_off.server
+        self.in_flight[server] -= 1
+        self.oldest[server].pop((id, number), None)
+        took = now - hand_off.sent
+        self.measures.ended(now, server, self.in_flight[server], lookup.category.name, took,
+                            outcome is Outcome.DONE)
+        overdue = hand_off.called_off and took > self.measures.overdue(now, lookup.category.name)
+        if outcome is Outcome.DONE or outcome.is_failure or overdue:
+            self.marks.record(now, server, outcome is not Outcome.DONE, hand_off.trial)
+        elif hand_off.trial:
+            self.marks.of[server].trial_out = False
+        if closed or outcome is Outcome.DONE:
+            lookup.over = True
+            if lookup.out():
+                self.waiting[id] = lookup   # to call off its other copy
+        if not lookup.over:
+            self.waiting[id] = lookup
+        elif not lookup.out():
+            self.lookups.pop(id, None)
+
+    def servers_listed(self, now: float, entries: Iterable[ListedServer], whole: bool, cached: bool = False) -> None:
+        for server in self.servers.update(now, entries, whole):
+            self.marks.reset(server)
+            self.measures.add(server)
+            self.in_flight.setdefault(server, 0)
+            self.oldest.setdefault(server, {})
+        if not cached:
+            self.ask_again = 0.5
+
+    def list_call_failed(self, now: float) -> None:
+        self.ask_at = now + self.ask_again * (0.5 + self.chance.draw())
+        self.ask_again = min(4.0, 2 * self.ask_again)
+
+    def probe_ended(self, now: float, server: str, outcome: Outcome, took: float,
+                    report: dict[str, float]) -> None:
+        """No probes are sent yet."""
+
+    def answer_started(self, now: float, id: str) -> None:
+        if id in self.lookups:
+            self.lookups[id].streaming = True
+
+    def client_left(self, now: float, id: str) -> None:
+        if id in self.lookups:
+            self.lookups[id].over = True
+            self.waiting[id] = self.lookups[id]   # to call off what is still out
+
+    # Decisions.
+
+    def next_decision(self, now: float) -> Decision | None:
+        if self.plan is None:
+            self.plan = self._decisions(now)
+        decision = next(self.plan, None)
+        if decision is None:
+            self.plan = None
+        return decision
+
+    def wake_at(self) -> float | None:
+        wake = min(self.ask_at, self.alarms[0][0] if self.alarms else math.inf)
+        if self.waiting:
+            wake = min(wake, self.next_look)
+        return wake if wake < math.inf else None
+
+    def _decisions(self, now: float) -> Iterator[Decision]:
+        if now >= self.ask_at:
+            self.ask_at = math.inf
+            yield Decision(Act.SUBSCRIBE)
+        while self.alarms and self.alarms[0][0] <= now + 1e-6:
+            id = heapq.heappop(self.alarms)[1]
+            lookup = self.lookups.get(id)
+            if lookup is not None and not lookup.over:
+                self.waiting[id] = lookup
+        waiting = sorted(self.waiting.values(), key=lambda each: (-each.worth, each.expected_at))
+        self.waiting = {}
+        self.next_look = now + 4 * self.tick
+        queued = 0
+        for lookup in waiting:
+            if lookup.over:
+                yield from self._call_off(lookup)
+                if not lookup.out():
+                    self.lookups.pop(lookup.id, None)
+                continue
+            if lookup.streaming:
+                continue
+            server = self._choose(now, lookup)
+            if server is not None:
+                yield self._hand_off(now, lookup, server)
+            elif lookup.out() and not self._too_late(now, lookup):
+                continue
+            elif not lookup.out() and self._worth_waiting(now, lookup, queued):
+                queued += 1
+                self.waiting[lookup.id] = lookup
+            else:
+                yield from self._give_up(now, lookup)
+
+    def _too_late(self, now: float, lookup: Lookup) -> bool:
+        """Nothing is to be earned any more, or the client is about to give up."""
+        limit = lookup.expected_at if lookup.category.late_benefit <= 0 else math.inf
+        return now + 1e-6 >= min(limit, lookup.abandon_at - 2 * self.tick)
+
+    def _worth_waiting(self, now: float, lookup: Lookup, ahead: int) -> bool:
+        """Queue only what will mostly be answered in time."""
+        if self._too_late(now, lookup) or not self.gate.open(now, lookup):
+            return False
+        rate = self.measures.rate.read(now) / self.measures.span
+        wait = (ahead + 1) / max(rate, 0.1)
+        return now + wait + self.measures.mean(now, lookup.category.name) < lookup.expected_at
+
+    def _give_up(self, now: float, lookup: Lookup) -> Iterator[Decision]:
+        lookup.over = True
+        dismiss = self.gate.may_dismiss(lookup)
+        yield from self._call_off(lookup)
+        back_in = min(self.longest_back_in, 0.3 + 0.4 * self.chance.draw())
+        yield Decision(Act.DISMISS, lookup.id, back_in=back_in) if dismiss else Decision(Act.SCRAP, lookup.id)
+        if not lookup.out():
+            self.lookups.pop(lookup.id, None)
+
+    def _call_off(self, lookup: Lookup) -> Iterator[Decision]:
+        for number, hand_off in enumerate(lookup.sent):
+            if self.calling_off and hand_off.outcome is None and not hand_off.called_off:
+                hand_off.called_off = True
+                yield Decision(Act.CALL_OFF, lookup.id, number=number)
+
+    def _choose(self, now: float, lookup: Lookup) -> str | None:
+        if not self.gate.open(now, lookup) or self._too_late(now, lookup):
+            return None
+        if lookup.sent:
+            # Carried over: a further hand-off only if the time left exceeds the time it should take.
+            limit = lookup.abandon_at if lookup.category.late_benefit > 0 else lookup.expected_at
+            if limit - now <= self.measures.mean(now, lookup.category.name):
+                return None
+            if lookup.out() and now < self._overdue_at(lookup, lookup.out()[-1]):
+                return None
+        groups = self.servers.zones
+        everyone = [s for group in groups.values() for s in group]
+        panic = self.marks.in_panic(everyone)
+        sound = {z: [s for s in g if panic or not self.marks.down(s)] for z, g in groups.items()}
+        healthy = {z: sum(self.servers.warmth(now, s) for s in g) for z, g in sound.items()}
+        mean = {z: sum(self.in_flight[s] for s in g) / len(g) if g else 0.0 for z, g in sound.items()}
+        tried = {h.server for h in lookup.sent}
+        zones = self.rotation.zones(groups, healthy, mean)
+        if not lookup.sent and not panic:
+            for server in (s for z in zones[:1] for s in groups[z]):
+                if self.marks.trial_due(now, server) and self.gate.lets(now, lookup, server) \
+                        and self._has_fellow(lookup, server):
+                    return server
+        for zone in zones:
+            fit = [s for s in sound[zone] if s not in tried and self.gate.lets(now, lookup, s)
+                   and not self._stalled(now, s)
+                   and self.in_flight[s] < self.measures.room(now, s, self.time_bound, self.rotation.few)]
+            if not lookup.sent:
+                fit = [s for s in fit if self._has_fellow(lookup, s)] or fit
+            if fit:
+                return self.rotation.pick(zone, fit, self.in_flight, mean[zone])
+        return None
+
+    def _stalled(self, now: float, server: str) -> bool:
+        """Guards against hung servers before their time-outs are counted: one that has answered nothing while
+        a hand-off went far beyond its usual time gets nothing more until that one ends."""
+        return bool(self.oldest[server]) and now > next(iter(self.oldest[server].values()))
+
+    def _has_fellow(self, lookup: Lookup, server: str) -> bool:
+        """A labelled lookup that fails can go on only within the server's group: prefer one with a fellow."""
+        if lookup.category.effect is not Effect.LABELLED or lookup.category.scope == "all":
+            return True
+        return any(s != server and not self.marks.down(s) and self.gate.together(lookup, server, s)
+                   for s in self.servers.zones.get(self.servers.known[server].zone, []))
+
+    def _overdue_at(self, lookup: Lookup, hand_off: HandOff) -> float:
+        return self.oldest[hand_off.server].get((lookup.id, lookup.sent.index(hand_off)), math.inf)
+
+    def _hand_off(self, now: float, lookup: Lookup, server: str) -> Decision:
+        self.servers.spend(now, server)
+        trial = self.marks.down(server)
+        if trial:
+            self.marks.of[server].trial_out = True
+        hand_off = HandOff(server, now, trial)
+        lookup.sent.append(hand_off)
+        self.in_flight[server] += 1
+        self.measures.started(now, server, self.in_flight[server])
+        mean, overdue = (f(now, lookup.category.name) for f in (self.measures.mean, self.measures.overdue))
+        # Leave time for a further hand-off that still meets the expected time, if this one hangs.
+        overdue = max(min(overdue, lookup.expected_at - now - 1.5 * mean), 2 * mean)
+        self.oldest[server][(lookup.id, len(lookup.sent) - 1)] = now + overdue
+        end = lookup.abandon_at - self.tick
+        if self.gate.copies:
+            heapq.heappush(self.alarms, (now + overdue, lookup.id))
+        elif len(lookup.sent) < self.gate.max_hand_offs and now + overdue + mean < end:
+            end = now + overdue
+        if lookup.category.late_benefit <= 0:
+            heapq.heappush(self.alarms, (lookup.expected_at, lookup.id))
+        return Decision(Act.HAND_OFF, lookup.id, server, max(end - now, self.tick))
+
+    def _share_left(self, now: float, customer: str) -> float:
+        """1 within the customer's share; less beyond it, as this sidecar sees its own part of the traffic."""
+        self.arrivals.add(now)
+        if customer not in self.customers:
+            return 1.0
+        entry, sent = self.customers[customer]
+        sent.add(now)
+        rate = sent.read(now) / sent.span
+        over = rate > entry.quota / self.sidecars and sent.read(now) > entry.share * self.arrivals.read(now)
+        return self.surplus_benefit if over else 1.0
--- /dev/null
+++ b/foxspread/model.py
@@ -0,0 +1,87 @@
+"""Plain types that the decisions and their hosts share. Times are seconds with fractions."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Effect(Enum):
+    REDOABLE = "redoable"          # may run again
+    LABELLED = "labelled"          # carries a mark by which some servers know a repeat
+    IRREVERSIBLE = "irreversible"  # must never run twice
+
+
+class Outcome(Enum):
+    """How a hand-off or a probe ended."""
+
+    DONE = "done"
+    ERROR = "error"
+    FULL = "full"                  # turned away unseen
+    TIMED_OUT = "timed out"
+    UNCONNECTED = "unconnected"
+    RESET = "reset"
+    CALLED_OFF = "called off"
+    UNSENT = "unsent"
+
+    @property
+    def never_ran(self) -> bool:
+        return self in (Outcome.FULL, Outcome.UNCONNECTED, Outcome.UNSENT)
+
+    @property
+    def is_failure(self) -> bool:
+        """True where it speaks against the server: being full, called off or unsent does not."""
+        return self in (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.UNCONNECTED, Outcome.RESET)
+
+
+class Readiness(Enum):
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@dataclass(frozen=True)
+class Category:
+    name: str
+    expected_time: float           # an answer within this earns the whole benefit
+    abandon_time: float
+    benefit: float = 1.0
+    late_benefit: float = 0.0      # share of the benefit that a later answer earns
+    effect: Effect = Effect.REDOABLE
+    scope: str = "all"             # labelled: the servers that drop a repeat: all, zone or cell
+    repeat_window: float = 0.0     # labelled: for how long they drop it
+    streamed: bool = False
+
+
+@dataclass(frozen=True)
+class ListedServer:
+    server: str
+    zone: str = ""
+    cell: int = 0
+    size: float = 1.0              # as registered, for comparing with others
+    readiness: Readiness = Readiness.READY
+    started: float = 0.0           # 0: long ago
+
+
+@dataclass(frozen=True)
+class Customer:
+    name: str
+    share: float = 0.0             # of the service
+    quota: float = 0.0             # lookups a second over all sidecars
+
+
+class Act(Enum):
+    HAND_OFF = "hand off"
+    CALL_OFF = "call off"
+    DISMISS = "dismiss"
+    SCRAP = "scrap"
+    PROBE = "probe"
+    SUBSCRIBE = "subscribe"
+
+
+@dataclass(frozen=True)
+class Decision:
+    act: Act
+    lookup: str = ""
+    server: str = ""
+    time_out: float = 0.0          # of a hand-off; 0: until the client gives up
+    number: int = 0                # which hand-off to call off
+    back_in: float = 0.0           # of a dismissal: when the client may return; 0: no advice
--- /dev/null
+++ b/foxspread/simhost/__main__.py
@@ -0,0 +1,25 @@
+"""Reads batches from standard input and writes one reply a line."""
+
+import json
+import sys
+
+from foxspread.simhost import codec
+from foxspread.simhost.host import Host
+
+
+def main() -> int:
+    host = Host()
+    for count, line in enumerate(sys.stdin, 1):
+        try:
+            now, groups = codec.read_batch(line)
+            reply = host.reply(now, groups)
+        except codec.Malformed as error:
+            print(f"foxspread: line {count}: {error}", file=sys.stderr)
+            return 2
+        sys.stdout.write(json.dumps(reply, separators=(",", ":")) + "\n")
+        sys.stdout.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
