Move on only from servers that look dead; full servers pause; smaller room

Cause: time-outs under load re-sent what was merely slow, and a server that turned lookups away at once looked idle and drew all traffic (seen in the first incidents on charts and search).

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -7,7 +7,7 @@
 import math
 import zlib
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from foxspread.model import Act, Category, Customer, Decision, Effect, ListedServer, Outcome, Readiness
@@ -52,6 +52,8 @@
         self.sends: dict[str, Decaying] = {}
         self.tokens: dict[str, tuple[float, float]] = {}   # of cold servers: hand-offs in hand, as of when
         self.zones: dict[str, list[str]] = {}              # ready servers by zone
+        self.usual: dict[str, float] = {}                  # sent a second and size to warm servers, by zone
+        self.reckoned = -math.inf
 
     def update(self, now: float, entries: Iterable[ListedServer], whole: bool) -> list[str]:
         """Takes a list or its changes; returns the servers that are new or have started anew."""
@@ -72,6 +74,7 @@
         for server in sorted(self.known):
             if self.known[server].readiness is Readiness.READY:
                 self.zones.setdefault(self.known[server].zone, []).append(server)
+        self.reckoned = -math.inf
         return fresh
 
     def ready(self, server: str) -> bool:
@@ -88,15 +91,17 @@
     def allowance(self, now: float, server: str) -> float:
         """Hand-offs a second that this sidecar may give a cold server. Each sidecar sends its share of what
         it sends a warm server on average; all together then send the share of what a warm server gets."""
-        zone = self.known[server].zone
-        for group in (self.zones.get(zone, []), [s for z in self.zones.values() for s in z]):
-            warm = [s for s in group if self.warmth(now, s) == 1.0]
-            if warm:
-                sent = sum(self.sends[s].read(now) for s in warm)
-                rate = sent / self.sends[server].span * self.known[server].size
-                return self.headroom * self.warmth(now, server) * rate / sum(self.known[s].size for s in warm)
-        sent = sum(self.sends[s].read(now) for s in group) / max(1, len(group))
-        return self.warmth(now, server) * max(sent / self.sends[server].span, 0.5 / self.sidecars)
+        if now >= self.reckoned + 0.25:
+            self.reckoned, self.usual = now, {}
+            everyone = [s for group in self.zones.values() for s in group]
+            for zone, group in [("", everyone), *self.zones.items()]:
+                warm = [s for s in group if self.warmth(now, s) == 1.0] or (everyone if zone == "" else [])
+                size = sum(self.known[s].size for s in warm)
+                if size > 0:
+                    self.usual[zone] = sum(self.sends[s].read(now) for s in warm) / 10.0 / size
+        entry = self.known[server]
+        usual = self.usual.get(entry.zone, self.usual.get("", 0.0)) * entry.size
+        return self.headroom * self.warmth(now, server) * usual
 
     def has_budget(self, now: float, server: str) -> bool:
         if self.warmth(now, server) == 1.0:
@@ -200,8 +205,7 @@
                  skip: float = 1.25, few: int = 2) -> None:
         self.zone, self.chance, self.spill, self.well_over = zone, chance, spill, well_over
         self.skip, self.few = skip, few
-        self.order: dict[str, float] = {}
-        self.cursor: dict[str, float] = {}
+        self.cursor: dict[str, int] = {}
 
     def zones(self, groups: dict[str, list[str]], healthy: dict[str, float], mean: dict[str, float]) -> list[str]:
         """Zone groups, best first: the own zone up to 1.4 x its healthy fraction, and not while its servers
@@ -217,19 +221,20 @@
             return [*others, self.zone]
         return [self.zone, *others]
 
-    def pick(self, zone: str, servers: list[str], in_flight: dict[str, int], mean: float) -> str:
-        """The next in turn that does not hold well over the group's mean."""
-        for server in servers:
-            if server not in self.order:
-                self.order[server] = self.chance.draw()
-        at = self.cursor.setdefault(zone, self.chance.draw())
-        turn = sorted(servers, key=lambda s: (self.order[s] <= at, self.order[s]))
-        most = max(self.few, self.skip * mean)
-        chosen = next((s for s in turn if in_flight[s] < most), None)
-        if chosen is None:
-            chosen = min(turn, key=lambda s: in_flight[s])
-        self.cursor[zone] = self.order[chosen]
-        return chosen
+    def pick(self, zone: str, servers: list[str], in_flight: dict[str, int], mean: float,
+             fits: Callable[[str], bool]) -> str | None:
+        """The next in turn that fits and does not hold well over the group's mean; else the least laden."""
+        at = self.cursor.setdefault(zone, int(self.chance.draw() * len(servers)))
+        most, spare = max(self.few, self.skip * mean), None
+        for step in range(len(servers)):
+            server = servers[(at + step) % len(servers)]
+            if in_flight[server] < most:
+                if fits(server):
+                    self.cursor[zone] = (at + step + 1) % len(servers)
+                    return server
+            elif (spare is None or in_flight[server] < in_flight[spare]) and fits(server):
+                spare = server
+        return spare
 
 
 class Measures:
@@ -237,11 +242,12 @@
 
     def __init__(self, categories: Iterable[Category], span: float = 8.0) -> None:
         self.span = span
-        self.times = {c.name: [Decaying(60.0, 1.0), Decaying(60.0, c.expected_time / 4),
-                               Decaying(60.0, c.expected_time ** 2 / 12)] for c in categories}
+        self.times = {c.name: [Decaying(20.0, 1.0), Decaying(20.0, c.expected_time / 4),
+                               Decaying(20.0, c.expected_time ** 2 / 12)] for c in categories}
         self.done: dict[str, Decaying] = {}
         self.busy: dict[str, Decaying] = {}
         self.busy_since: dict[str, float] = {}
+        self.shut: dict[str, float] = {}      # servers that were full: until when they get nothing
         self.rate = Decaying(span)
 
     def add(self, server: str) -> None:
@@ -251,15 +257,22 @@
         if in_flight == 1:
             self.busy_since[server] = now
 
-    def ended(self, now: float, server: str, in_flight: int, category: str, took: float, done: bool) -> None:
+    def ended(self, now: float, server: str, in_flight: int, category: str, took: float,
+              outcome: Outcome) -> None:
         self._settle(now, server)
         if in_flight == 0:
             self.busy_since.pop(server, None)
-        if done:
+        if outcome is Outcome.DONE:
             self.done[server].add(now)
             self.rate.add(now)
+        elif outcome is Outcome.FULL:
+            # A full server answers at once and so looks idle: without a pause it would draw all lookups.
+            self.shut[server] = now + self.mean(now, category)
+        if outcome in (Outcome.DONE, Outcome.TIMED_OUT, Outcome.CALLED_OFF) and took > 0:
+            # What was cut off counts with the time it had: else slow times would look ever shorter.
+            weight = 1.0 if outcome is Outcome.DONE or took > self.mean(now, category) else 0.0
             for total, amount in zip(self.times[category], (1.0, took, took * took)):
-                total.add(now, amount)
+                total.add(now, amount * weight)
 
     def _settle(self, now: float, server: str) -> None:
         if server in self.busy_since:
@@ -268,6 +281,8 @@
 
     def room(self, now: float, server: str, time: float, few: int) -> float:
         """How many may be in flight: the rate seen while busy x the time they may take."""
+        if now < self.shut.get(server, now):
+            return 0
         self._settle(now, server)
         done, busy = self.done[server].read(now), self.busy[server].read(now)
         return max(few, (done + 1) / max(busy, 0.05) * time) if busy > 1.0 else max(few, 8)
@@ -280,7 +295,7 @@
         """The time after which a hand-off is out well beyond what is usual."""
         count, total, squares = (m.read(now) for m in self.times[category])
         mean = total / count
-        return max(2.5 * mean, mean + 3 * math.sqrt(max(0.0, squares / count - mean * mean)))
+        return max(3 * mean, mean + 3 * math.sqrt(max(0.0, squares / count - mean * mean)))
 
 
 @dataclass
@@ -288,6 +303,7 @@
     server: str
     sent: float
     trial: bool
+    overdue: float = math.inf
     outcome: Outcome | None = None
     called_off: bool = False
 
@@ -376,10 +392,14 @@
         self.lookups: dict[str, Lookup] = {}
         self.waiting: dict[str, Lookup] = {}     # to be looked at by the next decisions
         self.alarms: list[tuple[float, str]] = []
-        self.oldest: dict[str, dict[tuple[str, int], float]] = {}   # hand-offs out: when each is overdue
+        self.out: dict[str, dict[tuple[str, int], HandOff]] = {}   # by server, the oldest first
+        self.answered: dict[str, float] = {}       # when a server last answered anything
+        self.zone_flight: dict[str, int] = {}
+        self.view_until = -math.inf
+        self.worth = (Decaying(10.0, 1.0), Decaying(10.0, 0.0))
         self.ask_at = now if asks else math.inf
         self.ask_again = 0.5
-        self.patience = 0.7        # of the shortest expected time: what the servers may hold of our work
+        self.patience = 0.45       # of the shortest expected time: what the servers may hold of our work
         self.time_bound = self.patience * min((c.expected_time for c in categories), default=1.0)
         self.next_look = now
         self.plan: Iterator[Decision] | None = None
@@ -392,6 +412,8 @@
         lookup = Lookup(id, kind, now, now + min(kind.expected_time, time_left), now + time_left,
                         kind.benefit * self._share_left(now, customer) / self.measures.mean(now, category))
         self.lookups[id] = lookup
+        self.worth[0].add(now)
+        self.worth[1].add(now, lookup.worth)
         self.waiting[id] = lookup
         heapq.heappush(self.alarms, (lookup.abandon_at - 2 * self.tick, id))
 
@@ -403,14 +425,18 @@
         hand_off = lookup.sent[number]
         hand_off.outcome = outcome
         server = hand_off.server
-        self.in_flight[server] -= 1
-        self.oldest[server].pop((id, number), None)
+        self._count(server, -1)
+        del self.out[server][(id, number)]
         took = now - hand_off.sent
-        self.measures.ended(now, server, self.in_flight[server], lookup.category.name, took,
-                            outcome is Outcome.DONE)
+        self.measures.ended(now, server, self.in_flight[server], lookup.category.name, took, outcome)
+        if outcome in (Outcome.DONE, Outcome.ERROR, Outcome.FULL):
+            self.answered[server] = now
         overdue = hand_off.called_off and took > self.measures.overdue(now, lookup.category.name)
         if outcome is Outcome.DONE or outcome.is_failure or overdue:
+            was_down = self.marks.down(server)
             self.marks.record(now, server, outcome is not Outcome.DONE, hand_off.trial)
+            if self.marks.down(server) != was_down:
+                self.view_until = now
         elif hand_off.trial:
             self.marks.of[server].trial_out = False
         if closed or outcome is Outcome.DONE:
@@ -427,7 +453,9 @@
             self.marks.reset(server)
             self.measures.add(server)
             self.in_flight.setdefault(server, 0)
-            self.oldest.setdefault(server, {})
+            self.out.setdefault(server, {})
+        self.view_until = now
+        self.zone_flight = {z: sum(self.in_flight[s] for s in g) for z, g in self.servers.zones.items()}
         if not cached:
             self.ask_again = 0.5
 
@@ -476,7 +504,7 @@
         waiting = sorted(self.waiting.values(), key=lambda each: (-each.worth, each.expected_at))
         self.waiting = {}
         self.next_look = now + 4 * self.tick
-        queued = 0
+        queued, no_room = 0, False
         for lookup in waiting:
             if lookup.over:
                 yield from self._call_off(lookup)
@@ -485,11 +513,15 @@
                 continue
             if lookup.streaming:
                 continue
-            server = self._choose(now, lookup)
+            server = None if no_room and not lookup.sent else self._choose(now, lookup)
+            no_room = no_room or (server is None and not lookup.sent)   # then none worth less finds any
             if server is not None:
                 yield self._hand_off(now, lookup, server)
             elif lookup.out() and not self._too_late(now, lookup):
-                continue
+                if not self.gate.copies and self._given_up_on(now, lookup):
+                    yield from self._call_off(lookup)
+                elif lookup.id not in self.waiting:
+                    heapq.heappush(self.alarms, (now + self.measures.mean(now, lookup.category.name), lookup.id))
             elif not lookup.out() and self._worth_waiting(now, lookup, queued):
                 queued += 1
                 self.waiting[lookup.id] = lookup
@@ -507,7 +539,7 @@
             return False
         rate = self.measures.rate.read(now) / self.measures.span
         wait = (ahead + 1) / max(rate, 0.1)
-        return now + wait + self.measures.mean(now, lookup.category.name) < lookup.expected_at
+        return now + wait + 1.5 * self.measures.mean(now, lookup.category.name) < lookup.expected_at
 
     def _give_up(self, now: float, lookup: Lookup) -> Iterator[Decision]:
         lookup.over = True
@@ -532,35 +564,65 @@
             limit = lookup.abandon_at if lookup.category.late_benefit > 0 else lookup.expected_at
             if limit - now <= self.measures.mean(now, lookup.category.name):
                 return None
-            if lookup.out() and now < self._overdue_at(lookup, lookup.out()[-1]):
+            if lookup.out() and not self._given_up_on(now, lookup):
                 return None
-        groups = self.servers.zones
-        everyone = [s for group in groups.values() for s in group]
-        panic = self.marks.in_panic(everyone)
-        sound = {z: [s for s in g if panic or not self.marks.down(s)] for z, g in groups.items()}
-        healthy = {z: sum(self.servers.warmth(now, s) for s in g) for z, g in sound.items()}
-        mean = {z: sum(self.in_flight[s] for s in g) / len(g) if g else 0.0 for z, g in sound.items()}
+        if now >= self.view_until:
+            self._look(now)
         tried = {h.server for h in lookup.sent}
-        zones = self.rotation.zones(groups, healthy, mean)
-        if not lookup.sent and not panic:
-            for server in (s for z in zones[:1] for s in groups[z]):
-                if self.marks.trial_due(now, server) and self.gate.lets(now, lookup, server) \
-                        and self._has_fellow(lookup, server):
+        mean = {z: self.zone_flight[z] / max(1, len(g)) for z, g in self.sound.items()}
+        zones = self.rotation.zones(self.servers.zones, self.healthy, mean)
+        if not lookup.sent and self.due:
+            for server in self.due:
+                if self.marks.trial_due(now, server) and self.servers.known[server].zone in zones[:1] \
+                        and self.gate.lets(now, lookup, server) and self._has_fellow(lookup, server):
                     return server
+        # What is worth less than usual gets a smaller part of the room, so that it yields first when short.
+        part = min(1.0, 0.5 + 0.5 * lookup.worth * self.worth[0].read(now) / max(1e-9, self.worth[1].read(now)))
+        bound = part * self.time_bound
+        few = self.rotation.few
+
+        def fits(server: str) -> bool:
+            return (server not in tried and self.gate.lets(now, lookup, server) and not self._stalled(now, server)
+                    and self.in_flight[server] < self.measures.room(now, server, bound, few))
+
         for zone in zones:
-            fit = [s for s in sound[zone] if s not in tried and self.gate.lets(now, lookup, s)
-                   and not self._stalled(now, s)
-                   and self.in_flight[s] < self.measures.room(now, s, self.time_bound, self.rotation.few)]
-            if not lookup.sent:
-                fit = [s for s in fit if self._has_fellow(lookup, s)] or fit
-            if fit:
-                return self.rotation.pick(zone, fit, self.in_flight, mean[zone])
+            servers = self.sound[zone]
+            chosen = None
+            if not lookup.sent and lookup.category.effect is Effect.LABELLED:
+                chosen = self.rotation.pick(zone, servers, self.in_flight, mean[zone],
+                                            lambda s: fits(s) and self._has_fellow(lookup, s))
+            chosen = chosen or self.rotation.pick(zone, servers, self.in_flight, mean[zone], fits)
+            if chosen is not None:
+                return chosen
         return None
 
+    def _look(self, now: float) -> None:
+        """Which servers count as healthy; kept for a moment, or until a mark or the list changes."""
+        groups = self.servers.zones
+        everyone = [s for group in groups.values() for s in group]
+        panic = self.marks.in_panic(everyone)
+        self.sound = {z: [s for s in g if panic or not self.marks.down(s)] for z, g in groups.items()}
+        self.healthy = {z: sum(self.servers.warmth(now, s) for s in g) for z, g in self.sound.items()}
+        self.due = [] if panic else [s for s in everyone if self.marks.down(s)]
+        silent = sum(self._silent(now, s) for s in everyone)
+        self.mass_silence = silent > (1 - self.marks.panic) * len(everyone)
+        self.view_until = now + 0.25
+
+    def _silent(self, now: float, server: str) -> bool:
+        """True where a hand-off went far beyond its usual time and nothing at all came back since."""
+        first = next(iter(self.out[server].values()), None)
+        return first is not None and now > first.overdue and self.answered.get(server, -math.inf) < first.sent
+
     def _stalled(self, now: float, server: str) -> bool:
-        """Guards against hung servers before their time-outs are counted: one that has answered nothing while
-        a hand-off went far beyond its usual time gets nothing more until that one ends."""
-        return bool(self.oldest[server]) and now > next(iter(self.oldest[server].values()))
+        """Guards against hung servers before their time-outs are counted, and above all on a quiet sidecar:
+        a silent one gets nothing more until it answers. Not when most are silent, as in panic."""
+        return self._silent(now, server) and not self.mass_silence
+
+    def _given_up_on(self, now: float, lookup: Lookup) -> bool:
+        """A lookup moves on from a hand-off only when its server looks dead: what is merely slow would be
+        done twice, which makes the rest slow as well."""
+        last = lookup.out()[-1]
+        return now >= last.overdue and (self.marks.down(last.server) or self._stalled(now, last.server))
 
     def _has_fellow(self, lookup: Lookup, server: str) -> bool:
         """A labelled lookup that fails can go on only within the server's group: prefer one with a fellow."""
@@ -569,9 +631,6 @@
         return any(s != server and not self.marks.down(s) and self.gate.together(lookup, server, s)
                    for s in self.servers.zones.get(self.servers.known[server].zone, []))
 
-    def _overdue_at(self, lookup: Lookup, hand_off: HandOff) -> float:
-        return self.oldest[hand_off.server].get((lookup.id, lookup.sent.index(hand_off)), math.inf)
-
     def _hand_off(self, now: float, lookup: Lookup, server: str) -> Decision:
         self.servers.spend(now, server)
         trial = self.marks.down(server)
@@ -579,21 +638,27 @@
             self.marks.of[server].trial_out = True
         hand_off = HandOff(server, now, trial)
         lookup.sent.append(hand_off)
-        self.in_flight[server] += 1
+        self._count(server, 1)
         self.measures.started(now, server, self.in_flight[server])
         mean, overdue = (f(now, lookup.category.name) for f in (self.measures.mean, self.measures.overdue))
         # Leave time for a further hand-off that still meets the expected time, if this one hangs.
         overdue = max(min(overdue, lookup.expected_at - now - 1.5 * mean), 2 * mean)
-        self.oldest[server][(lookup.id, len(lookup.sent) - 1)] = now + overdue
+        hand_off.overdue = now + overdue
+        self.out[server][(lookup.id, len(lookup.sent) - 1)] = hand_off
         end = lookup.abandon_at - self.tick
-        if self.gate.copies:
-            heapq.heappush(self.alarms, (now + overdue, lookup.id))
-        elif len(lookup.sent) < self.gate.max_hand_offs and now + overdue + mean < end:
+        if not self.gate.copies and not self.calling_off and now + overdue + mean < end:
             end = now + overdue
+        heapq.heappush(self.alarms, (hand_off.overdue, lookup.id))
         if lookup.category.late_benefit <= 0:
             heapq.heappush(self.alarms, (lookup.expected_at, lookup.id))
         return Decision(Act.HAND_OFF, lookup.id, server, max(end - now, self.tick))
 
+    def _count(self, server: str, by: int) -> None:
+        self.in_flight[server] += by
+        zone = self.servers.known[server].zone if server in self.servers.known else ""
+        if self.servers.ready(server):
+            self.zone_flight[zone] += by
+
     def _share_left(self, now: float, customer: str) -> float:
         """1 within the customer's share; less beyond it, as this sidecar sees its own part of the traffic."""
         self.arrivals.add(now)
