--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -247,11 +247,13 @@
         self.done: dict[str, Decaying] = {}
         self.busy: dict[str, Decaying] = {}
         self.busy_since: dict[str, float] = {}
+        self.since: dict[str, float] = {}
         self.shut: dict[str, float] = {}      # servers that were full: until when they get nothing
         self.rate = Decaying(span)
 
-    def add(self, server: str) -> None:
+    def add(self, now: float, server: str) -> None:
         self.done[server], self.busy[server] = Decaying(self.span), Decaying(self.span)
+        self.since[server] = now
 
     def started(self, now: float, server: str, in_flight: int) -> None:
         if in_flight == 1:
@@ -284,8 +286,11 @@
         if now < self.shut.get(server, now):
             return 0
         self._settle(now, server)
-        done, busy = self.done[server].read(now), self.busy[server].read(now)
-        return max(few, (done + 1) / max(busy, 0.05) * time) if busy > 1.0 else max(few, 8)
+        # Over half of the idle time: a rate taken while busy alone is what one sidecar could have by itself,
+        # and all of them growing into it at once would overrun the server.
+        wall = self.span * (1 - math.exp((self.since[server] - now) / self.span))
+        seen = (self.busy[server].read(now) + wall) / 2
+        return max(few, (self.done[server].read(now) + 1) / (seen + 0.1) * time)
 
     def mean(self, now: float, category: str) -> float:
         count, total, _ = self.times[category]
@@ -399,8 +404,10 @@
         self.worth = (Decaying(10.0, 1.0), Decaying(10.0, 0.0))
         self.ask_at = now if asks else math.inf
         self.ask_again = 0.5
-        self.patience = 0.45       # of the shortest expected time: what the servers may hold of our work
-        self.time_bound = self.patience * min((c.expected_time for c in categories), default=1.0)
+        # What may be in flight on a server: what it does in this part of the usual expected time. The floor
+        # is shared, since the floors of all sidecars together must not crowd a server.
+        self.time_bound = 0.35 * sum(c.expected_time for c in categories) / max(1, len(categories))
+        self.least = max(1, round(6 / sidecars))
         self.next_look = now
         self.plan: Iterator[Decision] | None = None
 
@@ -451,7 +458,7 @@
     def servers_listed(self, now: float, entries: Iterable[ListedServer], whole: bool, cached: bool = False) -> None:
         for server in self.servers.update(now, entries, whole):
             self.marks.reset(server)
-            self.measures.add(server)
+            self.measures.add(now, server)
             self.in_flight.setdefault(server, 0)
             self.out.setdefault(server, {})
         self.view_until = now
@@ -579,11 +586,10 @@
         # What is worth less than usual gets a smaller part of the room, so that it yields first when short.
         part = min(1.0, 0.5 + 0.5 * lookup.worth * self.worth[0].read(now) / max(1e-9, self.worth[1].read(now)))
         bound = part * self.time_bound
-        few = self.rotation.few
 
         def fits(server: str) -> bool:
             return (server not in tried and self.gate.lets(now, lookup, server) and not self._stalled(now, server)
-                    and self.in_flight[server] < self.measures.room(now, server, bound, few))
+                    and self.in_flight[server] < self.measures.room(now, server, bound, self.least))
 
         for zone in zones:
             servers = self.sound[zone]
