--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -438,7 +438,9 @@
         self.measures.ended(now, server, self.in_flight[server], lookup.category.name, took, outcome)
         if outcome in (Outcome.DONE, Outcome.ERROR, Outcome.FULL):
             self.answered[server] = now
-        overdue = hand_off.called_off and took > self.measures.overdue(now, lookup.category.name)
+        # A slow server whose lookups are called off when their time is up never times out: had it been given
+        # far more than the usual time, that counts as a time-out.
+        overdue = hand_off.called_off and took > 2 * self.measures.mean(now, lookup.category.name)
         if outcome is Outcome.DONE or outcome.is_failure or overdue:
             was_down = self.marks.down(server)
             self.marks.record(now, server, outcome is not Outcome.DONE, hand_off.trial)
