--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -141,7 +141,6 @@
         self.max_fails, self.fail_timeout, self.spell, self.trials = max_fails, fail_timeout, spell, trials
         self.panic = panic
         self.of: dict[str, Mark] = {}
-        self.failed, self.ended = Decaying(fail_timeout), Decaying(fail_timeout)
 
     def reset(self, server: str) -> None:
         self.of[server] = Mark()
@@ -158,15 +157,12 @@
 
     def record(self, now: float, server: str, failure: bool, trial: bool) -> None:
         mark = self.of[server]
-        for total, bad in ((mark.ended, mark.failed), (self.ended, self.failed)):
-            total.add(now)
-            bad.add(now, float(failure))
-        if trial:
-            mark.trial_out = False
         if mark.until is not None:
             if trial:
                 self._trial_ended(now, mark, failure)
             return
+        mark.ended.add(now)
+        mark.failed.add(now, float(failure))
         if not failure:
             mark.streak = 0
             return
@@ -184,12 +180,19 @@
 
     def _worse_than_rest(self, now: float, mark: Mark) -> bool:
         """Guards sound servers against failures that belong to lookups: those strike all servers alike."""
-        ended, failed = mark.ended.read(now), mark.failed.read(now)
-        rest = (self.failed.read(now) - failed + 0.1) / (max(0.0, self.ended.read(now) - ended) + 1.0)
-        return failed / max(ended, 1e-9) > min(0.9, 0.15 + 2 * rest)
+        rest = [m for m in self.of.values() if m.until is None and m is not mark]
+        ended, failed = sum(m.ended.read(now) for m in rest), sum(m.failed.read(now) for m in rest)
+        usual = (failed + 0.1) / (ended + 1.0)
+        return mark.failed.read(now) / mark.ended.read(now) > min(0.9, 0.15 + 2 * usual)
+
+    def trial_unheard(self, now: float, server: str) -> None:
+        """A trial that proved nothing, as with a full server: a hung one stays full, and without a pause
+        every lookup would be the next trial."""
+        mark = self.of[server]
+        mark.trial_out, mark.until = False, now + mark.spell / 2
 
     def _trial_ended(self, now: float, mark: Mark, failure: bool) -> None:
-        mark.passes = 0 if failure else mark.passes + 1
+        mark.trial_out, mark.passes = False, 0 if failure else mark.passes + 1
         if failure:
             mark.until = now + mark.spell
         elif mark.passes >= self.trials:
@@ -324,6 +327,7 @@
     sent: list[HandOff] = field(default_factory=list)
     over: bool = False             # answered, or the client has left
     streaming: bool = False
+    queued: bool = False
 
     def out(self) -> list[HandOff]:
         return [h for h in self.sent if h.outcome is None]
@@ -401,6 +405,7 @@
         self.answered: dict[str, float] = {}       # when a server last answered anything
         self.zone_flight: dict[str, int] = {}
         self.view_until = -math.inf
+        self.queue = (Decaying(5.0), Decaying(5.0))   # lookups that left the queue, and those handed off
         self.worth = (Decaying(10.0, 1.0), Decaying(10.0, 0.0))
         self.ask_at = now if asks else math.inf
         self.ask_again = 0.5
@@ -436,7 +441,7 @@
         del self.out[server][(id, number)]
         took = now - hand_off.sent
         self.measures.ended(now, server, self.in_flight[server], lookup.category.name, took, outcome)
-        if outcome in (Outcome.DONE, Outcome.ERROR, Outcome.FULL):
+        if outcome in (Outcome.DONE, Outcome.ERROR):   # a hung server can still say that it is full
             self.answered[server] = now
         # A slow server whose lookups are called off when their time is up never times out: had it been given
         # far more than the usual time, that counts as a time-out.
@@ -446,8 +451,8 @@
             self.marks.record(now, server, outcome is not Outcome.DONE, hand_off.trial)
             if self.marks.down(server) != was_down:
                 self.view_until = now
-        elif hand_off.trial:
-            self.marks.of[server].trial_out = False
+        elif hand_off.trial and self.marks.down(server):
+            self.marks.trial_unheard(now, server)
         if closed or outcome is Outcome.DONE:
             lookup.over = True
             if lookup.out():
@@ -524,6 +529,10 @@
                 continue
             server = None if no_room and not lookup.sent else self._choose(now, lookup)
             no_room = no_room or (server is None and not lookup.sent)   # then none worth less finds any
+            if lookup.queued and (server is not None or not self._worth_waiting(now, lookup, queued)):
+                lookup.queued = False
+                self.queue[0].add(now)
+                self.queue[1].add(now, float(server is not None))
             if server is not None:
                 yield self._hand_off(now, lookup, server)
             elif lookup.out() and not self._too_late(now, lookup):
@@ -532,7 +541,7 @@
                 elif lookup.id not in self.waiting:
                     heapq.heappush(self.alarms, (now + self.measures.mean(now, lookup.category.name), lookup.id))
             elif not lookup.out() and self._worth_waiting(now, lookup, queued):
-                queued += 1
+                queued, lookup.queued = queued + 1, True
                 self.waiting[lookup.id] = lookup
             else:
                 yield from self._give_up(now, lookup)
@@ -548,7 +557,8 @@
             return False
         rate = self.measures.rate.read(now) / self.measures.span
         wait = (ahead + 1) / max(rate, 0.1)
-        return now + wait + 1.5 * self.measures.mean(now, lookup.category.name) < lookup.expected_at
+        kept = (self.queue[1].read(now) + 1) / (self.queue[0].read(now) + 1)
+        return now + wait / kept ** 2 + 1.5 * self.measures.mean(now, lookup.category.name) < lookup.expected_at
 
     def _give_up(self, now: float, lookup: Lookup) -> Iterator[Decision]:
         lookup.over = True
