--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -411,7 +411,7 @@
         self.ask_again = 0.5
         # What may be in flight on a server: what it does in this part of the usual expected time. The floor
         # is shared, since the floors of all sidecars together must not crowd a server.
-        self.time_bound = 0.25 * sum(c.expected_time for c in categories) / max(1, len(categories))
+        self.time_bound = 0.18 * sum(c.expected_time for c in categories) / max(1, len(categories))
         self.least = max(1, round(6 / sidecars))
         self.next_look = now
         self.plan: Iterator[Decision] | None = None
