--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -43,9 +43,8 @@
 class ServerList:
     """Who is ready, since when, and how much a server that has just started may be sent."""
 
-    def __init__(self, sidecars: int, cold_from: float, cold_time: float, fall_multiple: float,
-                 chance: Chance) -> None:
-        self.sidecars, self.cold_from, self.cold_time = sidecars, cold_from, cold_time
+    def __init__(self, cold_from: float, cold_time: float, fall_multiple: float, chance: Chance) -> None:
+        self.cold_from, self.cold_time = cold_from, cold_time
         self.headroom = fall_multiple / 2.5   # of the multiple; the rest is for small machines and bursts
         self.chance = chance
         self.known: dict[str, ListedServer] = {}
@@ -54,6 +53,7 @@
         self.zones: dict[str, list[str]] = {}              # ready servers by zone
         self.usual: dict[str, float] = {}                  # sent a second and size to warm servers, by zone
         self.reckoned = -math.inf
+        self.asked = Decaying(10.0)                        # lookups taken
 
     def update(self, now: float, entries: Iterable[ListedServer], whole: bool) -> list[str]:
         """Takes a list or its changes; returns the servers that are new or have started anew."""
@@ -95,10 +95,12 @@
             self.reckoned, self.usual = now, {}
             everyone = [s for group in self.zones.values() for s in group]
             for zone, group in [("", everyone), *self.zones.items()]:
-                warm = [s for s in group if self.warmth(now, s) == 1.0] or (everyone if zone == "" else [])
-                size = sum(self.known[s].size for s in warm)
-                if size > 0:
-                    self.usual[zone] = sum(self.sends[s].read(now) for s in warm) / 10.0 / size
+                warm = [s for s in group if self.warmth(now, s) == 1.0]
+                if warm:
+                    sent = sum(self.sends[s].read(now) for s in warm)
+                    self.usual[zone] = sent / sum(self.known[s].size for s in warm) / 10.0
+            # All of them just started: what is asked for, spread over them, stands in for what was sent.
+            self.usual.setdefault("", self.asked.read(now) / sum(self.known[s].size for s in everyone) / 10.0)
         entry = self.known[server]
         usual = self.usual.get(entry.zone, self.usual.get("", 0.0)) * entry.size
         return self.headroom * self.warmth(now, server) * usual
@@ -247,53 +249,31 @@
         self.span = span
         self.times = {c.name: [Decaying(20.0, 1.0), Decaying(20.0, c.expected_time / 4),
                                Decaying(20.0, c.expected_time ** 2 / 12)] for c in categories}
-        self.done: dict[str, Decaying] = {}
-        self.busy: dict[str, Decaying] = {}
-        self.busy_since: dict[str, float] = {}
-        self.since: dict[str, float] = {}
+        self.done: dict[str, tuple[Decaying, float]] = {}   # and since when
         self.shut: dict[str, float] = {}      # servers that were full: until when they get nothing
         self.rate = Decaying(span)
 
-    def add(self, now: float, server: str) -> None:
-        self.done[server], self.busy[server] = Decaying(self.span), Decaying(self.span)
-        self.since[server] = now
-
-    def started(self, now: float, server: str, in_flight: int) -> None:
-        if in_flight == 1:
-            self.busy_since[server] = now
-
-    def ended(self, now: float, server: str, in_flight: int, category: str, took: float,
-              outcome: Outcome) -> None:
-        self._settle(now, server)
-        if in_flight == 0:
-            self.busy_since.pop(server, None)
+    def ended(self, now: float, server: str, category: str, took: float, outcome: Outcome) -> None:
         if outcome is Outcome.DONE:
-            self.done[server].add(now)
+            self.done[server][0].add(now)
             self.rate.add(now)
         elif outcome is Outcome.FULL:
             # A full server answers at once and so looks idle: without a pause it would draw all lookups.
             self.shut[server] = now + self.mean(now, category)
-        if outcome in (Outcome.DONE, Outcome.TIMED_OUT, Outcome.CALLED_OFF) and took > 0:
-            # What was cut off counts with the time it had: else slow times would look ever shorter.
-            weight = 1.0 if outcome is Outcome.DONE or took > self.mean(now, category) else 0.0
+        # What was cut off counts with the time it had: else slow times would look ever shorter.
+        cut = outcome in (Outcome.TIMED_OUT, Outcome.CALLED_OFF) and took > self.mean(now, category)
+        if outcome is Outcome.DONE or cut:
             for total, amount in zip(self.times[category], (1.0, took, took * took)):
-                total.add(now, amount * weight)
-
-    def _settle(self, now: float, server: str) -> None:
-        if server in self.busy_since:
-            self.busy[server].add(now, now - self.busy_since[server])
-            self.busy_since[server] = now
+                total.add(now, amount)
 
-    def room(self, now: float, server: str, time: float, few: int) -> float:
-        """How many may be in flight: the rate seen while busy x the time they may take."""
+    def room(self, now: float, server: str, time: float, least: int) -> float:
+        """How many may be in flight: the rate seen, and half as much again to grow, x the time they may take.
+        The rate is over all the time: one seen only while busy is what a sidecar could have by itself, and
+        all of them growing into that at once would overrun the server."""
         if now < self.shut.get(server, now):
             return 0
-        self._settle(now, server)
-        # Over half of the idle time: a rate taken while busy alone is what one sidecar could have by itself,
-        # and all of them growing into it at once would overrun the server.
-        wall = self.span * (1 - math.exp((self.since[server] - now) / self.span))
-        seen = (self.busy[server].read(now) + wall) / 2
-        return max(few, (self.done[server].read(now) + 1) / (seen + 0.1) * time)
+        done, since = self.done[server]
+        return max(least, 1.5 * (done.read(now) + 1) / (self.span * (1.05 - math.exp((since - now) / self.span))) * time)
 
     def mean(self, now: float, category: str) -> float:
         count, total, _ = self.times[category]
@@ -393,7 +373,7 @@
         self.categories = {c.name: c for c in categories}
         self.customers = {c.name: (c, Decaying(5.0)) for c in customers}
         self.arrivals = Decaying(5.0)
-        self.servers = ServerList(sidecars, *cold, chance=chance)
+        self.servers = ServerList(*cold, chance=chance)
         self.marks, self.rotation = Marks(), Rotation(zone, chance)
         self.measures = Measures(categories)
         self.gate = Gate(self.servers, max_hand_offs, copies)
@@ -424,6 +404,7 @@
         lookup = Lookup(id, kind, now, now + min(kind.expected_time, time_left), now + time_left,
                         kind.benefit * self._share_left(now, customer) / self.measures.mean(now, category))
         self.lookups[id] = lookup
+        self.servers.asked.add(now)
         self.worth[0].add(now)
         self.worth[1].add(now, lookup.worth)
         self.waiting[id] = lookup
@@ -440,7 +421,7 @@
         self._count(server, -1)
         del self.out[server][(id, number)]
         took = now - hand_off.sent
-        self.measures.ended(now, server, self.in_flight[server], lookup.category.name, took, outcome)
+        self.measures.ended(now, server, lookup.category.name, took, outcome)
         if outcome in (Outcome.DONE, Outcome.ERROR):   # a hung server can still say that it is full
             self.answered[server] = now
         # A slow server whose lookups are called off when their time is up never times out: had it been given
@@ -465,7 +446,7 @@
     def servers_listed(self, now: float, entries: Iterable[ListedServer], whole: bool, cached: bool = False) -> None:
         for server in self.servers.update(now, entries, whole):
             self.marks.reset(server)
-            self.measures.add(now, server)
+            self.measures.done[server] = (Decaying(self.measures.span), now)
             self.in_flight.setdefault(server, 0)
             self.out.setdefault(server, {})
         self.view_until = now
@@ -657,7 +638,6 @@
         hand_off = HandOff(server, now, trial)
         lookup.sent.append(hand_off)
         self._count(server, 1)
-        self.measures.started(now, server, self.in_flight[server])
         mean, overdue = (f(now, lookup.category.name) for f in (self.measures.mean, self.measures.overdue))
         # Leave time for a further hand-off that still meets the expected time, if this one hangs.
         overdue = max(min(overdue, lookup.expected_at - now - 1.5 * mean), 2 * mean)
