--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -267,13 +267,12 @@
                 total.add(now, amount)
 
     def room(self, now: float, server: str, time: float, least: int) -> float:
-        """How many may be in flight: the rate seen, and half as much again to grow, x the time they may take.
-        The rate is over all the time: one seen only while busy is what a sidecar could have by itself, and
+        """How many may be in flight: the rate seen x the time they may take. The rate is over all the time: one seen only while busy is what a sidecar could have by itself, and
         all of them growing into that at once would overrun the server."""
         if now < self.shut.get(server, now):
             return 0
         done, since = self.done[server]
-        return max(least, 1.5 * (done.read(now) + 1) / (self.span * (1.05 - math.exp((since - now) / self.span))) * time)
+        return max(least, (done.read(now) + 1) / (self.span * (1.05 - math.exp((since - now) / self.span))) * time)
 
     def mean(self, now: float, category: str) -> float:
         count, total, _ = self.times[category]
