--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -251,12 +251,10 @@
                                Decaying(20.0, c.expected_time ** 2 / 12)] for c in categories}
         self.done: dict[str, tuple[Decaying, float]] = {}   # and since when
         self.shut: dict[str, float] = {}      # servers that were full: until when they get nothing
-        self.rate = Decaying(span)
 
     def ended(self, now: float, server: str, category: str, took: float, outcome: Outcome) -> None:
         if outcome is Outcome.DONE:
             self.done[server][0].add(now)
-            self.rate.add(now)
         elif outcome is Outcome.FULL:
             # A full server answers at once and so looks idle: without a pause it would draw all lookups.
             self.shut[server] = now + self.mean(now, category)
@@ -535,10 +533,10 @@
         """Queue only what will mostly be answered in time."""
         if self._too_late(now, lookup) or not self.gate.open(now, lookup):
             return False
-        rate = self.measures.rate.read(now) / self.measures.span
-        wait = (ahead + 1) / max(rate, 0.1)
+        mean = self.measures.mean(now, lookup.category.name)
+        wait = mean * (ahead + 1) / max(1, sum(self.zone_flight.values()))
         kept = (self.queue[1].read(now) + 1) / (self.queue[0].read(now) + 1)
-        return now + wait / kept ** 2 + 1.5 * self.measures.mean(now, lookup.category.name) < lookup.expected_at
+        return now + wait / kept ** 2 + 1.5 * mean < lookup.expected_at
 
     def _give_up(self, now: float, lookup: Lookup) -> Iterator[Decision]:
         lookup.over = True
