--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
-from foxspread.model import Act, Category, Customer, Decision, Effect, ListedServer, Outcome, Readiness
+from foxspread.model import (Act, Category, Customer, Decision, Effect, HandOff, ListedServer, Lookup,
+                             Outcome, Readiness)
 
 
 class Decaying:
@@ -57,13 +58,10 @@
 
     def update(self, now: float, entries: Iterable[ListedServer], whole: bool) -> list[str]:
         """Takes a list or its changes; returns the servers that are new or have started anew."""
-        entries = list(entries)
-        if whole:
-            named = {entry.server for entry in entries}
-            self.known = {server: old for server, old in self.known.items() if server in named}
-        fresh = []
+        before, fresh = self.known, []
+        self.known = {} if whole else dict(before)
         for entry in entries:
-            old = self.known.get(entry.server)
+            old = before.get(entry.server)
             if old is None or entry.started > old.started:
                 fresh.append(entry.server)
                 # A first share at random, so that the sidecars do not all send in the same moment.
@@ -78,8 +76,7 @@
         return fresh
 
     def ready(self, server: str) -> bool:
-        entry = self.known.get(server)
-        return entry is not None and entry.readiness is Readiness.READY
+        return server in self.known and self.known[server].readiness is Readiness.READY
 
     def warmth(self, now: float, server: str) -> float:
         """The share of its capacity that a server has at least, by the time since its start."""
@@ -102,13 +99,13 @@
             # All of them just started: what is asked for, spread over them, stands in for what was sent.
             self.usual.setdefault("", self.asked.read(now) / sum(self.known[s].size for s in everyone) / 10.0)
         entry = self.known[server]
-        usual = self.usual.get(entry.zone, self.usual.get("", 0.0)) * entry.size
+        usual = self.usual.get(entry.zone, self.usual[""]) * entry.size
         return self.headroom * self.warmth(now, server) * usual
 
     def has_budget(self, now: float, server: str) -> bool:
         if self.warmth(now, server) == 1.0:
             return True
-        held, at = self.tokens.get(server, (0.0, now))
+        held, at = self.tokens[server]
         held = min(1.0, held + (now - at) * self.allowance(now, server))   # no savings: never a burst
         self.tokens[server] = (held, now)
         return held >= 1.0
@@ -116,8 +113,7 @@
     def spend(self, now: float, server: str) -> None:
         self.sends[server].add(now)
         if self.warmth(now, server) < 1.0:
-            held, at = self.tokens.get(server, (0.0, now))
-            self.tokens[server] = (held - 1.0, at)
+            self.tokens[server] = (self.tokens[server][0] - 1.0, now)
 
 
 @dataclass
@@ -144,9 +140,6 @@
         self.panic = panic
         self.of: dict[str, Mark] = {}
 
-    def reset(self, server: str) -> None:
-        self.of[server] = Mark()
-
     def down(self, server: str) -> bool:
         return self.of[server].until is not None
 
@@ -157,10 +150,11 @@
     def in_panic(self, ready: list[str]) -> bool:
         return sum(not self.down(s) for s in ready) < self.panic * len(ready)
 
-    def record(self, now: float, server: str, failure: bool, trial: bool) -> None:
+    def record(self, now: float, server: str, failure: bool | None, trial: bool) -> None:
+        """Notes a verdict; None where there is none, as from a full server."""
         mark = self.of[server]
-        if mark.until is not None:
-            if trial:
+        if mark.until is not None or failure is None:
+            if trial and mark.until is not None:
                 self._trial_ended(now, mark, failure)
             return
         mark.ended.add(now)
@@ -183,24 +177,20 @@
     def _worse_than_rest(self, now: float, mark: Mark) -> bool:
         """Guards sound servers against failures that belong to lookups: those strike all servers alike."""
         rest = [m for m in self.of.values() if m.until is None and m is not mark]
-        ended, failed = sum(m.ended.read(now) for m in rest), sum(m.failed.read(now) for m in rest)
-        usual = (failed + 0.1) / (ended + 1.0)
+        usual = (sum(m.failed.read(now) for m in rest) + 0.1) / (sum(m.ended.read(now) for m in rest) + 1.0)
         return mark.failed.read(now) / mark.ended.read(now) > min(0.9, 0.15 + 2 * usual)
 
-    def trial_unheard(self, now: float, server: str) -> None:
-        """A trial that proved nothing, as with a full server: a hung one stays full, and without a pause
-        every lookup would be the next trial."""
-        mark = self.of[server]
-        mark.trial_out, mark.until = False, now + mark.spell / 2
-
-    def _trial_ended(self, now: float, mark: Mark, failure: bool) -> None:
-        mark.trial_out, mark.passes = False, 0 if failure else mark.passes + 1
-        if failure:
-            mark.until = now + mark.spell
-        elif mark.passes >= self.trials:
-            mark.until, mark.streak, mark.readmitted = None, 0, now
-            mark.fails.clear()
-            mark.failed, mark.ended = Decaying(self.fail_timeout), Decaying(self.fail_timeout)
+    def _trial_ended(self, now: float, mark: Mark, failure: bool | None) -> None:
+        mark.trial_out = False
+        if failure is None:
+            # A hung server stays full: without a pause every lookup would be the next trial.
+            mark.until = now + mark.spell / 2
+        elif failure:
+            mark.until, mark.passes = now + mark.spell, 0
+        elif (passes := mark.passes + 1) < self.trials:
+            mark.passes = passes
+        else:
+            mark.__init__(spell=mark.spell, readmitted=now)
 
 
 class Rotation:
@@ -212,7 +202,8 @@
         self.skip, self.few = skip, few
         self.cursor: dict[str, int] = {}
 
-    def zones(self, groups: dict[str, list[str]], healthy: dict[str, float], mean: dict[str, float]) -> list[str]:
+    def zones(self, groups: dict[str, list[str]], healthy: dict[str, float],
+              mean: dict[str, float]) -> list[str]:
         """Zone groups, best first: the own zone up to 1.4 x its healthy fraction, and not while its servers
         hold well over what this sidecar has in flight elsewhere."""
         others = sorted((z for z in groups if z != self.zone), key=lambda z: -healthy[z] * self.chance.draw())
@@ -265,52 +256,22 @@
                 total.add(now, amount)
 
     def room(self, now: float, server: str, time: float, least: int) -> float:
-        """How many may be in flight: the rate seen x the time they may take. The rate is over all the time: one seen only while busy is what a sidecar could have by itself, and
-        all of them growing into that at once would overrun the server."""
+        """How many may be in flight: the rate x the time they may take. It is the rate over all time: what each
+        sidecar could have by itself, seen while busy, together would overrun a server."""
         if now < self.shut.get(server, now):
             return 0
         done, since = self.done[server]
-        return max(least, (done.read(now) + 1) / (self.span * (1.05 - math.exp((since - now) / self.span))) * time)
+        rate = (done.read(now) + 1) / (self.span * (1.05 - math.exp((since - now) / self.span)))
+        return max(least, rate * time)
 
     def mean(self, now: float, category: str) -> float:
-        count, total, _ = self.times[category]
-        return total.read(now) / count.read(now)
+        return self.times[category][1].read(now) / self.times[category][0].read(now)
 
     def overdue(self, now: float, category: str) -> float:
         """The time after which a hand-off is out well beyond what is usual."""
-        count, total, squares = (m.read(now) for m in self.times[category])
-        mean = total / count
-        return max(3 * mean, mean + 3 * math.sqrt(max(0.0, squares / count - mean * mean)))
-
-
-@dataclass
-class HandOff:
-    server: str
-    sent: float
-    trial: bool
-    overdue: float = math.inf
-    outcome: Outcome | None = None
-    called_off: bool = False
-
-
-@dataclass
-class Lookup:
-    id: str
-    category: Category
-    taken: float
-    expected_at: float
-    abandon_at: float
-    worth: float
-    sent: list[HandOff] = field(default_factory=list)
-    over: bool = False             # answered, or the client has left
-    streaming: bool = False
-    queued: bool = False
-
-    def out(self) -> list[HandOff]:
-        return [h for h in self.sent if h.outcome is None]
-
-    def may_have_run(self) -> list[HandOff]:
-        return [h for h in self.sent if h.outcome is None or not h.outcome.never_ran]
+        mean, squares = self.mean(now, category), self.times[category][2].read(now)
+        deviation = math.sqrt(max(0.0, squares / self.times[category][0].read(now) - mean * mean))
+        return mean + 3 * max(deviation, 2 / 3 * mean)
 
 
 class Gate:
@@ -321,11 +282,10 @@
 
     def open(self, now: float, lookup: Lookup) -> bool:
         """May this lookup be handed off at all? One answer each, nothing after it, copies where allowed."""
-        if lookup.over or lookup.streaming or now >= lookup.abandon_at or len(lookup.sent) >= self.max_hand_offs:
-            return False
-        if lookup.out() and not self.copies:
-            return False
         ran = lookup.may_have_run()
+        if lookup.over or lookup.streaming or now >= lookup.abandon_at \
+                or len(lookup.sent) >= self.max_hand_offs or (lookup.out() and not self.copies):
+            return False
         if ran and lookup.category.effect is Effect.IRREVERSIBLE:
             return False
         if ran and lookup.category.effect is Effect.LABELLED:
@@ -335,20 +295,16 @@
     def lets(self, now: float, lookup: Lookup, server: str) -> bool:
         """May it go to this server? Nothing to a draining or gone one, repeats only where they are dropped,
         and a cold one only within this sidecar's part of its budget."""
-        if not self.servers.ready(server):
-            return False
-        ran = lookup.may_have_run()
-        if ran and lookup.category.effect is Effect.LABELLED and not self.together(lookup, ran[0].server, server):
-            return False
-        return self.servers.has_budget(now, server)
+        ran = lookup.may_have_run() if lookup.category.effect is Effect.LABELLED else []
+        return (self.servers.ready(server) and (not ran or self.together(lookup, ran[0].server, server))
+                and self.servers.has_budget(now, server))
 
     def together(self, lookup: Lookup, one: str, other: str) -> bool:
         """True where the two servers drop each other's repeats of this lookup."""
         a, b, scope = self.servers.known.get(one), self.servers.known.get(other), lookup.category.scope
-        if a is None or b is None:
-            return False
-        same_zone = scope in ("all", "zone") and a.zone == b.zone
-        return scope == "all" or same_zone or (scope == "cell" and (a.zone, a.cell) == (b.zone, b.cell))
+        if a is None or b is None or scope == "all":
+            return scope == "all"
+        return a.zone == b.zone and (scope == "zone" or a.cell == b.cell)
 
     def may_dismiss(self, lookup: Lookup) -> bool:
         """A dismissal says that trying again is harmless."""
@@ -365,11 +321,11 @@
                  calling_off: bool, longest_back_in: float, tick: float, asks: bool,
                  cold: tuple[float, float, float]) -> None:
         chance = Chance(seed)
-        self.chance, self.tick, self.calling_off, self.longest_back_in = chance, tick, calling_off, longest_back_in
-        self.sidecars, self.surplus_benefit = sidecars, surplus_benefit
+        self.chance, self.tick, self.calling_off = chance, tick, calling_off
+        self.longest_back_in = longest_back_in
+        self.sidecars, self.surplus_benefit, self.arrivals = sidecars, surplus_benefit, Decaying(5.0)
         self.categories = {c.name: c for c in categories}
         self.customers = {c.name: (c, Decaying(5.0)) for c in customers}
-        self.arrivals = Decaying(5.0)
         self.servers = ServerList(*cold, chance=chance)
         self.measures = Measures(categories)
         self.gate = Gate(self.servers, max_hand_offs, copies)
@@ -379,8 +335,7 @@
         self.alarms: list[tuple[float, str]] = []
         self.out: dict[str, dict[tuple[str, int], HandOff]] = {}   # by server, the oldest first
         self.answered: dict[str, float] = {}       # when a server last answered anything
-        self.zone_flight: dict[str, int] = {}
-        self.view_until = -math.inf
+        self.view_until, self.hushed = -math.inf, set()
         self.queue = (Decaying(5.0), Decaying(5.0))   # lookups that left the queue, and those handed off
         self.worth = (Decaying(10.0, 1.0), Decaying(10.0, 0.0))
         self.ask_at = now if asks else math.inf
@@ -398,7 +353,7 @@
     def lookup_taken(self, now: float, id: str, category: str, time_left: float, customer: str = "",
                      key: str = "", repeat: bool = False) -> None:
         kind = self.categories[category]
-        lookup = Lookup(id, kind, now, now + min(kind.expected_time, time_left), now + time_left,
+        lookup = Lookup(id, kind, now + min(kind.expected_time, time_left), now + time_left,
                         kind.benefit * self._share_left(now, customer) / self.measures.mean(now, category))
         self.lookups[id] = lookup
         self.servers.asked.add(now)
@@ -415,41 +370,27 @@
         hand_off = lookup.sent[number]
         hand_off.outcome = outcome
         server = hand_off.server
-        self._count(server, -1)
+        self.in_flight[server] -= 1
         del self.out[server][(id, number)]
         took = now - hand_off.sent
         # A slow server whose lookups are called off when their time is up never times out: had it been given
         # far more than the usual time, that counts as a time-out.
-        overdue = hand_off.called_off and took > 2 * self.measures.mean(now, lookup.category.name)
+        overdue = outcome is Outcome.CALLED_OFF and took > 2 * self.measures.mean(now, lookup.category.name)
         self.measures.ended(now, server, lookup.category.name, took, outcome)
         if outcome in (Outcome.DONE, Outcome.ERROR):   # a hung server can still say that it is full
             self.answered[server] = now
-        if outcome is Outcome.DONE or outcome.is_failure or overdue:
-            was_down = self.marks.down(server)
-            self.marks.record(now, server, outcome is not Outcome.DONE, hand_off.trial)
-            if self.marks.down(server) != was_down:
-                self.view_until = now
-        elif hand_off.trial and self.marks.down(server):
-            self.marks.trial_unheard(now, server)
-        if closed or outcome is Outcome.DONE:
-            lookup.over = True
-            if lookup.out():
-                self.waiting[id] = lookup   # to call off its other copy
-        if not lookup.over:
-            self.waiting[id] = lookup
-        elif not lookup.out():
-            self.lookups.pop(id, None)
-
-    def servers_listed(self, now: float, entries: Iterable[ListedServer], whole: bool, cached: bool = False) -> None:
+        self.marks.record(now, server, overdue or outcome.failure, hand_off.trial)
+        self.view_until = self.view_until if outcome is Outcome.DONE and not hand_off.trial else now
+        lookup.over = lookup.over or closed or outcome is Outcome.DONE
+        self.waiting[id] = lookup   # to go on, or to call off its other copy
+
+    def servers_listed(self, now: float, entries: Iterable[ListedServer], whole: bool) -> None:
         for server in self.servers.update(now, entries, whole):
-            self.marks.reset(server)
+            self.marks.of[server] = Mark()
             self.measures.done[server] = (Decaying(self.measures.span), now)
             self.in_flight.setdefault(server, 0)
             self.out.setdefault(server, {})
-        self.view_until = now
-        self.zone_flight = {z: sum(self.in_flight[s] for s in g) for z, g in self.servers.zones.items()}
-        if not cached:
-            self.ask_again = 0.5
+        self.view_until, self.ask_again = now, 0.5
 
     def list_call_failed(self, now: float) -> None:
         self.ask_at = now + self.ask_again * (0.5 + self.chance.draw())
@@ -471,55 +412,51 @@
     # Decisions.
 
     def next_decision(self, now: float) -> Decision | None:
-        if self.plan is None:
-            self.plan = self._decisions(now)
+        self.plan = self.plan or self._decisions(now)
         decision = next(self.plan, None)
-        if decision is None:
-            self.plan = None
+        self.plan = self.plan if decision else None
         return decision
 
     def wake_at(self) -> float | None:
-        wake = min(self.ask_at, self.alarms[0][0] if self.alarms else math.inf)
-        if self.waiting:
-            wake = min(wake, self.next_look)
+        wake = min(self.ask_at, self.alarms[0][0] if self.alarms else math.inf,
+                   self.next_look if self.waiting else math.inf)
         return wake if wake < math.inf else None
 
     def _decisions(self, now: float) -> Iterator[Decision]:
         if now >= self.ask_at:
             self.ask_at = math.inf
             yield Decision(Act.SUBSCRIBE)
+        if now >= self.view_until:
+            self._look(now)
         while self.alarms and self.alarms[0][0] <= now + 1e-6:
-            id = heapq.heappop(self.alarms)[1]
-            lookup = self.lookups.get(id)
+            lookup = self.lookups.get(heapq.heappop(self.alarms)[1])
             if lookup is not None and not lookup.over:
-                self.waiting[id] = lookup
+                self.waiting[lookup.id] = lookup
         waiting = sorted(self.waiting.values(), key=lambda each: (-each.worth, each.expected_at))
         self.waiting = {}
         self.next_look = now + 4 * self.tick
         queued, no_room = 0, False
         for lookup in waiting:
-            if lookup.over:
-                yield from self._call_off(lookup)
-                if not lookup.out():
-                    self.lookups.pop(lookup.id, None)
-                continue
-            if lookup.streaming:
+            if lookup.over or lookup.streaming:
+                yield from self._close(lookup) if lookup.over else ()
                 continue
             server = None if no_room and not lookup.sent else self._choose(now, lookup)
             no_room = no_room or (server is None and not lookup.sent)   # then none worth less finds any
-            if lookup.queued and (server is not None or not self._worth_waiting(now, lookup, queued)):
-                lookup.queued = False
+            waits = server is None and not lookup.out() and self._worth_waiting(now, lookup, queued)
+            if lookup.queued and not waits:
                 self.queue[0].add(now)
                 self.queue[1].add(now, float(server is not None))
+            lookup.queued = waits
             if server is not None:
                 yield self._hand_off(now, lookup, server)
             elif lookup.out() and not self._too_late(now, lookup):
                 if not self.gate.copies and self._given_up_on(now, lookup):
                     yield from self._call_off(lookup)
-                elif lookup.id not in self.waiting:
-                    heapq.heappush(self.alarms, (now + self.measures.mean(now, lookup.category.name), lookup.id))
-            elif not lookup.out() and self._worth_waiting(now, lookup, queued):
-                queued, lookup.queued = queued + 1, True
+                else:   # looked at again after the usual time
+                    again = now + self.measures.mean(now, lookup.category.name)
+                    heapq.heappush(self.alarms, (again, lookup.id))
+            elif waits:
+                queued += 1
                 self.waiting[lookup.id] = lookup
             else:
                 yield from self._give_up(now, lookup)
@@ -534,16 +471,19 @@
         if self._too_late(now, lookup) or not self.gate.open(now, lookup):
             return False
         mean = self.measures.mean(now, lookup.category.name)
-        wait = mean * (ahead + 1) / max(1, sum(self.zone_flight.values()))
+        wait = mean * (ahead + 1) / max(1, sum(self.in_flight.values()))
         kept = (self.queue[1].read(now) + 1) / (self.queue[0].read(now) + 1)
         return now + wait / kept ** 2 + 1.5 * mean < lookup.expected_at
 
     def _give_up(self, now: float, lookup: Lookup) -> Iterator[Decision]:
         lookup.over = True
-        dismiss = self.gate.may_dismiss(lookup)
-        yield from self._call_off(lookup)
         back_in = min(self.longest_back_in, 0.3 + 0.4 * self.chance.draw())
+        dismiss = self.gate.may_dismiss(lookup)
         yield Decision(Act.DISMISS, lookup.id, back_in=back_in) if dismiss else Decision(Act.SCRAP, lookup.id)
+        yield from self._close(lookup)
+
+    def _close(self, lookup: Lookup) -> Iterator[Decision]:
+        yield from self._call_off(lookup)
         if not lookup.out():
             self.lookups.pop(lookup.id, None)
 
@@ -559,66 +499,58 @@
         if lookup.sent:
             # Carried over: a further hand-off only if the time left exceeds the time it should take.
             limit = lookup.abandon_at if lookup.category.late_benefit > 0 else lookup.expected_at
-            if limit - now <= self.measures.mean(now, lookup.category.name):
-                return None
-            if lookup.out() and not self._given_up_on(now, lookup):
+            if limit - now <= self.measures.mean(now, lookup.category.name) \
+                    or (lookup.out() and not self._given_up_on(now, lookup)):
                 return None
-        if now >= self.view_until:
-            self._look(now)
         tried = {h.server for h in lookup.sent}
-        mean = {z: self.zone_flight[z] / max(1, len(g)) for z, g in self.sound.items()}
+        mean = {z: sum(self.in_flight[s] for s in g) / max(1, len(g)) for z, g in self.sound.items()}
         zones = self.rotation.zones(self.servers.zones, self.healthy, mean)
-        if not lookup.sent and self.due:
-            for server in self.due:
-                if self.marks.trial_due(now, server) and self.servers.known[server].zone in zones[:1] \
-                        and self.gate.lets(now, lookup, server) and self._has_fellow(lookup, server):
-                    return server
+        for server in self.due if not lookup.sent else ():
+            if self.marks.trial_due(now, server) and self.servers.known[server].zone in zones[:1] \
+                    and self.gate.lets(now, lookup, server) and self._has_fellow(lookup, server):
+                return server
         # What is worth less than usual gets a smaller part of the room, so that it yields first when short.
-        part = min(1.0, 0.5 + 0.5 * lookup.worth * self.worth[0].read(now) / max(1e-9, self.worth[1].read(now)))
-        bound = part * self.time_bound
+        usual_worth = max(1e-9, self.worth[1].read(now) / self.worth[0].read(now))
+        time = min(1.0, 0.5 + 0.5 * lookup.worth / usual_worth) * self.time_bound
 
         def fits(server: str) -> bool:
-            return (server not in tried and self.gate.lets(now, lookup, server) and not self._stalled(now, server)
-                    and self.in_flight[server] < self.measures.room(now, server, bound, self.least))
+            return (server not in tried and server not in self.hushed and self.gate.lets(now, lookup, server)
+                    and self.in_flight[server] < self.measures.room(now, server, time, self.least))
 
         for zone in zones:
-            servers = self.sound[zone]
-            chosen = None
-            if not lookup.sent and lookup.category.effect is Effect.LABELLED:
-                chosen = self.rotation.pick(zone, servers, self.in_flight, mean[zone],
-                                            lambda s: fits(s) and self._has_fellow(lookup, s))
-            chosen = chosen or self.rotation.pick(zone, servers, self.in_flight, mean[zone], fits)
-            if chosen is not None:
-                return chosen
+            for fellow in (True, False):   # a labelled one first where it could go on after a failure
+                chosen = self.rotation.pick(zone, self.sound[zone], self.in_flight, mean[zone],
+                                            lambda s: fits(s) and (not fellow or self._has_fellow(lookup, s)))
+                if chosen is not None:
+                    return chosen
+                if lookup.sent or lookup.category.effect is not Effect.LABELLED:
+                    break
         return None
 
     def _look(self, now: float) -> None:
         """Which servers count as healthy; kept for a moment, or until a mark or the list changes."""
         groups = self.servers.zones
         everyone = [s for group in groups.values() for s in group]
+        # Panic is of the whole fleet: judged by zone, a zone's lone hung server would get all its lookups.
         panic = self.marks.in_panic(everyone)
         self.sound = {z: [s for s in g if panic or not self.marks.down(s)] for z, g in groups.items()}
         self.healthy = {z: sum(self.servers.warmth(now, s) for s in g) for z, g in self.sound.items()}
         self.due = [] if panic else [s for s in everyone if self.marks.down(s)]
-        silent = sum(self._silent(now, s) for s in everyone)
-        self.mass_silence = silent > (1 - self.marks.panic) * len(everyone)
+        silent = {s for s in everyone if self._silent(now, s)}
+        self.hushed = silent if len(silent) <= (1 - self.marks.panic) * len(everyone) else set()
         self.view_until = now + 0.25
 
     def _silent(self, now: float, server: str) -> bool:
-        """True where a hand-off went far beyond its usual time and nothing at all came back since."""
+        """Guards against hung servers before their time-outs are counted, above all on a quiet sidecar: with
+        a hand-off out far beyond its usual time and nothing back since, a server gets nothing more."""
         first = next(iter(self.out[server].values()), None)
         return first is not None and now > first.overdue and self.answered.get(server, -math.inf) < first.sent
 
-    def _stalled(self, now: float, server: str) -> bool:
-        """Guards against hung servers before their time-outs are counted, and above all on a quiet sidecar:
-        a silent one gets nothing more until it answers. Not when most are silent, as in panic."""
-        return self._silent(now, server) and not self.mass_silence
-
     def _given_up_on(self, now: float, lookup: Lookup) -> bool:
         """A lookup moves on from a hand-off only when its server looks dead: what is merely slow would be
         done twice, which makes the rest slow as well."""
         last = lookup.out()[-1]
-        return now >= last.overdue and (self.marks.down(last.server) or self._stalled(now, last.server))
+        return now >= last.overdue and (self.marks.down(last.server) or last.server in self.hushed)
 
     def _has_fellow(self, lookup: Lookup, server: str) -> bool:
         """A labelled lookup that fails can go on only within the server's group: prefer one with a fellow."""
@@ -629,31 +561,22 @@
 
     def _hand_off(self, now: float, lookup: Lookup, server: str) -> Decision:
         self.servers.spend(now, server)
-        trial = self.marks.down(server)
-        if trial:
-            self.marks.of[server].trial_out = True
-        hand_off = HandOff(server, now, trial)
+        hand_off = HandOff(server, now, trial=self.marks.down(server))
+        self.marks.of[server].trial_out = hand_off.trial
         lookup.sent.append(hand_off)
-        self._count(server, 1)
-        mean, overdue = (f(now, lookup.category.name) for f in (self.measures.mean, self.measures.overdue))
+        self.in_flight[server] += 1
         # Leave time for a further hand-off that still meets the expected time, if this one hangs.
-        overdue = max(min(overdue, lookup.expected_at - now - 1.5 * mean), 2 * mean)
-        hand_off.overdue = now + overdue
+        mean, overdue = (f(now, lookup.category.name) for f in (self.measures.mean, self.measures.overdue))
+        hand_off.overdue = now + max(min(overdue, lookup.expected_at - now - 1.5 * mean), 2 * mean)
         self.out[server][(lookup.id, len(lookup.sent) - 1)] = hand_off
         end = lookup.abandon_at - self.tick
-        if not self.gate.copies and not self.calling_off and now + overdue + mean < end:
-            end = now + overdue
+        if not self.gate.copies and not self.calling_off and hand_off.overdue + mean < end:
+            end = hand_off.overdue
         heapq.heappush(self.alarms, (hand_off.overdue, lookup.id))
         if lookup.category.late_benefit <= 0:
             heapq.heappush(self.alarms, (lookup.expected_at, lookup.id))
         return Decision(Act.HAND_OFF, lookup.id, server, max(end - now, self.tick))
 
-    def _count(self, server: str, by: int) -> None:
-        self.in_flight[server] += by
-        zone = self.servers.known[server].zone if server in self.servers.known else ""
-        if self.servers.ready(server):
-            self.zone_flight[zone] += by
-
     def _share_left(self, now: float, customer: str) -> float:
         """1 within the customer's share; less beyond it, as this sidecar sees its own part of the traffic."""
         self.arrivals.add(now)
@@ -662,5 +585,5 @@
         entry, sent = self.customers[customer]
         sent.add(now)
         rate = sent.read(now) / sent.span
-        over = rate > entry.quota / self.sidecars and sent.read(now) > entry.share * self.arrivals.read(now)
+        over = rate > max(entry.quota / self.sidecars, entry.share * self.arrivals.read(now) / sent.span)
         return self.surplus_benefit if over else 1.0
--- a/foxspread/model.py
+++ b/foxspread/model.py
@@ -1,6 +1,7 @@
 """Plain types that the decisions and their hosts share. Times are seconds with fractions."""
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
 from enum import Enum
 
 
@@ -27,9 +28,11 @@
         return self in (Outcome.FULL, Outcome.UNCONNECTED, Outcome.UNSENT)
 
     @property
-    def is_failure(self) -> bool:
-        """True where it speaks against the server: being full, called off or unsent does not."""
-        return self in (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.UNCONNECTED, Outcome.RESET)
+    def failure(self) -> bool | None:
+        """The verdict on the server; None where there is none: being full, called off or unsent."""
+        if self in (Outcome.FULL, Outcome.CALLED_OFF, Outcome.UNSENT):
+            return None
+        return self is not Outcome.DONE
 
 
 class Readiness(Enum):
@@ -68,6 +71,35 @@
     quota: float = 0.0             # lookups a second over all sidecars
 
 
+@dataclass
+class HandOff:
+    server: str
+    sent: float
+    trial: bool
+    overdue: float = math.inf
+    outcome: Outcome | None = None
+    called_off: bool = False
+
+
+@dataclass
+class Lookup:
+    id: str
+    category: Category
+    expected_at: float
+    abandon_at: float
+    worth: float                   # benefit per usual time, within its customer's share
+    sent: list[HandOff] = field(default_factory=list)
+    over: bool = False             # answered, or the client has left
+    streaming: bool = False
+    queued: bool = False
+
+    def out(self) -> list[HandOff]:
+        return [h for h in self.sent if h.outcome is None]
+
+    def may_have_run(self) -> list[HandOff]:
+        return [h for h in self.sent if h.outcome is None or not h.outcome.never_ran]
+
+
 class Act(Enum):
     HAND_OFF = "hand off"
     CALL_OFF = "call off"
