--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -51,7 +51,8 @@
         self.known: dict[str, ListedServer] = {}
         self.sends: dict[str, Decaying] = {}
         self.tokens: dict[str, tuple[float, float]] = {}   # of cold servers: hand-offs in hand, as of when
-        self.zones: dict[str, list[str]] = {}              # ready servers by zone
+        self.zones: dict[str, list[str]] = {}              # the ready servers by zone
+        self.ready: set[str] = set()
         self.usual: dict[str, float] = {}                  # sent a second and size to warm servers, by zone
         self.reckoned = -math.inf
         self.asked = Decaying(10.0)                        # lookups taken
@@ -68,16 +69,12 @@
                 self.tokens[entry.server] = (self.chance.draw() * 0.9, now)
             self.known[entry.server] = entry
             self.sends.setdefault(entry.server, Decaying(10.0))
-        self.zones = {}
-        for server in sorted(self.known):
-            if self.known[server].readiness is Readiness.READY:
-                self.zones.setdefault(self.known[server].zone, []).append(server)
+        self.zones, self.ready = {}, {s for s in self.known if self.known[s].readiness is Readiness.READY}
+        for server in sorted(self.ready):
+            self.zones.setdefault(self.known[server].zone, []).append(server)
         self.reckoned = -math.inf
         return fresh
 
-    def ready(self, server: str) -> bool:
-        return server in self.known and self.known[server].readiness is Readiness.READY
-
     def warmth(self, now: float, server: str) -> float:
         """The share of its capacity that a server has at least, by the time since its start."""
         started = self.known[server].started
@@ -169,9 +166,9 @@
         # Quiet sidecars: a server that only ever fails is met too rarely to fill the window, so failures in a
         # row count however long ago they were.
         if max(len(mark.fails), mark.streak) >= self.max_fails and self._worse_than_rest(now, mark):
-            again = now - mark.readmitted < 3 * self.fail_timeout
             # Flapping: a server that fails again soon after its trials stays away for longer each time.
-            mark.spell = min(mark.spell * 2, 4 * self.spell) if again and mark.spell else self.spell
+            again = now - mark.readmitted < 3 * self.fail_timeout
+            mark.spell = min(mark.spell * 2, 4 * self.spell) if again else self.spell
             mark.until, mark.passes = now + mark.spell, 0
 
     def _worse_than_rest(self, now: float, mark: Mark) -> bool:
@@ -187,10 +184,10 @@
             mark.until = now + mark.spell / 2
         elif failure:
             mark.until, mark.passes = now + mark.spell, 0
-        elif (passes := mark.passes + 1) < self.trials:
-            mark.passes = passes
         else:
-            mark.__init__(spell=mark.spell, readmitted=now)
+            mark.passes += 1
+            if mark.passes >= self.trials:
+                mark.__init__(spell=mark.spell, readmitted=now)
 
 
 class Rotation:
@@ -207,7 +204,6 @@
         """Zone groups, best first: the own zone up to 1.4 x its healthy fraction, and not while its servers
         hold well over what this sidecar has in flight elsewhere."""
         others = sorted((z for z in groups if z != self.zone), key=lambda z: -healthy[z] * self.chance.draw())
-        others.sort(key=lambda z: healthy[z] <= 0)
         if self.zone not in groups:
             return others
         share = min(1.0, self.spill * healthy[self.zone] / len(groups[self.zone]))
@@ -256,7 +252,7 @@
                 total.add(now, amount)
 
     def room(self, now: float, server: str, time: float, least: int) -> float:
-        """How many may be in flight: the rate x the time they may take. It is the rate over all time: what each
+        """How many may be in flight: rate x the time they may take. The rate is over all time: what each
         sidecar could have by itself, seen while busy, together would overrun a server."""
         if now < self.shut.get(server, now):
             return 0
@@ -296,7 +292,7 @@
         """May it go to this server? Nothing to a draining or gone one, repeats only where they are dropped,
         and a cold one only within this sidecar's part of its budget."""
         ran = lookup.may_have_run() if lookup.category.effect is Effect.LABELLED else []
-        return (self.servers.ready(server) and (not ran or self.together(lookup, ran[0].server, server))
+        return (server in self.servers.ready and (not ran or self.together(lookup, ran[0].server, server))
                 and self.servers.has_budget(now, server))
 
     def together(self, lookup: Lookup, one: str, other: str) -> bool:
@@ -321,11 +317,10 @@
                  calling_off: bool, longest_back_in: float, tick: float, asks: bool,
                  cold: tuple[float, float, float]) -> None:
         chance = Chance(seed)
-        self.chance, self.tick, self.calling_off = chance, tick, calling_off
-        self.longest_back_in = longest_back_in
-        self.sidecars, self.surplus_benefit, self.arrivals = sidecars, surplus_benefit, Decaying(5.0)
+        self.chance, self.tick, self.longest_back_in = chance, tick, longest_back_in
+        self.calling_off, self.sidecars, self.surplus_benefit = calling_off, sidecars, surplus_benefit
         self.categories = {c.name: c for c in categories}
-        self.customers = {c.name: (c, Decaying(5.0)) for c in customers}
+        self.customers = {c.name: (c, Decaying(10.0)) for c in customers}
         self.servers = ServerList(*cold, chance=chance)
         self.measures = Measures(categories)
         self.gate = Gate(self.servers, max_hand_offs, copies)
@@ -335,17 +330,15 @@
         self.alarms: list[tuple[float, str]] = []
         self.out: dict[str, dict[tuple[str, int], HandOff]] = {}   # by server, the oldest first
         self.answered: dict[str, float] = {}       # when a server last answered anything
-        self.view_until, self.hushed = -math.inf, set()
         self.queue = (Decaying(5.0), Decaying(5.0))   # lookups that left the queue, and those handed off
         self.worth = (Decaying(10.0, 1.0), Decaying(10.0, 0.0))
-        self.ask_at = now if asks else math.inf
-        self.ask_again = 0.5
+        self.ask_at, self.ask_again = now if asks else math.inf, 0.5
         # What may be in flight on a server: what it does in this part of the usual expected time. The floor
         # is shared, since the floors of all sidecars together must not crowd a server.
         self.time_bound = 0.18 * sum(c.expected_time for c in categories) / max(1, len(categories))
         self.least = max(1, round(4 / sidecars))
         self.marks, self.rotation = Marks(), Rotation(zone, chance, few=min(2, self.least))
-        self.next_look = now
+        self.next_look = self.view_until = now
         self.plan: Iterator[Decision] | None = None
 
     # Inputs: each only brings what is known up to date.
@@ -353,10 +346,10 @@
     def lookup_taken(self, now: float, id: str, category: str, time_left: float, customer: str = "",
                      key: str = "", repeat: bool = False) -> None:
         kind = self.categories[category]
+        self.servers.asked.add(now)
         lookup = Lookup(id, kind, now + min(kind.expected_time, time_left), now + time_left,
                         kind.benefit * self._share_left(now, customer) / self.measures.mean(now, category))
         self.lookups[id] = lookup
-        self.servers.asked.add(now)
         self.worth[0].add(now)
         self.worth[1].add(now, lookup.worth)
         self.waiting[id] = lookup
@@ -468,12 +461,11 @@
 
     def _worth_waiting(self, now: float, lookup: Lookup, ahead: int) -> bool:
         """Queue only what will mostly be answered in time."""
-        if self._too_late(now, lookup) or not self.gate.open(now, lookup):
-            return False
         mean = self.measures.mean(now, lookup.category.name)
         wait = mean * (ahead + 1) / max(1, sum(self.in_flight.values()))
         kept = (self.queue[1].read(now) + 1) / (self.queue[0].read(now) + 1)
-        return now + wait / kept ** 2 + 1.5 * mean < lookup.expected_at
+        in_time = now + wait / kept ** 2 + 1.5 * mean < lookup.expected_at
+        return in_time and not self._too_late(now, lookup) and self.gate.open(now, lookup)
 
     def _give_up(self, now: float, lookup: Lookup) -> Iterator[Decision]:
         lookup.over = True
@@ -494,14 +486,12 @@
                 yield Decision(Act.CALL_OFF, lookup.id, number=number)
 
     def _choose(self, now: float, lookup: Lookup) -> str | None:
-        if not self.gate.open(now, lookup) or self._too_late(now, lookup):
+        # Carried over: a further hand-off only if the time left exceeds the time it should take.
+        limit = lookup.abandon_at if lookup.category.late_benefit > 0 else lookup.expected_at
+        short = lookup.sent and limit - now <= self.measures.mean(now, lookup.category.name)
+        if short or self._too_late(now, lookup) or not self.gate.open(now, lookup) \
+                or (lookup.out() and not self._given_up_on(now, lookup)):
             return None
-        if lookup.sent:
-            # Carried over: a further hand-off only if the time left exceeds the time it should take.
-            limit = lookup.abandon_at if lookup.category.late_benefit > 0 else lookup.expected_at
-            if limit - now <= self.measures.mean(now, lookup.category.name) \
-                    or (lookup.out() and not self._given_up_on(now, lookup)):
-                return None
         tried = {h.server for h in lookup.sent}
         mean = {z: sum(self.in_flight[s] for s in g) / max(1, len(g)) for z, g in self.sound.items()}
         zones = self.rotation.zones(self.servers.zones, self.healthy, mean)
@@ -579,11 +569,10 @@
 
     def _share_left(self, now: float, customer: str) -> float:
         """1 within the customer's share; less beyond it, as this sidecar sees its own part of the traffic."""
-        self.arrivals.add(now)
         if customer not in self.customers:
             return 1.0
         entry, sent = self.customers[customer]
         sent.add(now)
-        rate = sent.read(now) / sent.span
-        over = rate > max(entry.quota / self.sidecars, entry.share * self.arrivals.read(now) / sent.span)
+        least = entry.share * self.servers.asked.read(now)   # both sums decay alike
+        over = sent.read(now) > max(entry.quota / self.sidecars * sent.span, least)
         return self.surplus_benefit if over else 1.0
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -129,7 +129,7 @@
         it.update(100.0, servers(), True)
         self.assertEqual(it.update(110.0, servers(["s1"], started=109.0), False), ["s1"])
         it.update(111.0, servers(["s2"]), True)
-        self.assertFalse(it.ready("s1"))
+        self.assertNotIn("s1", it.ready)
 
 
 class TestMeasures(unittest.TestCase):
