--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -251,14 +251,14 @@
             for total, amount in zip(self.times[category], (1.0, took, took * took)):
                 total.add(now, amount)
 
-    def room(self, now: float, server: str, time: float, least: int) -> float:
-        """How many may be in flight: rate x the time they may take. The rate is over all time: what each
-        sidecar could have by itself, seen while busy, together would overrun a server."""
+    def room(self, now: float, server: str, time: float, spare: float) -> float:
+        """How many may be in flight: rate x the time they may take, and a little spare to grow from where one
+        takes longer than that. The rate is over all time: what each sidecar could have by itself, seen while
+        busy, together would overrun a server."""
         if now < self.shut.get(server, now):
             return 0
         done, since = self.done[server]
-        rate = (done.read(now) + 1) / (self.span * (1.05 - math.exp((since - now) / self.span)))
-        return max(least, rate * time)
+        return max(1, spare + done.read(now) / (self.span * (1.05 - math.exp((since - now) / self.span))) * time)
 
     def mean(self, now: float, category: str) -> float:
         return self.times[category][1].read(now) / self.times[category][0].read(now)
@@ -333,11 +333,11 @@
         self.queue = (Decaying(5.0), Decaying(5.0))   # lookups that left the queue, and those handed off
         self.worth = (Decaying(10.0, 1.0), Decaying(10.0, 0.0))
         self.ask_at, self.ask_again = now if asks else math.inf, 0.5
-        # What may be in flight on a server: what it does in this part of the usual expected time. The floor
-        # is shared, since the floors of all sidecars together must not crowd a server.
+        # What may be in flight on a server: what it does in this part of the usual expected time. The spare
+        # is shared, since the spares of all sidecars together must not crowd a server.
         self.time_bound = 0.18 * sum(c.expected_time for c in categories) / max(1, len(categories))
-        self.least = max(1, round(4 / sidecars))
-        self.marks, self.rotation = Marks(), Rotation(zone, chance, few=min(2, self.least))
+        self.spare = 4 / sidecars
+        self.marks, self.rotation = Marks(), Rotation(zone, chance, few=2 if sidecars < 3 else 1)
         self.next_look = self.view_until = now
         self.plan: Iterator[Decision] | None = None
 
@@ -505,7 +505,7 @@
 
         def fits(server: str) -> bool:
             return (server not in tried and server not in self.hushed and self.gate.lets(now, lookup, server)
-                    and self.in_flight[server] < self.measures.room(now, server, time, self.least))
+                    and self.in_flight[server] < self.measures.room(now, server, time, self.spare))
 
         for zone in zones:
             for fellow in (True, False):   # a labelled one first where it could go on after a failure
