--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -336,7 +336,7 @@
         # What may be in flight on a server: what it does in this part of the usual expected time. The spare
         # is shared, since the spares of all sidecars together must not crowd a server.
         self.time_bound = 0.18 * sum(c.expected_time for c in categories) / max(1, len(categories))
-        self.spare = 4 / sidecars
+        self.spare = 1.5 / sidecars
         self.marks, self.rotation = Marks(), Rotation(zone, chance, few=2 if sidecars < 3 else 1)
         self.next_look = self.view_until = now
         self.plan: Iterator[Decision] | None = None
