--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -232,14 +232,16 @@
 class Measures:
     """Rates and times, as this sidecar saw them."""
 
-    def __init__(self, categories: Iterable[Category], span: float = 8.0) -> None:
-        self.span = span
+    def __init__(self, categories: Iterable[Category], rest: float = 0.0, span: float = 8.0) -> None:
+        self.span, self.rest = span, rest
         self.times = {c.name: [Decaying(20.0, 1.0), Decaying(20.0, c.expected_time / 4),
                                Decaying(20.0, c.expected_time ** 2 / 12)] for c in categories}
         self.done: dict[str, tuple[Decaying, float]] = {}   # and since when
+        self.rested: dict[str, float] = {}    # a floor under 1: from when one more may go there
         self.shut: dict[str, float] = {}      # servers that were full: until when they get nothing
 
     def ended(self, now: float, server: str, category: str, took: float, outcome: Outcome) -> None:
+        self.rested[server] = now + took * self.rest
         if outcome is Outcome.DONE:
             self.done[server][0].add(now)
         elif outcome is Outcome.FULL:
@@ -251,14 +253,16 @@
             for total, amount in zip(self.times[category], (1.0, took, took * took)):
                 total.add(now, amount)
 
-    def room(self, now: float, server: str, time: float, spare: float) -> float:
-        """How many may be in flight: rate x the time they may take, and a little spare to grow from where one
-        takes longer than that. The rate is over all time: what each sidecar could have by itself, seen while
-        busy, together would overrun a server."""
+    def room(self, now: float, server: str, time: float, least: float) -> float:
+        """How many may be in flight: rate x the time they may take. The rate is over all time: what each
+        sidecar could have by itself, seen while busy, together would overrun a server."""
         if now < self.shut.get(server, now):
             return 0
         done, since = self.done[server]
-        return max(1, spare + done.read(now) / (self.span * (1.05 - math.exp((since - now) / self.span))) * time)
+        room = (done.read(now) + 1) / (self.span * (1.05 - math.exp((since - now) / self.span))) * time
+        # Many sidecars: even one in flight from each would crowd a server, so a floor under 1 is kept by rest.
+        rested = now >= self.rested.get(server, now)
+        return max(room, round(least)) if least >= 1 else room if room >= 1 else float(rested)
 
     def mean(self, now: float, category: str) -> float:
         return self.times[category][1].read(now) / self.times[category][0].read(now)
@@ -322,7 +326,7 @@
         self.categories = {c.name: c for c in categories}
         self.customers = {c.name: (c, Decaying(10.0)) for c in customers}
         self.servers = ServerList(*cold, chance=chance)
-        self.measures = Measures(categories)
+        self.measures = Measures(categories, rest=max(0.0, sidecars / 4 - 1))
         self.gate = Gate(self.servers, max_hand_offs, copies)
         self.in_flight: dict[str, int] = {}
         self.lookups: dict[str, Lookup] = {}
@@ -333,10 +337,10 @@
         self.queue = (Decaying(5.0), Decaying(5.0))   # lookups that left the queue, and those handed off
         self.worth = (Decaying(10.0, 1.0), Decaying(10.0, 0.0))
         self.ask_at, self.ask_again = now if asks else math.inf, 0.5
-        # What may be in flight on a server: what it does in this part of the usual expected time. The spare
-        # is shared, since the spares of all sidecars together must not crowd a server.
+        # What may be in flight on a server: what it does in this part of the usual expected time. The floor
+        # is shared, since the floors of all sidecars together must not crowd a server.
         self.time_bound = 0.18 * sum(c.expected_time for c in categories) / max(1, len(categories))
-        self.spare = 1.5 / sidecars
+        self.least = 4 / sidecars
         self.marks, self.rotation = Marks(), Rotation(zone, chance, few=2 if sidecars < 3 else 1)
         self.next_look = self.view_until = now
         self.plan: Iterator[Decision] | None = None
@@ -505,7 +509,7 @@
 
         def fits(server: str) -> bool:
             return (server not in tried and server not in self.hushed and self.gate.lets(now, lookup, server)
-                    and self.in_flight[server] < self.measures.room(now, server, time, self.spare))
+                    and self.in_flight[server] < self.measures.room(now, server, time, self.least))
 
         for zone in zones:
             for fellow in (True, False):   # a labelled one first where it could go on after a failure
