--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -253,7 +253,7 @@
             for total, amount in zip(self.times[category], (1.0, took, took * took)):
                 total.add(now, amount)
 
-    def room(self, now: float, server: str, time: float, least: float) -> float:
+    def room(self, now: float, server: str, time: float, least: int) -> float:
         """How many may be in flight: rate x the time they may take. The rate is over all time: what each
         sidecar could have by itself, seen while busy, together would overrun a server."""
         if now < self.shut.get(server, now):
@@ -262,7 +262,7 @@
         room = (done.read(now) + 1) / (self.span * (1.05 - math.exp((since - now) / self.span))) * time
         # Many sidecars: even one in flight from each would crowd a server, so a floor under 1 is kept by rest.
         rested = now >= self.rested.get(server, now)
-        return max(room, round(least)) if least >= 1 else room if room >= 1 else float(rested)
+        return max(room, least) if room >= 1 or rested else 0
 
     def mean(self, now: float, category: str) -> float:
         return self.times[category][1].read(now) / self.times[category][0].read(now)
@@ -326,7 +326,7 @@
         self.categories = {c.name: c for c in categories}
         self.customers = {c.name: (c, Decaying(10.0)) for c in customers}
         self.servers = ServerList(*cold, chance=chance)
-        self.measures = Measures(categories, rest=max(0.0, sidecars / 4 - 1))
+        self.measures = Measures(categories, rest=max(0.0, sidecars / 7 - 1))
         self.gate = Gate(self.servers, max_hand_offs, copies)
         self.in_flight: dict[str, int] = {}
         self.lookups: dict[str, Lookup] = {}
@@ -340,8 +340,8 @@
         # What may be in flight on a server: what it does in this part of the usual expected time. The floor
         # is shared, since the floors of all sidecars together must not crowd a server.
         self.time_bound = 0.18 * sum(c.expected_time for c in categories) / max(1, len(categories))
-        self.least = 4 / sidecars
-        self.marks, self.rotation = Marks(), Rotation(zone, chance, few=2 if sidecars < 3 else 1)
+        self.least = max(1, round(4 / sidecars))
+        self.marks, self.rotation = Marks(), Rotation(zone, chance, few=min(2, self.least))
         self.next_look = self.view_until = now
         self.plan: Iterator[Decision] | None = None
 
