Cold servers are given longer before they seem hung; overdue is one notion

Cause: a just-started server takes several times the usual time, was held silent and then marked (search, a release of servers).

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -260,9 +260,8 @@
             return 0
         done, since = self.done[server]
         room = (done.read(now) + 1) / (self.span * (1.05 - math.exp((since - now) / self.span))) * time
-        # Many sidecars: even one in flight from each would crowd a server, so a floor under 1 is kept by rest.
-        rested = now >= self.rested.get(server, now)
-        return max(room, least) if room >= 1 or rested else 0
+        # Many sidecars: even one in flight from each would crowd a server, so each rests between two.
+        return max(room, least) if room >= 1 or now >= self.rested.get(server, now) else 0
 
     def mean(self, now: float, category: str) -> float:
         return self.times[category][1].read(now) / self.times[category][0].read(now)
@@ -370,9 +369,9 @@
         self.in_flight[server] -= 1
         del self.out[server][(id, number)]
         took = now - hand_off.sent
-        # A slow server whose lookups are called off when their time is up never times out: had it been given
-        # far more than the usual time, that counts as a time-out.
-        overdue = outcome is Outcome.CALLED_OFF and took > 2 * self.measures.mean(now, lookup.category.name)
+        # A slow server whose lookups are called off when their time is up never times out: being called off
+        # when overdue counts as a time-out.
+        overdue = outcome is Outcome.CALLED_OFF and now > hand_off.overdue
         self.measures.ended(now, server, lookup.category.name, took, outcome)
         if outcome in (Outcome.DONE, Outcome.ERROR):   # a hung server can still say that it is full
             self.answered[server] = now
@@ -496,7 +495,6 @@
         if short or self._too_late(now, lookup) or not self.gate.open(now, lookup) \
                 or (lookup.out() and not self._given_up_on(now, lookup)):
             return None
-        tried = {h.server for h in lookup.sent}
         mean = {z: sum(self.in_flight[s] for s in g) / max(1, len(g)) for z, g in self.sound.items()}
         zones = self.rotation.zones(self.servers.zones, self.healthy, mean)
         for server in self.due if not lookup.sent else ():
@@ -508,7 +506,8 @@
         time = min(1.0, 0.5 + 0.5 * lookup.worth / usual_worth) * self.time_bound
 
         def fits(server: str) -> bool:
-            return (server not in tried and server not in self.hushed and self.gate.lets(now, lookup, server)
+            return (server not in self.hushed and all(h.server != server for h in lookup.sent)
+                    and self.gate.lets(now, lookup, server)
                     and self.in_flight[server] < self.measures.room(now, server, time, self.least))
 
         for zone in zones:
@@ -561,7 +560,8 @@
         self.in_flight[server] += 1
         # Leave time for a further hand-off that still meets the expected time, if this one hangs.
         mean, overdue = (f(now, lookup.category.name) for f in (self.measures.mean, self.measures.overdue))
-        hand_off.overdue = now + max(min(overdue, lookup.expected_at - now - 1.5 * mean), 2 * mean)
+        overdue = max(min(overdue, lookup.expected_at - now - 1.5 * mean), 2 * mean)
+        hand_off.overdue = now + overdue / self.servers.warmth(now, server)   # cold is slow, not hung
         self.out[server][(lookup.id, len(lookup.sent) - 1)] = hand_off
         end = lookup.abandon_at - self.tick
         if not self.gate.copies and not self.calling_off and hand_off.overdue + mean < end:
@@ -573,9 +573,7 @@
 
     def _share_left(self, now: float, customer: str) -> float:
         """1 within the customer's share; less beyond it, as this sidecar sees its own part of the traffic."""
-        if customer not in self.customers:
-            return 1.0
-        entry, sent = self.customers[customer]
+        entry, sent = self.customers.get(customer, (Customer("", math.inf), Decaying(10.0)))
         sent.add(now)
         least = entry.share * self.servers.asked.read(now)   # both sums decay alike
         over = sent.read(now) > max(entry.quota / self.sidecars * sent.span, least)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -1,7 +1,7 @@
 import unittest
 
 from foxspread.logic import Chance, Decaying, Mark, Marks, Measures, Rotation, ServerList
-from foxspread.model import Act, Category, Customer, Effect, Outcome, Readiness
+from foxspread.model import Act, Category, Customer, Effect, Lookup, Outcome, Readiness
 from tests.helpers import NAMES, acts, balancer, pull, sent_to, servers, take
 
 FAIL, OK = True, False
@@ -146,6 +146,13 @@
         it.ended(100.0, "s1", "c", 0.001, Outcome.FULL)
         self.assertEqual(it.room(100.1, "s1", 0.5, 1), 0)
 
+    def test_where_many_share_a_server_each_rests_between_two(self):
+        it = Measures([Category("c", 1.0, 3.0)], rest=0.5)
+        it.done["s1"] = (Decaying(8.0), 0.0)
+        it.ended(100.0, "s1", "c", 0.2, Outcome.DONE)
+        self.assertEqual(it.room(100.05, "s1", 0.2, 1), 0)
+        self.assertEqual(it.room(100.15, "s1", 0.2, 1), 1)
+
     def test_what_was_cut_off_lengthens_the_usual_time(self):
         it = Measures([Category("c", 1.0, 3.0)])
         it.done["s1"] = (Decaying(8.0), 0.0)
@@ -219,6 +226,13 @@
         it.hand_off_ended(100.9, "x", 0, Outcome.CALLED_OFF, False, {})
         self.assertEqual(it.marks.of["s1"].streak, 1)
 
+    def test_a_cold_server_is_given_longer_before_it_seems_hung(self):
+        it = balancer([*servers(["s1"]), *servers(["s2"], started=100.0)])
+        lookup = it.lookups.setdefault("x", Lookup("x", it.categories["c"], 101.0, 103.0, 1.0))
+        it._hand_off(100.0, lookup, "s1")
+        it._hand_off(100.0, lookup, "s2")
+        self.assertGreater(lookup.sent[1].overdue - 100.0, 5 * (lookup.sent[0].overdue - 100.0))
+
     def test_what_is_merely_slow_is_not_sent_twice(self):
         it = balancer(copies=True)
         server = sent_to(take(it, 100.0, "x"))[0]
