--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -232,8 +232,10 @@
 class Measures:
     """Rates and times, as this sidecar saw them."""
 
-    def __init__(self, categories: Iterable[Category], rest: float = 0.0, span: float = 8.0) -> None:
-        self.span, self.rest = span, rest
+    def __init__(self, categories: list[Category], sidecars: int = 1, span: float = 8.0) -> None:
+        self.span, self.sidecars = span, sidecars
+        # What may be in flight on a server: what it does in this part of the usual expected time.
+        self.time_bound = 0.18 * sum(c.expected_time for c in categories) / max(1, len(categories))
         self.times = {c.name: [Decaying(20.0, 1.0), Decaying(20.0, c.expected_time / 4),
                                Decaying(20.0, c.expected_time ** 2 / 12)] for c in categories}
         self.done: dict[str, tuple[Decaying, float]] = {}   # and since when
@@ -241,7 +243,8 @@
         self.shut: dict[str, float] = {}      # servers that were full: until when they get nothing
 
     def ended(self, now: float, server: str, category: str, took: float, outcome: Outcome) -> None:
-        self.rested[server] = now + took * self.rest
+        share = 4 if took > 2 * self.time_bound else 7   # sidecars that may keep one there all the time
+        self.rested[server] = now + took * max(0.0, self.sidecars / share - 1)
         if outcome is Outcome.DONE:
             self.done[server][0].add(now)
         elif outcome is Outcome.FULL:
@@ -325,7 +328,7 @@
         self.categories = {c.name: c for c in categories}
         self.customers = {c.name: (c, Decaying(10.0)) for c in customers}
         self.servers = ServerList(*cold, chance=chance)
-        self.measures = Measures(categories, rest=max(0.0, sidecars / 7 - 1))
+        self.measures = Measures(categories, sidecars)
         self.gate = Gate(self.servers, max_hand_offs, copies)
         self.in_flight: dict[str, int] = {}
         self.lookups: dict[str, Lookup] = {}
@@ -336,9 +339,7 @@
         self.queue = (Decaying(5.0), Decaying(5.0))   # lookups that left the queue, and those handed off
         self.worth = (Decaying(10.0, 1.0), Decaying(10.0, 0.0))
         self.ask_at, self.ask_again = now if asks else math.inf, 0.5
-        # What may be in flight on a server: what it does in this part of the usual expected time. The floor
-        # is shared, since the floors of all sidecars together must not crowd a server.
-        self.time_bound = 0.18 * sum(c.expected_time for c in categories) / max(1, len(categories))
+        # The floor in flight is shared: the floors of all sidecars together must not crowd a server.
         self.least = max(1, round(4 / sidecars))
         self.marks, self.rotation = Marks(), Rotation(zone, chance, few=min(2, self.least))
         self.next_look = self.view_until = now
@@ -503,7 +504,7 @@
                 return server
         # What is worth less than usual gets a smaller part of the room, so that it yields first when short.
         usual_worth = max(1e-9, self.worth[1].read(now) / self.worth[0].read(now))
-        time = min(1.0, 0.5 + 0.5 * lookup.worth / usual_worth) * self.time_bound
+        time = min(1.0, 0.5 + 0.5 * lookup.worth / usual_worth) * self.measures.time_bound
 
         def fits(server: str) -> bool:
             return (server not in self.hushed and all(h.server != server for h in lookup.sent)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -147,7 +147,7 @@
         self.assertEqual(it.room(100.1, "s1", 0.5, 1), 0)
 
     def test_where_many_share_a_server_each_rests_between_two(self):
-        it = Measures([Category("c", 1.0, 3.0)], rest=0.5)
+        it = Measures([Category("c", 1.0, 3.0)], sidecars=10)
         it.done["s1"] = (Decaying(8.0), 0.0)
         it.ended(100.0, "s1", "c", 0.2, Outcome.DONE)
         self.assertEqual(it.room(100.05, "s1", 0.2, 1), 0)
