--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -95,8 +95,7 @@
                     self.usual[zone] = sent / sum(self.known[s].size for s in warm) / 10.0
             # All of them just started: what is asked for, spread over them, stands in for what was sent.
             self.usual.setdefault("", self.asked.read(now) / sum(self.known[s].size for s in everyone) / 10.0)
-        entry = self.known[server]
-        usual = self.usual.get(entry.zone, self.usual[""]) * entry.size
+        usual = self.usual.get(self.known[server].zone, self.usual[""]) * self.known[server].size
         return self.headroom * self.warmth(now, server) * usual
 
     def has_budget(self, now: float, server: str) -> bool:
@@ -322,8 +321,8 @@
                  customers: list[Customer], surplus_benefit: float, max_hand_offs: int, copies: bool,
                  calling_off: bool, longest_back_in: float, tick: float, asks: bool,
                  cold: tuple[float, float, float]) -> None:
-        chance = Chance(seed)
-        self.chance, self.tick, self.longest_back_in = chance, tick, longest_back_in
+        chance = self.chance = Chance(seed)
+        self.tick, self.longest_back_in = tick, longest_back_in
         self.calling_off, self.sidecars, self.surplus_benefit = calling_off, sidecars, surplus_benefit
         self.categories = {c.name: c for c in categories}
         self.customers = {c.name: (c, Decaying(10.0)) for c in customers}
@@ -576,6 +575,5 @@
         """1 within the customer's share; less beyond it, as this sidecar sees its own part of the traffic."""
         entry, sent = self.customers.get(customer, (Customer("", math.inf), Decaying(10.0)))
         sent.add(now)
-        least = entry.share * self.servers.asked.read(now)   # both sums decay alike
-        over = sent.read(now) > max(entry.quota / self.sidecars * sent.span, least)
-        return self.surplus_benefit if over else 1.0
+        within = max(entry.quota / self.sidecars * sent.span, entry.share * self.servers.asked.read(now))
+        return self.surplus_benefit if sent.read(now) > within else 1.0
