--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -53,6 +53,8 @@
         self.tokens: dict[str, tuple[float, float]] = {}   # of cold servers: hand-offs in hand, as of when
         self.zones: dict[str, list[str]] = {}              # the ready servers by zone
         self.ready: set[str] = set()
+        self.cold: set[str] = set()                        # ready and perhaps not warm yet
+        self.largest: dict[str, float] = {}                # size by zone
         self.usual: dict[str, float] = {}                  # sent a second and size to warm servers, by zone
         self.reckoned = -math.inf
         self.asked = Decaying(10.0)                        # lookups taken
@@ -72,6 +74,8 @@
         self.zones, self.ready = {}, {s for s in self.known if self.known[s].readiness is Readiness.READY}
         for server in sorted(self.ready):
             self.zones.setdefault(self.known[server].zone, []).append(server)
+        self.largest = {z: max(self.known[s].size for s in group) for z, group in self.zones.items()}
+        self.cold = {s for s in self.ready if self.known[s].started > now - self.cold_time}
         self.reckoned = -math.inf
         return fresh
 
@@ -135,26 +139,34 @@
         self.max_fails, self.fail_timeout, self.spell, self.trials = max_fails, fail_timeout, spell, trials
         self.panic = panic
         self.of: dict[str, Mark] = {}
+        self.marked: set[str] = set()
+        self.failed, self.ended = Decaying(10.0), Decaying(10.0)   # over all unmarked servers
+
+    def met(self, server: str) -> None:
+        """A server that is new or has started anew."""
+        self.of[server] = Mark()
+        self.marked.discard(server)
 
     def down(self, server: str) -> bool:
-        return self.of[server].until is not None
+        return server in self.marked
 
     def trial_due(self, now: float, server: str) -> bool:
         mark = self.of[server]
         return mark.until is not None and now >= mark.until and not mark.trial_out
 
-    def in_panic(self, ready: list[str]) -> bool:
-        return sum(not self.down(s) for s in ready) < self.panic * len(ready)
+    def in_panic(self, ready: set[str]) -> bool:
+        return len(ready) - sum(s in ready for s in self.marked) < self.panic * len(ready)
 
     def record(self, now: float, server: str, failure: bool | None, trial: bool) -> None:
         """Notes a verdict; None where there is none, as from a full server."""
         mark = self.of[server]
         if mark.until is not None or failure is None:
             if trial and mark.until is not None:
-                self._trial_ended(now, mark, failure)
+                self._trial_ended(now, server, mark, failure)
             return
-        mark.ended.add(now)
-        mark.failed.add(now, float(failure))
+        for ended, failed in ((mark.ended, mark.failed), (self.ended, self.failed)):
+            ended.add(now)
+            failed.add(now, float(failure))
         if not failure:
             mark.streak = 0
             return
@@ -169,14 +181,17 @@
             again = now - mark.readmitted < 3 * self.fail_timeout
             mark.spell = min(mark.spell * 2, 4 * self.spell) if again else self.spell
             mark.until, mark.passes = now + mark.spell, 0
+            self.marked.add(server)
+            self.ended.add(now, -mark.ended.read(now))
+            self.failed.add(now, -mark.failed.read(now))
 
     def _worse_than_rest(self, now: float, mark: Mark) -> bool:
         """Guards sound servers against failures that belong to lookups: those strike all servers alike."""
-        rest = [m for m in self.of.values() if m.until is None and m is not mark]
-        usual = (sum(m.failed.read(now) for m in rest) + 0.1) / (sum(m.ended.read(now) for m in rest) + 1.0)
-        return mark.failed.read(now) / mark.ended.read(now) > min(0.9, 0.15 + 2 * usual)
+        failed, ended = mark.failed.read(now), mark.ended.read(now)
+        usual = (self.failed.read(now) - failed + 0.1) / (self.ended.read(now) - ended + 1.0)
+        return failed / ended > min(0.9, 0.15 + 2 * usual)
 
-    def _trial_ended(self, now: float, mark: Mark, failure: bool | None) -> None:
+    def _trial_ended(self, now: float, server: str, mark: Mark, failure: bool | None) -> None:
         mark.trial_out = False
         if failure is None:
             # A hung server stays full: without a pause every lookup would be the next trial.
@@ -186,7 +201,8 @@
         else:
             mark.passes += 1
             if mark.passes >= self.trials:
-                mark.__init__(spell=mark.spell, readmitted=now)
+                self.marked.discard(server)
+                self.of[server] = Mark(spell=mark.spell, readmitted=now)
 
 
 class Rotation:
@@ -197,15 +213,20 @@
         self.zone, self.chance, self.spill, self.well_over = zone, chance, spill, well_over
         self.skip, self.few = skip, few
         self.cursor: dict[str, int] = {}
+        self.turns: dict[str, float] = {}   # parts of a turn saved up by servers that get fewer turns
 
-    def zones(self, groups: dict[str, list[str]], healthy: dict[str, float],
-              mean: dict[str, float]) -> list[str]:
+    def zones(self, groups: dict[str, list[str]], healthy: dict[str, float], mean: dict[str, float],
+              slowness: dict[str, float]) -> list[str]:
         """Zone groups, best first: the own zone up to 1.4 x its healthy fraction, and not while its servers
         hold well over what this sidecar has in flight elsewhere."""
-        others = sorted((z for z in groups if z != self.zone), key=lambda z: -healthy[z] * self.chance.draw())
+        others = sorted((z for z in groups if z != self.zone),
+                        key=lambda z: -healthy[z] * self.chance.draw() / slowness[z])
         if self.zone not in groups:
             return others
         share = min(1.0, self.spill * healthy[self.zone] / len(groups[self.zone]))
+        if others:
+            # A quiet sidecar's counts in flight are 0 or 1; over time they go as the times, which stand in.
+            share = min(share, self.spill * min(slowness[z] for z in others) / slowness[self.zone])
         elsewhere = min((mean[z] for z in others if healthy[z] > 0), default=math.inf)
         crowded = mean[self.zone] > max(self.few, self.well_over * elsewhere)
         if others and (crowded or self.chance.draw() >= share):
@@ -213,57 +234,98 @@
         return [self.zone, *others]
 
     def pick(self, zone: str, servers: list[str], in_flight: dict[str, int], mean: float,
-             fits: Callable[[str], bool]) -> str | None:
-        """The next in turn that fits and does not hold well over the group's mean; else the least laden."""
+             part: Callable[[str], float], fits: Callable[[str], bool]) -> str | None:
+        """The next in turn that fits and does not hold well over the group's mean; else the least laden.
+        A slow or small server gets only a part of a turn each time round, and goes when it has a whole one."""
         at = self.cursor.setdefault(zone, int(self.chance.draw() * len(servers)))
         most, spare = max(self.few, self.skip * mean), None
         for step in range(len(servers)):
             server = servers[(at + step) % len(servers)]
-            if in_flight[server] < most:
-                if fits(server):
-                    self.cursor[zone] = (at + step + 1) % len(servers)
-                    return server
-            elif (spare is None or in_flight[server] < in_flight[spare]) and fits(server):
+            if not fits(server):
+                continue
+            turn = self.turns.get(server) or self.chance.draw()
+            turn = self.turns[server] = min(1.5, turn + part(server))
+            if in_flight[server] < most and turn >= 1.0:
+                self.turns[server] = turn - 1.0
+                self.cursor[zone] = (at + step + 1) % len(servers)
+                return server
+            if spare is None or (in_flight[server], -turn) < (in_flight[spare], -self.turns[spare]):
                 spare = server
         return spare
 
 
+class Slowness:
+    """How long hand-offs took, as a multiple of what is usual for their category; 1 where little is known."""
+
+    def __init__(self, span: float = 6.0) -> None:
+        self.ratios, self.count = Decaying(span), Decaying(span)
+
+    def add(self, now: float, ratio: float) -> None:
+        self.ratios.add(now, ratio)
+        self.count.add(now)
+
+    def read(self, now: float, usual: float = 1.0, weight: float = 1.0) -> float:
+        return (self.ratios.read(now) + usual * weight) / (self.count.read(now) + weight)
+
+
 class Measures:
     """Rates and times, as this sidecar saw them."""
 
-    def __init__(self, categories: list[Category], sidecars: int = 1, span: float = 8.0) -> None:
-        self.span, self.sidecars = span, sidecars
+    def __init__(self, now: float, categories: list[Category], span: float = 8.0) -> None:
+        self.span = span
         # What may be in flight on a server: what it does in this part of the usual expected time.
         self.time_bound = 0.18 * sum(c.expected_time for c in categories) / max(1, len(categories))
         self.times = {c.name: [Decaying(20.0, 1.0), Decaying(20.0, c.expected_time / 4),
                                Decaying(20.0, c.expected_time ** 2 / 12)] for c in categories}
-        self.done: dict[str, tuple[Decaying, float]] = {}   # and since when
-        self.rested: dict[str, float] = {}    # a floor under 1: from when one more may go there
+        self.done = {"": (Decaying(span), now)}   # by server, "" for all; and since when
+        self.slow = {"": Slowness(3.0)}           # by server and zone, "" for all as part of the expected time
         self.shut: dict[str, float] = {}      # servers that were full: until when they get nothing
+        self.rested = -math.inf               # where less than one may be in flight: from when one may
+
+    def met(self, now: float, server: str, zone: str) -> None:
+        """A server that is new or has started anew."""
+        self.done[server], self.slow[server] = (Decaying(self.span), now), Slowness()
+        self.slow.setdefault(zone, Slowness(4.0))
 
-    def ended(self, now: float, server: str, category: str, took: float, outcome: Outcome) -> None:
-        share = 4 if took > 2 * self.time_bound else 7   # sidecars that may keep one there all the time
-        self.rested[server] = now + took * max(0.0, self.sidecars / share - 1)
+    def ended(self, now: float, server: str, zone: str, category: Category, took: float,
+              outcome: Outcome) -> None:
+        mean = self.mean(now, category.name)
         if outcome is Outcome.DONE:
-            self.done[server][0].add(now)
+            for name in (server, ""):
+                self.done[name][0].add(now)
         elif outcome is Outcome.FULL:
             # A full server answers at once and so looks idle: without a pause it would draw all lookups.
-            self.shut[server] = now + self.mean(now, category)
+            self.shut[server] = now + mean
+            self.slow[server].add(now, 4.0)
         # What was cut off counts with the time it had: else slow times would look ever shorter.
-        cut = outcome in (Outcome.TIMED_OUT, Outcome.CALLED_OFF) and took > self.mean(now, category)
+        cut = outcome in (Outcome.TIMED_OUT, Outcome.CALLED_OFF) and took > mean
         if outcome is Outcome.DONE or cut:
-            for total, amount in zip(self.times[category], (1.0, took, took * took)):
+            self.rested = now + min(2.0, took * max(0.0, took / (2 * self.time_bound) - 1))
+            self.slow[server].add(now, took / mean)
+            self.slow[zone].add(now, took / mean)
+            self.slow[""].add(now, took / category.expected_time)
+            for total, amount in zip(self.times[category.name], (1.0, took, took * took)):
                 total.add(now, amount)
 
-    def room(self, now: float, server: str, time: float, least: int) -> float:
-        """How many may be in flight: rate x the time they may take. The rate is over all time: what each
-        sidecar could have by itself, seen while busy, together would overrun a server."""
+    def rate(self, now: float, name: str = "") -> float:
+        """Over all time: what each sidecar could have by itself, seen while busy, together would overrun."""
+        done, since = self.done[name]
+        return (done.read(now) + 1) / (self.span * (1.05 - math.exp((since - now) / self.span)))
+
+    def room(self, now: float, server: str, part: float, least: int) -> float:
+        """How many may be in flight: rate x the time they may take."""
         if now < self.shut.get(server, now):
             return 0
-        done, since = self.done[server]
-        room = (done.read(now) + 1) / (self.span * (1.05 - math.exp((since - now) / self.span))) * time
-        # Many sidecars: even one in flight from each would crowd a server, so each rests between two.
-        return max(room, least) if room >= 1 or now >= self.rested.get(server, now) else 0
+        return max(self.rate(now, server) * part * self.time_bound, least)
+
+    def room_in_all(self, now: float, part: float, spare: float) -> float:
+        """The same over all servers: where each is met seldom, only the sum still says how much is too much."""
+        room = 2 * self.rate(now) * part * self.time_bound + spare
+        return room if room >= 1 else float(now >= self.rested)
+
+    def part_of_turn(self, now: float, server: str) -> float:
+        """Turns go as the speed: times of servers that are busy alike then become alike."""
+        return max(0.1, min(1.0, 1 / self.slow[server].read(now, weight=2.0) ** 2))
 
     def mean(self, now: float, category: str) -> float:
         return self.times[category][1].read(now) / self.times[category][0].read(now)
@@ -327,21 +389,26 @@
         self.categories = {c.name: c for c in categories}
         self.customers = {c.name: (c, Decaying(10.0)) for c in customers}
         self.servers = ServerList(*cold, chance=chance)
-        self.measures = Measures(categories, sidecars)
+        self.measures = Measures(now, categories)
         self.gate = Gate(self.servers, max_hand_offs, copies)
         self.in_flight: dict[str, int] = {}
+        self.zone_flight: dict[str, int] = {}      # the same by zone, and over all but silent servers
+        self.flight = 0
         self.lookups: dict[str, Lookup] = {}
         self.waiting: dict[str, Lookup] = {}     # to be looked at by the next decisions
         self.alarms: list[tuple[float, str]] = []
-        self.out: dict[str, dict[tuple[str, int], HandOff]] = {}   # by server, the oldest first
+        self.out: dict[str, dict[tuple[str, int], HandOff]] = {}   # by server with any, the oldest first
         self.answered: dict[str, float] = {}       # when a server last answered anything
         self.queue = (Decaying(5.0), Decaying(5.0))   # lookups that left the queue, and those handed off
         self.worth = (Decaying(10.0, 1.0), Decaying(10.0, 0.0))
-        self.ask_at, self.ask_again = now if asks else math.inf, 0.5
+        # The list service does not grow with the sidecars: first calls are spread, later ones back off.
+        self.spread = min(5.0, 0.04 * (sidecars - 1))
+        self.ask_at, self.ask_again = now + chance.draw() * self.spread if asks else math.inf, 0.5
         # The floor in flight is shared: the floors of all sidecars together must not crowd a server.
         self.least = max(1, round(4 / sidecars))
         self.marks, self.rotation = Marks(), Rotation(zone, chance, few=min(2, self.least))
         self.next_look = self.view_until = now
+        self.grouped = False
         self.plan: Iterator[Decision] | None = None
 
     # Inputs: each only brings what is known up to date.
@@ -366,31 +433,35 @@
         hand_off = lookup.sent[number]
         hand_off.outcome = outcome
         server = hand_off.server
-        self.in_flight[server] -= 1
+        self._count(server, hand_off.zone, -1)
         del self.out[server][(id, number)]
+        if not self.out[server]:
+            del self.out[server]
         took = now - hand_off.sent
         # A slow server whose lookups are called off when their time is up never times out: being called off
         # when overdue counts as a time-out.
         overdue = outcome is Outcome.CALLED_OFF and now > hand_off.overdue
-        self.measures.ended(now, server, lookup.category.name, took, outcome)
+        self.measures.ended(now, server, hand_off.zone, lookup.category, took, outcome)
         if outcome in (Outcome.DONE, Outcome.ERROR):   # a hung server can still say that it is full
             self.answered[server] = now
+        was_down = self.marks.down(server)
         self.marks.record(now, server, overdue or outcome.failure, hand_off.trial)
-        self.view_until = self.view_until if outcome is Outcome.DONE and not hand_off.trial else now
+        if was_down != self.marks.down(server):
+            self.grouped, self.view_until = False, now
         lookup.over = lookup.over or closed or outcome is Outcome.DONE
         self.waiting[id] = lookup   # to go on, or to call off its other copy
 
     def servers_listed(self, now: float, entries: Iterable[ListedServer], whole: bool) -> None:
         for server in self.servers.update(now, entries, whole):
-            self.marks.of[server] = Mark()
-            self.measures.done[server] = (Decaying(self.measures.span), now)
+            self.marks.met(server)
+            self.measures.met(now, server, self.servers.known[server].zone)
             self.in_flight.setdefault(server, 0)
-            self.out.setdefault(server, {})
-        self.view_until, self.ask_again = now, 0.5
+            self.zone_flight.setdefault(self.servers.known[server].zone, 0)
+        self.grouped, self.view_until, self.ask_again = False, now, 0.5
 
     def list_call_failed(self, now: float) -> None:
         self.ask_at = now + self.ask_again * (0.5 + self.chance.draw())
-        self.ask_again = min(4.0, 2 * self.ask_again)
+        self.ask_again = min(max(4.0, 2 * self.spread), 2 * self.ask_again)
 
     def probe_ended(self, now: float, server: str, outcome: Outcome, took: float,
                     report: dict[str, float]) -> None:
@@ -422,6 +493,8 @@
         if now >= self.ask_at:
             self.ask_at = math.inf
             yield Decision(Act.SUBSCRIBE)
+        if not self.grouped:
+            self._regroup()
         if now >= self.view_until:
             self._look(now)
         while self.alarms and self.alarms[0][0] <= now + 1e-6:
@@ -465,7 +538,7 @@
     def _worth_waiting(self, now: float, lookup: Lookup, ahead: int) -> bool:
         """Queue only what will mostly be answered in time."""
         mean = self.measures.mean(now, lookup.category.name)
-        wait = mean * (ahead + 1) / max(1, sum(self.in_flight.values()))
+        wait = mean * (ahead + 1) / max(1, self.flight)
         kept = (self.queue[1].read(now) + 1) / (self.queue[0].read(now) + 1)
         in_time = now + wait / kept ** 2 + 1.5 * mean < lookup.expected_at
         return in_time and not self._too_late(now, lookup) and self.gate.open(now, lookup)
@@ -495,49 +568,71 @@
         if short or self._too_late(now, lookup) or not self.gate.open(now, lookup) \
                 or (lookup.out() and not self._given_up_on(now, lookup)):
             return None
-        mean = {z: sum(self.in_flight[s] for s in g) / max(1, len(g)) for z, g in self.sound.items()}
-        zones = self.rotation.zones(self.servers.zones, self.healthy, mean)
+        # What is worth less than usual gets a smaller part of the room, so that it yields first when short.
+        usual_worth = max(1e-9, self.worth[1].read(now) / self.worth[0].read(now))
+        part = min(1.0, 0.5 + 0.5 * lookup.worth / usual_worth)
+        if not lookup.sent and self.flight >= self.measures.room_in_all(now, part, self.spare):
+            return None
+        mean = {z: self.zone_flight[z] / max(1, len(g)) for z, g in self.sound.items()}
+        zones = self.rotation.zones(self.servers.zones, self.healthy, mean, self.slowness)
         for server in self.due if not lookup.sent else ():
             if self.marks.trial_due(now, server) and self.servers.known[server].zone in zones[:1] \
                     and self.gate.lets(now, lookup, server) and self._has_fellow(lookup, server):
                 return server
-        # What is worth less than usual gets a smaller part of the room, so that it yields first when short.
-        usual_worth = max(1e-9, self.worth[1].read(now) / self.worth[0].read(now))
-        time = min(1.0, 0.5 + 0.5 * lookup.worth / usual_worth) * self.measures.time_bound
-
         def fits(server: str) -> bool:
             return (server not in self.hushed and all(h.server != server for h in lookup.sent)
                     and self.gate.lets(now, lookup, server)
-                    and self.in_flight[server] < self.measures.room(now, server, time, self.least))
+                    and self.in_flight[server] < self.measures.room(now, server, part, self.least))
 
         for zone in zones:
             for fellow in (True, False):   # a labelled one first where it could go on after a failure
                 chosen = self.rotation.pick(zone, self.sound[zone], self.in_flight, mean[zone],
-                                            lambda s: fits(s) and (not fellow or self._has_fellow(lookup, s)))
+                                            lambda s: self._part(now, s), lambda s: fits(s) and (
+                                                not fellow or self._has_fellow(lookup, s)))
                 if chosen is not None:
                     return chosen
                 if lookup.sent or lookup.category.effect is not Effect.LABELLED:
                     break
         return None
 
-    def _look(self, now: float) -> None:
-        """Which servers count as healthy; kept for a moment, or until a mark or the list changes."""
-        groups = self.servers.zones
-        everyone = [s for group in groups.values() for s in group]
+    def _regroup(self) -> None:
+        """Which servers count as healthy; kept until a mark or the list changes."""
+        ready, marked = self.servers.ready, self.marks.marked
         # Panic is of the whole fleet: judged by zone, a zone's lone hung server would get all its lookups.
-        panic = self.marks.in_panic(everyone)
-        self.sound = {z: [s for s in g if panic or not self.marks.down(s)] for z, g in groups.items()}
-        self.healthy = {z: sum(self.servers.warmth(now, s) for s in g) for z, g in self.sound.items()}
-        self.due = [] if panic else [s for s in everyone if self.marks.down(s)]
-        silent = {s for s in everyone if self._silent(now, s)}
-        self.hushed = silent if len(silent) <= (1 - self.marks.panic) * len(everyone) else set()
+        panic = self.marks.in_panic(ready)
+        self.sound = {z: [s for s in g if panic or s not in marked] for z, g in self.servers.zones.items()}
+        self.due = [] if panic else sorted(marked & ready)
+        self.spare = len(ready) / self.sidecars
+        self.grouped = True
+
+    def _look(self, now: float) -> None:
+        """What changes with time alone; kept for a moment. Nothing here goes over all servers."""
+        self.healthy = {z: float(len(g)) for z, g in self.sound.items()}
+        for server in self.servers.cold:
+            if self.due == [] or server not in self.marks.marked:
+                self.healthy[self.servers.known[server].zone] -= 1 - self.servers.warmth(now, server)
+        silent = {s for s in self.out if self._silent(now, s)}
+        self.hushed = silent if len(silent) <= (1 - self.marks.panic) * len(self.servers.ready) else set()
+        self.flight = sum(len(sent) for s, sent in self.out.items() if s not in self.hushed)
+        # An untried zone counts as one that answers in a fifth of the expected time: nothing to spill over.
+        untried = min(1.0, 0.2 / self.measures.slow[""].read(now, 0.2))
+        self.slowness = {z: self.measures.slow[z].read(now, untried) for z in self.sound}
         self.view_until = now + 0.25
 
+    def _part(self, now: float, server: str) -> float:
+        entry = self.servers.known[server]
+        return self.measures.part_of_turn(now, server) * entry.size / self.servers.largest[entry.zone]
+
+    def _count(self, server: str, zone: str, more: int) -> None:
+        self.in_flight[server] += more
+        self.zone_flight[zone] += more
+        self.flight += more
+
     def _silent(self, now: float, server: str) -> bool:
         """Guards against hung servers before their time-outs are counted, above all on a quiet sidecar: with
         a hand-off out far beyond its usual time and nothing back since, a server gets nothing more."""
-        first = next(iter(self.out[server].values()), None)
-        return first is not None and now > first.overdue and self.answered.get(server, -math.inf) < first.sent
+        first = next(iter(self.out[server].values()))
+        return now > first.overdue and self.answered.get(server, -math.inf) < first.sent
 
     def _given_up_on(self, now: float, lookup: Lookup) -> bool:
         """A lookup moves on from a hand-off only when its server looks dead: what is merely slow would be
@@ -554,15 +649,15 @@
 
     def _hand_off(self, now: float, lookup: Lookup, server: str) -> Decision:
         self.servers.spend(now, server)
-        hand_off = HandOff(server, now, trial=self.marks.down(server))
+        hand_off = HandOff(server, self.servers.known[server].zone, now, trial=self.marks.down(server))
         self.marks.of[server].trial_out = hand_off.trial
         lookup.sent.append(hand_off)
-        self.in_flight[server] += 1
+        self._count(server, hand_off.zone, 1)
         # Leave time for a further hand-off that still meets the expected time, if this one hangs.
         mean, overdue = (f(now, lookup.category.name) for f in (self.measures.mean, self.measures.overdue))
         overdue = max(min(overdue, lookup.expected_at - now - 1.5 * mean), 2 * mean)
         hand_off.overdue = now + overdue / self.servers.warmth(now, server)   # cold is slow, not hung
-        self.out[server][(lookup.id, len(lookup.sent) - 1)] = hand_off
+        self.out.setdefault(server, {})[(lookup.id, len(lookup.sent) - 1)] = hand_off
         end = lookup.abandon_at - self.tick
         if not self.gate.copies and not self.calling_off and hand_off.overdue + mean < end:
             end = hand_off.overdue
--- a/foxspread/model.py
+++ b/foxspread/model.py
@@ -74,6 +74,7 @@
 @dataclass
 class HandOff:
     server: str
+    zone: str
     sent: float
     trial: bool
     overdue: float = math.inf
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -40,3 +40,9 @@
 
 def sent_to(decisions):
     return [decision.server for decision in decisions if decision.act is Act.HAND_OFF]
+
+
+def mark_down(marks, *names, until=100.0):
+    for name in names:
+        marks.of[name].until, marks.of[name].spell = until, 4.0
+        marks.marked.add(name)
