--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -655,7 +655,8 @@
         self._count(server, hand_off.zone, 1)
         # Leave time for a further hand-off that still meets the expected time, if this one hangs.
         mean, overdue = (f(now, lookup.category.name) for f in (self.measures.mean, self.measures.overdue))
-        overdue = max(min(overdue, lookup.expected_at - now - 1.5 * mean), 2 * mean)
+        # But not so early that what is merely long is taken for lost: under load that would double the work.
+        overdue = max(min(overdue, lookup.expected_at - now - 1.5 * mean), mean + (overdue - mean) * 2 / 3)
         hand_off.overdue = now + overdue / self.servers.warmth(now, server)   # cold is slow, not hung
         self.out.setdefault(server, {})[(lookup.id, len(lookup.sent) - 1)] = hand_off
         end = lookup.abandon_at - self.tick
