Light sidecars let in a share by chance that falls as answers take longer

Cause: with room for less than one, a sidecar refused every lookup that came while another was out, though servers were idle.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -271,8 +271,9 @@
 class Measures:
     """Rates and times, as this sidecar saw them."""
 
-    def __init__(self, now: float, categories: list[Category], span: float = 8.0) -> None:
-        self.span = span
+    def __init__(self, now: float, categories: list[Category], span: float = 8.0, few: int = 3,
+                 fair_time: float = 0.4) -> None:
+        self.span, self.few, self.fair_time = span, few, fair_time
         # What may be in flight on a server: what it does in this part of the usual expected time.
         self.time_bound = 0.18 * sum(c.expected_time for c in categories) / max(1, len(categories))
         self.times = {c.name: [Decaying(20.0, 1.0), Decaying(20.0, c.expected_time / 4),
@@ -280,7 +281,6 @@
         self.done = {"": (Decaying(span), now)}   # by server, "" for all; and since when
         self.slow = {"": Slowness(3.0)}           # by server and zone, "" for all as part of the expected time
         self.shut: dict[str, float] = {}      # servers that were full: until when they get nothing
-        self.rested = -math.inf               # where less than one may be in flight: from when one may
 
     def met(self, now: float, server: str, zone: str) -> None:
         """A server that is new or has started anew."""
@@ -300,7 +300,6 @@
         # What was cut off counts with the time it had: else slow times would look ever shorter.
         cut = outcome in (Outcome.TIMED_OUT, Outcome.CALLED_OFF) and took > mean
         if outcome is Outcome.DONE or cut:
-            self.rested = now + min(2.0, took * max(0.0, took / (2 * self.time_bound) - 1))
             self.slow[server].add(now, took / mean)
             self.slow[zone].add(now, took / mean)
             self.slow[""].add(now, took / category.expected_time)
@@ -318,10 +317,14 @@
             return 0
         return max(self.rate(now, server) * part * self.time_bound, least)
 
-    def room_in_all(self, now: float, part: float, spare: float) -> float:
-        """The same over all servers: where each is met seldom, only the sum still says how much is too much."""
+    def room_in_all(self, now: float, part: float, spare: float, draw: float) -> float:
+        """The same over all servers: where each is met seldom, only the sum still says how much is too much.
+        Where even the sum is but a few, one burst would fill it: then a share of the lookups, by chance, is
+        let in, the smaller the longer answers take."""
         room = 2 * self.rate(now) * part * self.time_bound + spare
-        return room if room >= 1 else float(now >= self.rested)
+        if room >= self.few:
+            return room
+        return self.few if draw < part * (self.fair_time / self.slow[""].read(now, 0.2)) ** 2 else 0.0
 
     def part_of_turn(self, now: float, server: str) -> float:
         """Turns go as the speed: times of servers that are busy alike then become alike."""
@@ -418,7 +421,8 @@
         kind = self.categories[category]
         self.servers.asked.add(now)
         lookup = Lookup(id, kind, now + min(kind.expected_time, time_left), now + time_left,
-                        kind.benefit * self._share_left(now, customer) / self.measures.mean(now, category))
+                        kind.benefit * self._share_left(now, customer) / self.measures.mean(now, category),
+                        self.chance.draw())
         self.lookups[id] = lookup
         self.worth[0].add(now)
         self.worth[1].add(now, lookup.worth)
@@ -571,7 +575,7 @@
         # What is worth less than usual gets a smaller part of the room, so that it yields first when short.
         usual_worth = max(1e-9, self.worth[1].read(now) / self.worth[0].read(now))
         part = min(1.0, 0.5 + 0.5 * lookup.worth / usual_worth)
-        if not lookup.sent and self.flight >= self.measures.room_in_all(now, part, self.spare):
+        if not lookup.sent and self.flight >= self.measures.room_in_all(now, part, self.spare, lookup.draw):
             return None
         mean = {z: self.zone_flight[z] / max(1, len(g)) for z, g in self.sound.items()}
         zones = self.rotation.zones(self.servers.zones, self.healthy, mean, self.slowness)
