--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -321,9 +321,10 @@
         """The same over all servers: where each is met seldom, only the sum still says how much is too much.
         Where even the sum is but a few, one burst would fill it: then a share of the lookups, by chance, is
         let in, the smaller the longer answers take."""
-        if draw >= part * (self.fair_time / self.slow[""].read(now, 0.2)) ** 2:
-            return 0.0
-        return 5 * self.rate(now) * part * self.time_bound + spare + self.few
+        room = 2 * self.rate(now) * part * self.time_bound + spare
+        if room >= self.few:
+            return room
+        return self.few if draw < part * (self.fair_time / self.slow[""].read(now, 0.2)) ** 2 else 0.0
 
     def part_of_turn(self, now: float, server: str) -> float:
         """Turns go as the speed: times of servers that are busy alike then become alike."""
