Turns learned by machine kind; own zone yields by the square of its times

Cause: each server is met too seldom to learn its speed, and zones with twice the demand per server spilled an eighth only.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -226,7 +226,7 @@
         share = min(1.0, self.spill * healthy[self.zone] / len(groups[self.zone]))
         if others:
             # A quiet sidecar's counts in flight are 0 or 1; over time they go as the times, which stand in.
-            share = min(share, self.spill * min(slowness[z] for z in others) / slowness[self.zone])
+            share = min(share, self.spill * (min(slowness[z] for z in others) / slowness[self.zone]) ** 2)
         elsewhere = min((mean[z] for z in others if healthy[z] > 0), default=math.inf)
         crowded = mean[self.zone] > max(self.few, self.well_over * elsewhere)
         if others and (crowded or self.chance.draw() >= share):
@@ -280,6 +280,7 @@
                                Decaying(20.0, c.expected_time ** 2 / 12)] for c in categories}
         self.done = {"": (Decaying(span), now)}   # by server, "" for all; and since when
         self.slow = {"": Slowness(3.0)}           # by server and zone, "" for all as part of the expected time
+        self.turn: dict[str, float] = {}          # part of a turn by kind
         self.shut: dict[str, float] = {}      # servers that were full: until when they get nothing
 
     def met(self, now: float, server: str, zone: str) -> None:
@@ -287,8 +288,9 @@
         self.done[server], self.slow[server] = (Decaying(self.span), now), Slowness()
         self.slow.setdefault(zone, Slowness(4.0))
 
-    def ended(self, now: float, server: str, zone: str, category: Category, took: float,
+    def ended(self, now: float, server: str, zone: str, kind: str | None, category: Category, took: float,
               outcome: Outcome) -> None:
+        """`kind` is None for a server that is not warm: it says nothing of the others of its kind."""
         mean = self.mean(now, category.name)
         if outcome is Outcome.DONE:
             for name in (server, ""):
@@ -301,11 +303,21 @@
         cut = outcome in (Outcome.TIMED_OUT, Outcome.CALLED_OFF) and took > mean
         if outcome is Outcome.DONE or cut:
             self.slow[server].add(now, took / mean)
+            if kind is not None:
+                self._learn(kind, min(4.0, took / mean))
             self.slow[zone].add(now, took / mean)
             self.slow[""].add(now, took / category.expected_time)
             for total, amount in zip(self.times[category.name], (1.0, took, took * took)):
                 total.add(now, amount)
 
+    def _learn(self, kind: str, ratio: float) -> None:
+        """What many machines of one kind show is known long before each is: turns move until the times of all
+        kinds are alike."""
+        self.turn[kind] = max(0.05, self.turn.get(kind, 1.0) * math.exp(-0.03 * (ratio - 1)))
+        if self.turn[kind] > 1.0:
+            top = self.turn[kind]
+            self.turn = {each: turn / top for each, turn in self.turn.items()}
+
     def rate(self, now: float, name: str = "") -> float:
         """Over all time: what each sidecar could have by itself, seen while busy, together would overrun."""
         done, since = self.done[name]
@@ -326,9 +338,10 @@
             return room
         return self.few if draw < part * (self.fair_time / self.slow[""].read(now, 0.2)) ** 2 else 0.0
 
-    def part_of_turn(self, now: float, server: str) -> float:
+    def part_of_turn(self, now: float, server: str, kind: str) -> float:
         """Turns go as the speed: times of servers that are busy alike then become alike."""
-        return max(0.1, min(1.0, 1 / self.slow[server].read(now, weight=2.0) ** 2))
+        single = min(1.0, 1 / self.slow[server].read(now, weight=2.0) ** 2)
+        return max(0.05, single * self.turn.get(kind, 1.0))
 
     def mean(self, now: float, category: str) -> float:
         return self.times[category][1].read(now) / self.times[category][0].read(now)
@@ -445,7 +458,7 @@
         # A slow server whose lookups are called off when their time is up never times out: being called off
         # when overdue counts as a time-out.
         overdue = outcome is Outcome.CALLED_OFF and now > hand_off.overdue
-        self.measures.ended(now, server, hand_off.zone, lookup.category, took, outcome)
+        self.measures.ended(now, server, hand_off.zone, hand_off.kind, lookup.category, took, outcome)
         if outcome in (Outcome.DONE, Outcome.ERROR):   # a hung server can still say that it is full
             self.answered[server] = now
         was_down = self.marks.down(server)
@@ -625,7 +638,7 @@
 
     def _part(self, now: float, server: str) -> float:
         entry = self.servers.known[server]
-        return self.measures.part_of_turn(now, server) * entry.size / self.servers.largest[entry.zone]
+        return self.measures.part_of_turn(now, server, entry.kind) * entry.size / self.servers.largest[entry.zone]
 
     def _count(self, server: str, zone: str, more: int) -> None:
         self.in_flight[server] += more
@@ -653,7 +666,8 @@
 
     def _hand_off(self, now: float, lookup: Lookup, server: str) -> Decision:
         self.servers.spend(now, server)
-        hand_off = HandOff(server, self.servers.known[server].zone, now, trial=self.marks.down(server))
+        entry, warm = self.servers.known[server], self.servers.warmth(now, server) == 1.0
+        hand_off = HandOff(server, entry.zone, entry.kind if warm else None, now, trial=self.marks.down(server))
         self.marks.of[server].trial_out = hand_off.trial
         lookup.sent.append(hand_off)
         self._count(server, hand_off.zone, 1)
--- a/foxspread/model.py
+++ b/foxspread/model.py
@@ -62,6 +62,7 @@
     size: float = 1.0              # as registered, for comparing with others
     readiness: Readiness = Readiness.READY
     started: float = 0.0           # 0: long ago
+    kind: str = ""                 # machines of one kind are taken to be alike until they show otherwise
 
 
 @dataclass(frozen=True)
@@ -75,6 +76,7 @@
 class HandOff:
     server: str
     zone: str
+    kind: str | None               # None while it is not warm
     sent: float
     trial: bool
     overdue: float = math.inf
--- a/foxspread/simhost/codec.py
+++ b/foxspread/simhost/codec.py
@@ -63,7 +63,7 @@
     state = need(record, "readiness", int)
     return ListedServer(need(record, "server", str), record.get("area") or "", record.get("block") or 0,
                         float(number(record, "power_hint", 1.0)) or 1.0,
-                        READINESS.get(state, Readiness.DRAINING), seconds(record, "born"))
+                        READINESS.get(state, Readiness.DRAINING), seconds(record, "born"), record.get("class_of_host") or "")
 
 
 def category(row: dict) -> Category:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -169,28 +169,28 @@
         it.done["s1"] = (Decaying(8.0), 0.0)
         it.done["s1"][0].add(100.0, 80.0)
         self.assertAlmostEqual(it.room(100.0, "s1", 1.0, 1), 1.74, delta=0.1)
-        it.ended(100.0, "s1", "a", C, 0.001, Outcome.FULL)
+        it.ended(100.0, "s1", "a", "k", C, 0.001, Outcome.FULL)
         self.assertEqual(it.room(100.1, "s1", 1.0, 1), 0)
 
     def test_a_sidecar_with_room_for_less_than_one_rests_the_longer_the_slower_its_answers(self):
         it = measures()
-        it.ended(200.0, "s1", "a", C, 0.2, Outcome.DONE)
+        it.ended(200.0, "s1", "a", "k", C, 0.2, Outcome.DONE)
         self.assertEqual(it.room_in_all(200.0, 1.0, 0.1), 1)
-        it.ended(200.0, "s1", "a", C, 0.72, Outcome.DONE)
+        it.ended(200.0, "s1", "a", "k", C, 0.72, Outcome.DONE)
         self.assertEqual(it.room_in_all(200.5, 1.0, 0.1), 0)
         self.assertEqual(it.room_in_all(200.8, 1.0, 0.1), 1)
 
     def test_a_slow_server_gets_a_smaller_part_of_its_turn(self):
         it = measures()
         for _ in range(10):
-            it.ended(100.0, "s1", "a", C, 1.0, Outcome.DONE)
-        self.assertLess(it.part_of_turn(100.0, "s1"), 0.6)
-        self.assertEqual(it.part_of_turn(1000.0, "s1"), 1.0)
+            it.ended(100.0, "s1", "a", "k", C, 1.0, Outcome.DONE)
+        self.assertLess(it.part_of_turn(100.0, "s1", ""), 0.6)
+        self.assertEqual(it.part_of_turn(1000.0, "s1", ""), 1.0)
 
     def test_what_was_cut_off_lengthens_the_usual_time(self):
         it = measures()
         before = it.mean(100.0, "c")
-        it.ended(100.0, "s1", "a", C, 2.0, Outcome.TIMED_OUT)
+        it.ended(100.0, "s1", "a", "k", C, 2.0, Outcome.TIMED_OUT)
         self.assertGreater(it.mean(100.0, "c"), before)
 
 
