--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -257,7 +257,7 @@
 class Slowness:
     """How long hand-offs took, as a multiple of what is usual for their category; 1 where little is known."""
 
-    def __init__(self, span: float = 6.0) -> None:
+    def __init__(self, span: float = 12.0) -> None:
         self.ratios, self.count = Decaying(span), Decaying(span)
 
     def add(self, now: float, ratio: float) -> None:
@@ -340,7 +340,7 @@
 
     def part_of_turn(self, now: float, server: str, kind: str) -> float:
         """Turns go as the speed: times of servers that are busy alike then become alike."""
-        single = min(1.0, 1 / self.slow[server].read(now, weight=2.0) ** 2)
+        single = min(1.0, 1 / self.slow[server].read(now) ** 2)
         return max(0.05, single * self.turn.get(kind, 1.0))
 
     def mean(self, now: float, category: str) -> float:
