--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -212,24 +212,39 @@
                  skip: float = 1.25, few: int = 2) -> None:
         self.zone, self.chance, self.spill, self.well_over = zone, chance, spill, well_over
         self.skip, self.few = skip, few
+        self.share, self.weight, self.weighed = 1.0, {}, 0.0   # of the own zone; by zone; and as of when
+        self.learned: float | None = None   # logarithm of what the own zone gives up
         self.cursor: dict[str, int] = {}
         self.turns: dict[str, float] = {}   # parts of a turn saved up by servers that get fewer turns
 
-    def zones(self, groups: dict[str, list[str]], healthy: dict[str, float], mean: dict[str, float],
-              slowness: dict[str, float]) -> list[str]:
-        """Zone groups, best first: the own zone up to 1.4 x its healthy fraction, and not while its servers
-        hold well over what this sidecar has in flight elsewhere."""
+    def weigh(self, now: float, groups: dict[str, list[str]], healthy: dict[str, float],
+              slowness: dict[str, float], elsewhere: float) -> None:
+        """How much goes to the own zone: 1.4 x its healthy fraction, less while it answers slower than the
+        rest do. A quiet sidecar's counts in flight are 0 or 1; over time they go as the times, which stand in
+        for them, also in a part that is learned, so that zones unlike in servers and traffic come level."""
+        self.weight = {z: max(0.01, healthy[z]) / slowness[z] ** 2 for z in groups}
+        if self.zone not in groups or len(groups) == 1:
+            self.share = float(self.zone in groups)
+            return
+        if self.learned is None:   # first guess: traffic is alike in all zones
+            own, everyone = len(groups[self.zone]), sum(len(g) for g in groups.values())
+            self.learned = math.log(min(1.0, own * len(groups) / everyone))
+        ratio = elsewhere / slowness[self.zone]
+        step = max(-0.5, min(0.5, 1.2 * ratio - 1)) * 0.1 * min(1.0, now - self.weighed)
+        self.learned, self.weighed = max(-3.0, min(0.0, self.learned + step)), now
+        share = min(1.0, self.spill * healthy[self.zone] / len(groups[self.zone]), self.spill * ratio ** 2)
+        self.share = share * math.exp(self.learned)
+
+    def zones(self, groups: dict[str, list[str]], mean: dict[str, float]) -> list[str]:
+        """Zone groups, best first: the own zone up to its share, and not while its servers hold well over
+        what this sidecar has in flight elsewhere."""
         others = sorted((z for z in groups if z != self.zone),
-                        key=lambda z: -healthy[z] * self.chance.draw() / slowness[z])
+                        key=lambda z: -self.chance.draw() ** (1 / self.weight[z]))
         if self.zone not in groups:
             return others
-        share = min(1.0, self.spill * healthy[self.zone] / len(groups[self.zone]))
-        if others:
-            # A quiet sidecar's counts in flight are 0 or 1; over time they go as the times, which stand in.
-            share = min(share, self.spill * (min(slowness[z] for z in others) / slowness[self.zone]) ** 2)
-        elsewhere = min((mean[z] for z in others if healthy[z] > 0), default=math.inf)
+        elsewhere = min((mean[z] for z in others), default=math.inf)
         crowded = mean[self.zone] > max(self.few, self.well_over * elsewhere)
-        if others and (crowded or self.chance.draw() >= share):
+        if others and (crowded or self.chance.draw() >= self.share):
             return [*others, self.zone]
         return [self.zone, *others]
 
@@ -267,6 +282,12 @@
     def read(self, now: float, usual: float = 1.0, weight: float = 1.0) -> float:
         return (self.ratios.read(now) + usual * weight) / (self.count.read(now) + weight)
 
+    @staticmethod
+    def over(now: float, several: list["Slowness"], usual: float) -> float:
+        """The same for several together."""
+        return (sum(each.ratios.read(now) for each in several) + usual) / (
+            sum(each.count.read(now) for each in several) + 1.0)
+
 
 class Measures:
     """Rates and times, as this sidecar saw them."""
@@ -286,7 +307,7 @@
     def met(self, now: float, server: str, zone: str) -> None:
         """A server that is new or has started anew."""
         self.done[server], self.slow[server] = (Decaying(self.span), now), Slowness()
-        self.slow.setdefault(zone, Slowness(4.0))
+        self.slow.setdefault(zone, Slowness(8.0))
 
     def ended(self, now: float, server: str, zone: str, kind: str | None, category: Category, took: float,
               outcome: Outcome) -> None:
@@ -591,7 +612,7 @@
         if not lookup.sent and self.flight >= self.measures.room_in_all(now, part, self.spare, lookup.draw):
             return None
         mean = {z: self.zone_flight[z] / max(1, len(g)) for z, g in self.sound.items()}
-        zones = self.rotation.zones(self.servers.zones, self.healthy, mean, self.slowness)
+        zones = self.rotation.zones(self.servers.zones, mean)
         for server in self.due if not lookup.sent else ():
             if self.marks.trial_due(now, server) and self.servers.known[server].zone in zones[:1] \
                     and self.gate.lets(now, lookup, server) and self._has_fellow(lookup, server):
@@ -633,7 +654,10 @@
         self.flight = sum(len(sent) for s, sent in self.out.items() if s not in self.hushed)
         # An untried zone counts as one that answers in a fifth of the expected time: nothing to spill over.
         untried = min(1.0, 0.2 / self.measures.slow[""].read(now, 0.2))
-        self.slowness = {z: self.measures.slow[z].read(now, untried) for z in self.sound}
+        slow = self.measures.slow
+        elsewhere = Slowness.over(now, [slow[z] for z in self.sound if z != self.rotation.zone], untried)
+        slowness = {z: slow[z].read(now, elsewhere if z != self.rotation.zone else 1.0) for z in self.sound}
+        self.rotation.weigh(now, self.servers.zones, self.healthy, slowness, elsewhere)
         self.view_until = now + 0.25
 
     def _part(self, now: float, server: str) -> float:
