Cold servers get up to half more than their share of a warm one's work

Cause: during a release most servers are cold, and each got its warmth's share of what warm ones do, which is but half their capacity; their slow answers also counted as overload.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -46,7 +46,8 @@
 
     def __init__(self, cold_from: float, cold_time: float, fall_multiple: float, chance: Chance) -> None:
         self.cold_from, self.cold_time = cold_from, cold_time
-        self.headroom = fall_multiple / 2.5   # of the multiple; the rest is for small machines and bursts
+        # Over what warm servers do, which is under their capacity; the rest is for small machines and bursts.
+        self.headroom = min(1.5, 0.6 * fall_multiple)
         self.chance = chance
         self.known: dict[str, ListedServer] = {}
         self.sends: dict[str, Decaying] = {}
@@ -311,7 +312,7 @@
 
     def ended(self, now: float, server: str, zone: str, kind: str | None, category: Category, took: float,
               outcome: Outcome) -> None:
-        """`kind` is None for a server that is not warm: it says nothing of the others of its kind."""
+        """`kind` is None for a server that is not warm: that it is slow says nothing of the rest."""
         mean = self.mean(now, category.name)
         if outcome is Outcome.DONE:
             for name in (server, ""):
@@ -326,8 +327,8 @@
             self.slow[server].add(now, took / mean)
             if kind is not None:
                 self._learn(kind, min(4.0, took / mean))
-            self.slow[zone].add(now, took / mean)
-            self.slow[""].add(now, took / category.expected_time)
+                self.slow[zone].add(now, took / mean)
+                self.slow[""].add(now, took / category.expected_time)
             for total, amount in zip(self.times[category.name], (1.0, took, took * took)):
                 total.add(now, amount)
 
