Remembered keys bend the rotation: of the servers due, the key's own goes first

Cause: servers do a third less for a key they met lately, and 430 sidecars turning by themselves scatter keys. Half a zone group is due at a time; the key, hashed with the server, says which of these is next, and each still has its turns. Zones are drawn by key too.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -216,6 +216,7 @@
         self.share, self.weight, self.weighed = 1.0, {}, 0.0   # of the own zone; by zone; and as of when
         self.learned: float | None = None   # logarithm of what the own zone gives up
         self.cursor: dict[str, int] = {}
+        self.due: dict[str, list[str]] = {}   # by zone: whose turn it is, the longest first
         self.turns: dict[str, float] = {}   # parts of a turn saved up by servers that get fewer turns
 
     def weigh(self, now: float, groups: dict[str, list[str]], healthy: dict[str, float],
@@ -236,38 +237,50 @@
         share = min(1.0, self.spill * healthy[self.zone] / len(groups[self.zone]), self.spill * ratio ** 2)
         self.share = share * math.exp(self.learned)
 
-    def zones(self, groups: dict[str, list[str]], mean: dict[str, float]) -> list[str]:
+    def zones(self, groups: dict[str, list[str]], mean: dict[str, float],
+              draw: Callable[[str], float]) -> list[str]:
         """Zone groups, best first: the own zone up to its share, and not while its servers hold well over
         what this sidecar has in flight elsewhere."""
         others = sorted((z for z in groups if z != self.zone),
-                        key=lambda z: -self.chance.draw() ** (1 / self.weight[z]))
+                        key=lambda z: -draw(z) ** (1 / self.weight[z]))
         if self.zone not in groups:
             return others
         elsewhere = min((mean[z] for z in others), default=math.inf)
         crowded = mean[self.zone] > max(self.few, self.well_over * elsewhere)
-        if others and (crowded or self.chance.draw() >= self.share):
+        if others and (crowded or draw("") >= self.share):
             return [*others, self.zone]
         return [self.zone, *others]
 
     def pick(self, zone: str, servers: list[str], in_flight: dict[str, int], mean: float,
-             part: Callable[[str], float], fits: Callable[[str], bool]) -> str | None:
+             part: Callable[[str], float], fits: Callable[[str], bool],
+             rank: Callable[[str], float] | None = None) -> str | None:
         """The next in turn that fits and does not hold well over the group's mean; else the least laden.
-        A slow or small server gets only a part of a turn each time round, and goes when it has a whole one."""
+        A slow or small server gets only a part of a turn each time round, and goes when it has a whole one.
+        Where servers remember keys, half the group is due at a time, and the key says who of these is next."""
         at = self.cursor.setdefault(zone, int(self.chance.draw() * len(servers)))
         most, spare = max(self.few, self.skip * mean), None
+        due = self.due[zone] = [s for s in self.due.get(zone, ()) if s in servers]
+        wanted = max(1, len(servers) // 2) if rank else 1
         for step in range(len(servers)):
+            if len(due) >= wanted:
+                break
             server = servers[(at + step) % len(servers)]
-            if not fits(server):
+            self.cursor[zone] = (at + step + 1) % len(servers)
+            if server in due or not fits(server):
                 continue
             turn = self.turns.get(server) or self.chance.draw()
             turn = self.turns[server] = min(1.5, turn + part(server))
             if in_flight[server] < most and turn >= 1.0:
                 self.turns[server] = turn - 1.0
-                self.cursor[zone] = (at + step + 1) % len(servers)
-                return server
-            if spare is None or (in_flight[server], -turn) < (in_flight[spare], -self.turns[spare]):
+                due.append(server)
+            elif spare is None or (in_flight[server], -turn) < (in_flight[spare], -self.turns[spare]):
                 spare = server
-        return spare
+        usable = [s for s in due if in_flight[s] < most and fits(s)]
+        if not usable:
+            return spare
+        chosen = min(usable, key=rank) if rank else usable[0]
+        due.remove(chosen)
+        return chosen
 
 
 class Slowness:
@@ -419,10 +432,10 @@
 
     def __init__(self, now: float, seed: int, zone: str, sidecars: int, categories: list[Category],
                  customers: list[Customer], surplus_benefit: float, max_hand_offs: int, copies: bool,
-                 calling_off: bool, longest_back_in: float, tick: float, asks: bool,
+                 calling_off: bool, longest_back_in: float, tick: float, asks: bool, keys_remembered: bool,
                  cold: tuple[float, float, float]) -> None:
         chance = self.chance = Chance(seed)
-        self.tick, self.longest_back_in = tick, longest_back_in
+        self.tick, self.longest_back_in, self.keys_remembered = tick, longest_back_in, keys_remembered
         self.calling_off, self.sidecars, self.surplus_benefit = calling_off, sidecars, surplus_benefit
         self.categories = {c.name: c for c in categories}
         self.customers = {c.name: (c, Decaying(10.0)) for c in customers}
@@ -457,7 +470,7 @@
         self.servers.asked.add(now)
         lookup = Lookup(id, kind, now + min(kind.expected_time, time_left), now + time_left,
                         kind.benefit * self._share_left(now, customer) / self.measures.mean(now, category),
-                        self.chance.draw())
+                        self.chance.draw(), key if self.keys_remembered else "")
         self.lookups[id] = lookup
         self.worth[0].add(now)
         self.worth[1].add(now, lookup.worth)
@@ -613,7 +626,7 @@
         if not lookup.sent and self.flight >= self.measures.room_in_all(now, part, self.spare, lookup.draw):
             return None
         mean = {z: self.zone_flight[z] / max(1, len(g)) for z, g in self.sound.items()}
-        zones = self.rotation.zones(self.servers.zones, mean)
+        zones = self.rotation.zones(self.servers.zones, mean, lambda z: self._draw(lookup, z))
         for server in self.due if not lookup.sent else ():
             if self.marks.trial_due(now, server) and self.servers.known[server].zone in zones[:1] \
                     and self.gate.lets(now, lookup, server) and self._has_fellow(lookup, server):
@@ -623,11 +636,12 @@
                     and self.gate.lets(now, lookup, server)
                     and self.in_flight[server] < self.measures.room(now, server, part, self.least))
 
+        rank = (lambda s: self._draw(lookup, s)) if lookup.key else None
         for zone in zones:
             for fellow in (True, False):   # a labelled one first where it could go on after a failure
                 chosen = self.rotation.pick(zone, self.sound[zone], self.in_flight, mean[zone],
                                             lambda s: self._part(now, s), lambda s: fits(s) and (
-                                                not fellow or self._has_fellow(lookup, s)))
+                                                not fellow or self._has_fellow(lookup, s)), rank)
                 if chosen is not None:
                     return chosen
                 if lookup.sent or lookup.category.effect is not Effect.LABELLED:
@@ -661,6 +675,12 @@
         self.rotation.weigh(now, self.servers.zones, self.healthy, slowness, elsewhere)
         self.view_until = now + 0.25
 
+    def _draw(self, lookup: Lookup, label: str) -> float:
+        """By chance; where servers remember keys, the same for the same key at all sidecars."""
+        if not lookup.key:
+            return self.chance.draw()
+        return zlib.crc32(f"{lookup.key}:{label}".encode()) / 2**32
+
     def _part(self, now: float, server: str) -> float:
         entry = self.servers.known[server]
         return self.measures.part_of_turn(now, server, entry.kind) * entry.size / self.servers.largest[entry.zone]
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -87,6 +87,10 @@
     return it
 
 
+def by_chance(it):
+    return lambda zone: it.chance.draw()
+
+
 class TestRotation(unittest.TestCase):
     def test_visits_all_in_turn(self):
         it = Rotation("a", Chance(1))
@@ -101,15 +105,15 @@
 
     def test_own_zone_takes_its_healthy_part_and_spills_the_rest(self):
         it = rotation(healthy={"a": 2.0, "b": 4.0})
-        first = [it.zones(GROUPS, LEVEL)[0] for _ in range(400)]
+        first = [it.zones(GROUPS, LEVEL, by_chance(it))[0] for _ in range(400)]
         self.assertAlmostEqual(first.count("a") / 400, 0.7, delta=0.08)
 
     def test_spills_when_the_own_zone_holds_well_over_the_others(self):
-        self.assertEqual(rotation().zones(GROUPS, {"a": 5.0, "b": 1.0}), ["b", "a"])
+        self.assertEqual(rotation().zones(GROUPS, {"a": 5.0, "b": 1.0}, lambda z: 0.5), ["b", "a"])
 
     def test_a_zone_without_servers_of_its_own(self):
         it = rotation("c")
-        self.assertEqual(set(it.zones(GROUPS, LEVEL)), {"a", "b"})
+        self.assertEqual(set(it.zones(GROUPS, LEVEL, by_chance(it))), {"a", "b"})
 
     def test_spills_from_a_zone_that_answers_slowly_and_learns_to(self):
         it = rotation(slowness={"a": 1.4, "b": 0.7})
@@ -118,6 +122,15 @@
             it.weigh(float(now), GROUPS, HEALTHY, {"a": 1.4, "b": 0.7}, 0.7)
         self.assertLess(it.share, 0.3)
 
+    def test_a_key_bends_the_rotation_but_all_keep_their_turns(self):
+        it, picks = Rotation("a", Chance(1)), []
+        for step in range(80):
+            liked = NAMES[step % 2]
+            picks.append((liked, it.pick("a", NAMES, dict.fromkeys(NAMES, 0), 0.0, whole_turn,
+                                         lambda s: True, lambda s: s != liked)))
+        self.assertGreater(picks.count(("s1", "s1")), 2 * picks.count(("s2", "s1")))
+        self.assertAlmostEqual([server for _, server in picks].count("s3"), 20, delta=2)
+
     def test_half_a_turn_is_every_other_round(self):
         it, half = Rotation("a", Chance(1)), {"s1": 0.5}
         picks = [it.pick("a", NAMES, dict.fromkeys(NAMES, 0), 0.0, lambda s: half.get(s, 1.0), lambda s: True) for _ in range(70)]
