--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -160,6 +160,11 @@
 
     def record(self, now: float, server: str, failure: bool | None, trial: bool) -> None:
         """Notes a verdict; None where there is none, as from a full server."""
+        # Quiet sidecars: one that meets a server but once in a window or two has to go by fewer failures, and
+        # to stay away for longer: it would hardly have come back within a spell anyway.
+        visits = self.ended.read(now) * self.fail_timeout / 10.0 / max(1, len(self.of))
+        needed = max(1, min(self.max_fails, math.ceil(visits)))
+        base = max(self.spell, min(2 * self.fail_timeout, 2 * self.fail_timeout / max(0.1, visits)))
         mark = self.of[server]
         if mark.until is not None or failure is None:
             if trial and mark.until is not None:
@@ -177,10 +182,10 @@
             mark.fails.popleft()
         # Quiet sidecars: a server that only ever fails is met too rarely to fill the window, so failures in a
         # row count however long ago they were.
-        if max(len(mark.fails), mark.streak) >= self.max_fails and self._worse_than_rest(now, mark):
+        if max(len(mark.fails), mark.streak) >= needed and self._worse_than_rest(now, mark):
             # Flapping: a server that fails again soon after its trials stays away for longer each time.
             again = now - mark.readmitted < 3 * self.fail_timeout
-            mark.spell = min(mark.spell * 2, 4 * self.spell) if again else self.spell
+            mark.spell = min(mark.spell * 2, 4 * base) if again else base
             mark.until, mark.passes = now + mark.spell, 0
             self.marked.add(server)
             self.ended.add(now, -mark.ended.read(now))
@@ -388,38 +393,6 @@
         return mean + 3 * max(deviation, 2 / 3 * mean)
 
 
-class Probes:
-    """Asking a server in turn for its load before a lookup goes there: only where servers tell it no other way,
-    and while what the probes find is worth their price."""
-
-    def __init__(self, price: float | None, chance: Chance, most: int = 3, fair_load: float = 1.0) -> None:
-        self.price, self.chance, self.most, self.fair_load = price, chance, most, fair_load
-        self.found, self.laden = Decaying(20.0, 5.0), Decaying(20.0, 1.0)   # first probes, a few taken as read
-        self.asking: dict[str, list[Lookup]] = {}
-
-    def pay(self, now: float) -> bool:
-        """A lookup sent to a laden server is mostly lost; one in twenty probes all the same, to find out."""
-        if self.price is None:
-            return False
-        return 0.5 * self.laden.read(now) / self.found.read(now) > self.price or self.chance.draw() < 0.05
-
-    def answered(self, now: float, server: str, load: float) -> list[Lookup]:
-        asking = self.asking.pop(server, [])
-        for lookup in asking:
-            if len(lookup.loads) == 1 and lookup.loads.get(server) is None:
-                self.found.add(now)
-                self.laden.add(now, float(load > self.fair_load))
-            lookup.loads[server] = load
-        return asking
-
-    def best(self, lookup: Lookup) -> str | None:
-        """The probed server to go to now; None while others are still to be probed."""
-        known = [s for s, load in lookup.loads.items() if load is not None and load < math.inf]
-        best = min(known, key=lambda s: lookup.loads[s], default=None)
-        enough = len(lookup.loads) >= self.most or (best is not None and lookup.loads[best] <= self.fair_load)
-        return best if enough else None
-
-
 class Gate:
     """The one place that every hand-off and every dismissal passes; each rule is enforced here, once."""
 
@@ -465,7 +438,6 @@
     def __init__(self, now: float, seed: int, zone: str, sidecars: int, categories: list[Category],
                  customers: list[Customer], surplus_benefit: float, max_hand_offs: int, copies: bool,
                  calling_off: bool, longest_back_in: float, tick: float, asks: bool, keys_remembered: bool,
-                 probe_price: float | None,
                  cold: tuple[float, float, float]) -> None:
         chance = self.chance = Chance(seed)
         self.tick, self.longest_back_in, self.keys_remembered = tick, longest_back_in, keys_remembered
@@ -474,7 +446,6 @@
         self.customers = {c.name: (c, Decaying(10.0)) for c in customers}
         self.servers = ServerList(*cold, chance=chance)
         self.measures = Measures(now, categories)
-        self.probes = Probes(probe_price, chance)
         self.gate = Gate(self.servers, max_hand_offs, copies)
         self.in_flight: dict[str, int] = {}
         self.zone_flight: dict[str, int] = {}      # the same by zone, and over all but silent servers
@@ -551,10 +522,7 @@
 
     def probe_ended(self, now: float, server: str, outcome: Outcome, took: float,
                     report: dict[str, float]) -> None:
-        load = sum(report.get(name, 0.0) for name in ("queue", "eps")) if outcome is Outcome.DONE else math.inf
-        for lookup in self.probes.answered(now, server, load):
-            if not lookup.over:
-                self.waiting[lookup.id] = lookup
+        """No probes are sent yet."""
 
     def answer_started(self, now: float, id: str) -> None:
         if id in self.lookups:
@@ -598,9 +566,6 @@
             if lookup.over or lookup.streaming:
                 yield from self._close(lookup) if lookup.over else ()
                 continue
-            if now < lookup.asked_until and None in lookup.loads.values():
-                heapq.heappush(self.alarms, (lookup.asked_until, lookup.id))
-                continue
             server = None if no_room and not lookup.sent else self._choose(now, lookup)
             no_room = no_room or (server is None and not lookup.sent)   # then none worth less finds any
             waits = server is None and not lookup.out() and self._worth_waiting(now, lookup, queued)
@@ -608,10 +573,7 @@
                 self.queue[0].add(now)
                 self.queue[1].add(now, float(server is not None))
             lookup.queued = waits
-            if server is not None and self._to_probe(now, lookup, server):
-                yield Decision(Act.PROBE, server=server)
-                heapq.heappush(self.alarms, (lookup.asked_until, lookup.id))
-            elif server is not None:
+            if server is not None:
                 yield self._hand_off(now, lookup, server)
             elif lookup.out() and not self._too_late(now, lookup):
                 if not self.gate.copies and self._given_up_on(now, lookup):
@@ -674,13 +636,8 @@
             if self.marks.trial_due(now, server) and self.servers.known[server].zone in zones[:1] \
                     and self.gate.lets(now, lookup, server) and self._has_fellow(lookup, server):
                 return server
-        best = self.probes.best(lookup) if lookup.loads and not lookup.sent else None
-        if best is not None and self.gate.lets(now, lookup, best):
-            return best
-
         def fits(server: str) -> bool:
             return (server not in self.hushed and all(h.server != server for h in lookup.sent)
-                    and (lookup.sent or server not in lookup.loads)
                     and self.gate.lets(now, lookup, server)
                     and self.in_flight[server] < self.measures.room(now, server, part, self.least))
 
@@ -696,14 +653,6 @@
                     break
         return None
 
-    def _to_probe(self, now: float, lookup: Lookup, server: str) -> bool:
-        if lookup.sent or server in lookup.loads or len(lookup.loads) >= self.probes.most \
-                or not (lookup.loads or self.probes.pay(now)):
-            return False
-        lookup.loads[server], lookup.asked_until = None, now + 4 * self.tick
-        self.probes.asking.setdefault(server, []).append(lookup)
-        return True
-
     def _regroup(self) -> None:
         """Which servers count as healthy; kept until a mark or the list changes."""
         ready, marked = self.servers.ready, self.marks.marked
--- a/foxspread/model.py
+++ b/foxspread/model.py
@@ -92,8 +92,6 @@
     abandon_at: float
     worth: float                   # benefit per usual time, within its customer's share
     draw: float = 0.0              # by chance from 0 up to 1: who yields first among equals
-    loads: dict[str, float | None] = field(default_factory=dict)   # probed for it; None: not heard yet
-    asked_until: float = -math.inf
     key: str = ""                  # what it concerns, where servers remember that
     sent: list[HandOff] = field(default_factory=list)
     over: bool = False             # answered, or the client has left
