--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -160,11 +160,6 @@
 
     def record(self, now: float, server: str, failure: bool | None, trial: bool) -> None:
         """Notes a verdict; None where there is none, as from a full server."""
-        # Quiet sidecars: one that meets a server but once in a window or two has to go by fewer failures, and
-        # to stay away for longer: it would hardly have come back within a spell anyway.
-        visits = self.ended.read(now) * self.fail_timeout / 10.0 / max(1, len(self.of))
-        needed = max(1, min(self.max_fails, math.ceil(visits)))
-        base = max(self.spell, min(2 * self.fail_timeout, 2 * self.fail_timeout / max(0.1, visits)))
         mark = self.of[server]
         if mark.until is not None or failure is None:
             if trial and mark.until is not None:
@@ -182,10 +177,10 @@
             mark.fails.popleft()
         # Quiet sidecars: a server that only ever fails is met too rarely to fill the window, so failures in a
         # row count however long ago they were.
-        if max(len(mark.fails), mark.streak) >= needed and self._worse_than_rest(now, mark):
+        if max(len(mark.fails), mark.streak) >= self.max_fails and self._worse_than_rest(now, mark):
             # Flapping: a server that fails again soon after its trials stays away for longer each time.
             again = now - mark.readmitted < 3 * self.fail_timeout
-            mark.spell = min(mark.spell * 2, 4 * base) if again else base
+            mark.spell = min(mark.spell * 2, 4 * self.spell) if again else self.spell
             mark.until, mark.passes = now + mark.spell, 0
             self.marked.add(server)
             self.ended.add(now, -mark.ended.read(now))
@@ -475,7 +470,7 @@
         self.servers.asked.add(now)
         lookup = Lookup(id, kind, now + min(kind.expected_time, time_left), now + time_left,
                         kind.benefit * self._share_left(now, customer) / self.measures.mean(now, category),
-                        self.chance.draw(), key=key if self.keys_remembered else "")
+                        self.chance.draw(), key if self.keys_remembered else "")
         self.lookups[id] = lookup
         self.worth[0].add(now)
         self.worth[1].add(now, lookup.worth)
