--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -700,10 +700,6 @@
         """A lookup moves on from a hand-off only when its server looks dead: what is merely slow would be
         done twice, which makes the rest slow as well."""
         last = lookup.out()[-1]
-        mean = self.measures.mean(now, lookup.category.name)
-        if lookup.category.late_benefit <= 0 and len(lookup.sent) == 1 and now >= last.sent + 1.2 * mean \
-                and self.measures.slow[""].read(now, 0.2) < 0.5:
-            return True
         return now >= last.overdue and (self.marks.down(last.server) or last.server in self.hushed)
 
     def _has_fellow(self, lookup: Lookup, server: str) -> bool:
@@ -730,7 +726,6 @@
         if not self.gate.copies and not self.calling_off and hand_off.overdue + mean < end:
             end = hand_off.overdue
         heapq.heappush(self.alarms, (hand_off.overdue, lookup.id))
-        heapq.heappush(self.alarms, (now + 1.2 * mean, lookup.id))
         if lookup.category.late_benefit <= 0:
             heapq.heappush(self.alarms, (lookup.expected_at, lookup.id))
         return Decision(Act.HAND_OFF, lookup.id, server, max(end - now, self.tick))
