--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -232,7 +232,7 @@
             own, everyone = len(groups[self.zone]), sum(len(g) for g in groups.values())
             self.learned = math.log(min(1.0, own * len(groups) / everyone))
         ratio = elsewhere / slowness[self.zone]
-        step = max(-0.5, min(0.5, 1.1 * ratio - 1)) * 0.2 * min(1.0, now - self.weighed)
+        step = max(-0.5, min(0.5, 1.2 * ratio - 1)) * 0.1 * min(1.0, now - self.weighed)
         self.learned, self.weighed = max(-3.0, min(0.0, self.learned + step)), now
         share = min(1.0, self.spill * healthy[self.zone] / len(groups[self.zone]), self.spill * ratio ** 2)
         self.share = share * math.exp(self.learned)
