--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -700,7 +700,7 @@
         """A lookup moves on from a hand-off only when its server looks dead: what is merely slow would be
         done twice, which makes the rest slow as well."""
         last = lookup.out()[-1]
-        return now >= last.overdue and (self.marks.down(last.server) or last.server in self.hushed)
+        return now >= last.move_on and (self.marks.down(last.server) or last.server in self.hushed)
 
     def _has_fellow(self, lookup: Lookup, server: str) -> bool:
         """A labelled lookup that fails can go on only within the server's group: prefer one with a fellow."""
@@ -721,11 +721,14 @@
         # But not so early that what is merely long is taken for lost: under load that would double the work.
         overdue = max(min(overdue, lookup.expected_at - now - 1.5 * mean), mean + (overdue - mean) * 2 / 3)
         hand_off.overdue = now + overdue / self.servers.warmth(now, server)   # cold is slow, not hung
+        # A server may look silent early, but the lookup itself moves on only when it must to be in time: most
+        # of those that are long are just long.
+        hand_off.move_on = max(hand_off.overdue, lookup.expected_at - 2.5 * mean)
         self.out.setdefault(server, {})[(lookup.id, len(lookup.sent) - 1)] = hand_off
         end = lookup.abandon_at - self.tick
         if not self.gate.copies and not self.calling_off and hand_off.overdue + mean < end:
             end = hand_off.overdue
-        heapq.heappush(self.alarms, (hand_off.overdue, lookup.id))
+        heapq.heappush(self.alarms, (hand_off.move_on, lookup.id))
         if lookup.category.late_benefit <= 0:
             heapq.heappush(self.alarms, (lookup.expected_at, lookup.id))
         return Decision(Act.HAND_OFF, lookup.id, server, max(end - now, self.tick))
--- a/foxspread/model.py
+++ b/foxspread/model.py
@@ -80,6 +80,7 @@
     sent: float
     trial: bool
     overdue: float = math.inf
+    move_on: float = math.inf      # when the lookup may go elsewhere
     outcome: Outcome | None = None
     called_off: bool = False
 
