Overdue by more deviations the dearer wasted work is

The settings price waste; where a late answer earns nothing there are no such copies and the old figure stays.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -307,8 +307,8 @@
     """Rates and times, as this sidecar saw them."""
 
     def __init__(self, now: float, categories: list[Category], span: float = 8.0, few: int = 3,
-                 fair_time: float = 0.4) -> None:
-        self.span, self.few, self.fair_time = span, few, fair_time
+                 fair_time: float = 0.4, waste_price: float = 0.1) -> None:
+        self.span, self.few, self.fair_time, self.waste_price = span, few, fair_time, waste_price
         # What may be in flight on a server: what it does in this part of the usual expected time.
         self.time_bound = 0.18 * sum(c.expected_time for c in categories) / max(1, len(categories))
         self.times = {c.name: [Decaying(20.0, 1.0), Decaying(20.0, c.expected_time / 4),
@@ -381,11 +381,14 @@
     def mean(self, now: float, category: str) -> float:
         return self.times[category][1].read(now) / self.times[category][0].read(now)
 
-    def overdue(self, now: float, category: str) -> float:
-        """The time after which a hand-off is out well beyond what is usual."""
-        mean, squares = self.mean(now, category), self.times[category][2].read(now)
-        deviation = math.sqrt(max(0.0, squares / self.times[category][0].read(now) - mean * mean))
-        return mean + 3 * max(deviation, 2 / 3 * mean)
+    def overdue(self, now: float, category: Category) -> float:
+        """The time after which a hand-off is out well beyond what is usual. What is long is mostly just long,
+        and done twice it is waste: the dearer that is, the surer we must be."""
+        count, _, squares = (each.read(now) for each in self.times[category.name])
+        mean = self.mean(now, category.name)
+        deviation = math.sqrt(max(0.0, squares / count - mean * mean))
+        caution = 2 + 10 * self.waste_price if category.late_benefit > 0 else 3
+        return mean + caution * max(deviation, 2 / 3 * mean)
 
 
 class Gate:
@@ -432,7 +435,7 @@
 
     def __init__(self, now: float, seed: int, zone: str, sidecars: int, categories: list[Category],
                  customers: list[Customer], surplus_benefit: float, max_hand_offs: int, copies: bool,
-                 calling_off: bool, longest_back_in: float, tick: float, asks: bool, keys_remembered: bool,
+                 calling_off: bool, longest_back_in: float, tick: float, asks: bool, keys_remembered: bool, waste_price: float,
                  cold: tuple[float, float, float]) -> None:
         chance = self.chance = Chance(seed)
         self.tick, self.longest_back_in, self.keys_remembered = tick, longest_back_in, keys_remembered
@@ -440,7 +443,7 @@
         self.categories = {c.name: c for c in categories}
         self.customers = {c.name: (c, Decaying(10.0)) for c in customers}
         self.servers = ServerList(*cold, chance=chance)
-        self.measures = Measures(now, categories)
+        self.measures = Measures(now, categories, waste_price=waste_price)
         self.gate = Gate(self.servers, max_hand_offs, copies)
         self.in_flight: dict[str, int] = {}
         self.zone_flight: dict[str, int] = {}      # the same by zone, and over all but silent servers
@@ -717,7 +720,7 @@
         lookup.sent.append(hand_off)
         self._count(server, hand_off.zone, 1)
         # Leave time for a further hand-off that still meets the expected time, if this one hangs.
-        mean, overdue = (f(now, lookup.category.name) for f in (self.measures.mean, self.measures.overdue))
+        mean, overdue = self.measures.mean(now, lookup.category.name), self.measures.overdue(now, lookup.category)
         # But not so early that what is merely long is taken for lost: under load that would double the work.
         overdue = max(min(overdue, lookup.expected_at - now - 1.5 * mean), mean + (overdue - mean) * 2 / 3)
         hand_off.overdue = now + overdue / self.servers.warmth(now, server)   # cold is slow, not hung
--- a/foxspread/simhost/codec.py
+++ b/foxspread/simhost/codec.py
@@ -91,6 +91,7 @@
         "longest_back_in": seconds(limits, "max_retry_after") if limits.get("retry_after") else 0.0,
         "tick": seconds(options, "period", 0.005),
         "keys_remembered": bool(table(options, "specifics").get("warm_keys")),
+        "waste_price": number(table(options, "tariffs"), "waste", 0.0),
         "asks": options.get("discovery") == "ask",
         "cold": (number(contract, "cold_from", 1.0), seconds(contract, "cold"),
                  number(contract, "fall_multiple", 1.0)),
