--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -346,10 +346,9 @@
                 total.add(now, amount)
 
     def _learn(self, kind: str, ratio: float) -> None:
-        """What many machines of one kind show is known long before each is: turns move until a kind's times
-        go as one over the root of its turns. With all times alike the fast ones would carry long queues."""
-        turn = self.turn.get(kind, 1.0)
-        self.turn[kind] = max(0.05, turn * math.exp(-0.03 * (ratio - 1 + 0.5 * math.log(turn))))
+        """What many machines of one kind show is known long before each is: turns move until the times of all
+        kinds are alike."""
+        self.turn[kind] = max(0.05, self.turn.get(kind, 1.0) * math.exp(-0.03 * (ratio - 1)))
         if self.turn[kind] > 1.0:
             top = self.turn[kind]
             self.turn = {each: turn / top for each, turn in self.turn.items()}
