--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -136,9 +136,9 @@
     """NGINX's max_fails and fail_timeout, trials, and Envoy's panic floor."""
 
     def __init__(self, max_fails: int = 3, fail_timeout: float = 10.0, spell: float = 4.0, trials: int = 2,
-                 panic: float = 0.4, most_heard: float = 0.1) -> None:
+                 panic: float = 0.4) -> None:
         self.max_fails, self.fail_timeout, self.spell, self.trials = max_fails, fail_timeout, spell, trials
-        self.panic, self.most_heard = panic, most_heard
+        self.panic = panic
         self.of: dict[str, Mark] = {}
         self.marked: set[str] = set()
         self.failed, self.ended = Decaying(10.0), Decaying(10.0)   # over all unmarked servers
@@ -158,47 +158,34 @@
     def in_panic(self, ready: set[str]) -> bool:
         return len(ready) - sum(s in ready for s in self.marked) < self.panic * len(ready)
 
-    def record(self, now: float, server: str, failure: bool | None, trial: bool, heard: int = 0) -> None:
-        """Notes a verdict; None where there is none, as from a full server. `heard`: from a peer, the last of
-        so many of its own hand-offs there."""
+    def record(self, now: float, server: str, failure: bool | None, trial: bool) -> None:
+        """Notes a verdict; None where there is none, as from a full server."""
         mark = self.of[server]
         if mark.until is not None or failure is None:
             if trial and mark.until is not None:
                 self._trial_ended(now, server, mark, failure)
             return
         for ended, failed in ((mark.ended, mark.failed), (self.ended, self.failed)):
-            ended.add(now, heard or 1)
+            ended.add(now)
             failed.add(now, float(failure))
         if not failure:
             mark.streak = 0
             return
-        mark.streak += not heard
+        mark.streak += 1
         mark.fails.append(now)
         while mark.fails[0] < now - self.fail_timeout:
             mark.fails.popleft()
         # Quiet sidecars: a server that only ever fails is met too rarely to fill the window, so failures in a
         # row count however long ago they were.
-        if heard and len(self.marked) >= self.most_heard * len(self.of):
-            return
         if max(len(mark.fails), mark.streak) >= self.max_fails and self._worse_than_rest(now, mark):
             # Flapping: a server that fails again soon after its trials stays away for longer each time.
             again = now - mark.readmitted < 3 * self.fail_timeout
             mark.spell = min(mark.spell * 2, 4 * self.spell) if again else self.spell
-            self.mark_down(now, server)
-
-    def mark_down(self, now: float, server: str, wait: float = 0.0) -> None:
-        mark = self.of[server]
-        mark.spell = mark.spell or self.spell
-        mark.until, mark.passes = now + mark.spell + wait, 0
-        if server not in self.marked:
+            mark.until, mark.passes = now + mark.spell, 0
             self.marked.add(server)
             self.ended.add(now, -mark.ended.read(now))
             self.failed.add(now, -mark.failed.read(now))
 
-    def readmit(self, now: float, server: str) -> None:
-        self.marked.discard(server)
-        self.of[server] = Mark(spell=self.of[server].spell, readmitted=now)
-
     def _worse_than_rest(self, now: float, mark: Mark) -> bool:
         """Guards sound servers against failures that belong to lookups: those strike all servers alike."""
         failed, ended = mark.failed.read(now), mark.ended.read(now)
@@ -215,7 +202,8 @@
         else:
             mark.passes += 1
             if mark.passes >= self.trials:
-                self.readmit(now, server)
+                self.marked.discard(server)
+                self.of[server] = Mark(spell=mark.spell, readmitted=now)
 
 
 class Rotation:
@@ -448,7 +436,6 @@
     def __init__(self, now: float, seed: int, zone: str, sidecars: int, categories: list[Category],
                  customers: list[Customer], surplus_benefit: float, max_hand_offs: int, copies: bool,
                  calling_off: bool, longest_back_in: float, tick: float, asks: bool, keys_remembered: bool, waste_price: float,
-                 position: int | None,
                  cold: tuple[float, float, float]) -> None:
         chance = self.chance = Chance(seed)
         self.tick, self.longest_back_in, self.keys_remembered = tick, longest_back_in, keys_remembered
@@ -461,9 +448,6 @@
         self.in_flight: dict[str, int] = {}
         self.zone_flight: dict[str, int] = {}      # the same by zone, and over all but silent servers
         self.flight = 0
-        self.position = position                 # among the peers; None where they cannot be told anything
-        self.telling: list[Decision] = []
-        self.untold: dict[str, int] = {}         # verdicts by server since the last word to its keeper
         self.lookups: dict[str, Lookup] = {}
         self.waiting: dict[str, Lookup] = {}     # to be looked at by the next decisions
         self.alarms: list[tuple[float, str]] = []
@@ -516,13 +500,9 @@
         if outcome in (Outcome.DONE, Outcome.ERROR):   # a hung server can still say that it is full
             self.answered[server] = now
         was_down = self.marks.down(server)
-        failure = overdue or outcome.failure
-        self.marks.record(now, server, failure, hand_off.trial)
-        down = self.marks.down(server)
-        if was_down != down:
+        self.marks.record(now, server, overdue or outcome.failure, hand_off.trial)
+        if was_down != self.marks.down(server):
             self.grouped, self.view_until = False, now
-        if self.position is not None and failure is not None:
-            self._tell(now, server, failure, hand_off.trial, was_down, down)
         lookup.over = lookup.over or closed or outcome is Outcome.DONE
         self.waiting[id] = lookup   # to go on, or to call off its other copy
 
@@ -542,25 +522,6 @@
                     report: dict[str, float]) -> None:
         """No probes are sent yet."""
 
-    def peer_told(self, now: float, text: str) -> None:
-        """Only a hint: with all messages lost each sidecar still has its own marks."""
-        word, server, count = (text.split(" ") + ["", ""])[:3]
-        if server not in self.marks.of:
-            return
-        was_down = self.marks.down(server)
-        if word == "failed":   # this sidecar counts for all: each alone meets the server too seldom
-            self.marks.record(now, server, True, False, int(count) if count.isdigit() else 1)
-            if self.marks.down(server) and not was_down:
-                self.telling.append(Decision(Act.TELL, text=f"down {server}"))
-        elif word == "down" and len(self.marks.marked) < 2 * self.marks.most_heard * len(self.marks.of):
-            # Trials of all sidecars at once would overrun it: they are spread by chance, the first two to
-            # succeed readmit for all.
-            self.marks.mark_down(now, server, self.chance.draw() * 0.2 * self.sidecars)
-        elif word == "up" and was_down:
-            self.marks.readmit(now, server)
-        if was_down != self.marks.down(server):
-            self.grouped, self.view_until = False, now
-
     def answer_started(self, now: float, id: str) -> None:
         if id in self.lookups:
             self.lookups[id].streaming = True
@@ -570,15 +531,6 @@
             self.lookups[id].over = True
             self.waiting[id] = self.lookups[id]   # to call off what is still out
 
-    def _tell(self, now: float, server: str, failure: bool, trial: bool, was_down: bool, down: bool) -> None:
-        """Failures go to the one peer that counts for this server, marks and readmissions to all."""
-        if was_down and not down:
-            self.telling.append(Decision(Act.TELL, text=f"up {server}"))
-        self.untold[server] = self.untold.get(server, 0) + 1
-        keeper = zlib.crc32(server.encode()) % self.sidecars
-        if failure and not down and keeper != self.position:
-            self.telling.append(Decision(Act.TELL, peer=keeper, text=f"failed {server} {self.untold.pop(server)}"))
-
     # Decisions.
 
     def next_decision(self, now: float) -> Decision | None:
@@ -596,8 +548,6 @@
         if now >= self.ask_at:
             self.ask_at = math.inf
             yield Decision(Act.SUBSCRIBE)
-        while self.telling:
-            yield self.telling.pop()
         if not self.grouped:
             self._regroup()
         if now >= self.view_until:
--- a/foxspread/model.py
+++ b/foxspread/model.py
@@ -113,7 +113,6 @@
     SCRAP = "scrap"
     PROBE = "probe"
     SUBSCRIBE = "subscribe"
-    TELL = "tell"
 
 
 @dataclass(frozen=True)
@@ -123,6 +122,4 @@
     server: str = ""
     time_out: float = 0.0          # of a hand-off; 0: until the client gives up
     number: int = 0                # which hand-off to call off
-    peer: int | None = None        # whom to tell; None: all of them
-    text: str = ""
     back_in: float = 0.0           # of a dismissal: when the client may return; 0: no advice
--- a/foxspread/simhost/codec.py
+++ b/foxspread/simhost/codec.py
@@ -92,7 +92,6 @@
         "tick": seconds(options, "period", 0.005),
         "keys_remembered": bool(table(options, "specifics").get("warm_keys")),
         "waste_price": number(table(options, "tariffs"), "waste", 0.0),
-        "position": int(number(options, "position", 0)) if limits.get("peers") else None,
         "asks": options.get("discovery") == "ask",
         "cold": (number(contract, "cold_from", 1.0), seconds(contract, "cold"),
                  number(contract, "fall_multiple", 1.0)),
@@ -117,7 +116,5 @@
             return {"event_type": "DROP_REQUEST", "op_id": decision.lookup}
         case Act.PROBE:
             return {"event_type": "SAMPLE", "server": decision.server}
-        case Act.TELL:
-            return {"event_type": "SIGNAL", "addressee": decision.peer, "contents": decision.text}
         case Act.SUBSCRIBE:
             return {"event_type": "STREAM_CHANGES", "active": True}
--- a/foxspread/simhost/host.py
+++ b/foxspread/simhost/host.py
@@ -28,8 +28,6 @@
             case "STATUS_BACK":
                 balancer.probe_ended(now, need(event, "server", str), outcome(event),
                                      seconds(event, "delay_seen"), codec.table(event, "server_stats"))
-            case "FROM_PEER":
-                balancer.peer_told(now, event.get("contents") or "")
             case "FLOWING":
                 balancer.answer_started(now, need(event, "op_id", str))
             case "CANCELLED_BY_CLIENT":
