--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -316,6 +316,7 @@
         self.done = {"": (Decaying(span), now)}   # by server, "" for all; and since when
         self.slow = {"": Slowness(3.0)}           # by server and zone, "" for all as part of the expected time
         self.turn: dict[str, float] = {}          # part of a turn by kind
+        self.heard: dict[str, int] = {}           # answers by kind
         self.shut: dict[str, float] = {}      # servers that were full: until when they get nothing
 
     def met(self, now: float, server: str, zone: str) -> None:
@@ -348,7 +349,9 @@
     def _learn(self, kind: str, ratio: float) -> None:
         """What many machines of one kind show is known long before each is: turns move until the times of all
         kinds are alike."""
-        self.turn[kind] = max(0.05, self.turn.get(kind, 1.0) * math.exp(-0.03 * (ratio - 1)))
+        self.heard[kind] = self.heard.get(kind, 0) + 1
+        step = max(0.03, 0.6 / (3 + self.heard[kind]))   # soon at first: servers crowded at the start stay slow
+        self.turn[kind] = max(0.05, self.turn.get(kind, 1.0) * math.exp(-step * (ratio - 1)))
         if self.turn[kind] > 1.0:
             top = self.turn[kind]
             self.turn = {each: turn / top for each, turn in self.turn.items()}
