Module shortened: no queue record, no preference for fellows, sums in a file of their own

What waits is judged by the usual time alone; the record of earlier waits kept search from queueing at all.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -6,39 +6,11 @@
 import heapq
 import math
 import zlib
-from collections import deque
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, field
 
-from foxspread.model import (Act, Category, Customer, Decision, Effect, HandOff, ListedServer, Lookup,
+from foxspread.model import (Act, Category, Customer, Decision, Effect, HandOff, ListedServer, Lookup, Mark,
                              Outcome, Readiness)
-
-
-class Decaying:
-    """A sum in which what was added `span` ago counts 1/e; brought up to date when read."""
-
-    def __init__(self, span: float, value: float = 0.0) -> None:
-        self.span, self.value, self.at = span, value, math.inf   # a first value stands until first read
-
-    def read(self, now: float) -> float:
-        if now > self.at:
-            self.value *= math.exp((self.at - now) / self.span)
-        self.at = now
-        return self.value
-
-    def add(self, now: float, amount: float = 1.0) -> None:
-        self.value = self.read(now) + amount
-
-
-class Chance:
-    """Numbers from 0 up to 1, the same for the same seed."""
-
-    def __init__(self, seed: int) -> None:
-        self.seed, self.count = seed, 0
-
-    def draw(self) -> float:
-        self.count += 1
-        return zlib.crc32(b"%d:%d" % (self.seed, self.count)) / 2**32
+from foxspread.sums import Chance, Decaying, Slowness
 
 
 class ServerList:
@@ -50,14 +22,13 @@
         self.headroom = min(1.5, 0.6 * fall_multiple)
         self.chance = chance
         self.known: dict[str, ListedServer] = {}
-        self.sends: dict[str, Decaying] = {}
+        self.sends: dict[str, Decaying] = {}               # to warm servers, by zone
         self.tokens: dict[str, tuple[float, float]] = {}   # of cold servers: hand-offs in hand, as of when
         self.zones: dict[str, list[str]] = {}              # the ready servers by zone
         self.ready: set[str] = set()
-        self.cold: set[str] = set()                        # ready and perhaps not warm yet
+        self.cold: set[str] = set()                        # ready, and not warm when last listed
+        self.warm_size: dict[str, float] = {}              # by zone, all warm servers together
         self.largest: dict[str, float] = {}                # size by zone
-        self.usual: dict[str, float] = {}                  # sent a second and size to warm servers, by zone
-        self.reckoned = -math.inf
         self.asked = Decaying(10.0)                        # lookups taken
 
     def update(self, now: float, entries: Iterable[ListedServer], whole: bool) -> list[str]:
@@ -71,13 +42,14 @@
                 # A first share at random, so that the sidecars do not all send in the same moment.
                 self.tokens[entry.server] = (self.chance.draw() * 0.9, now)
             self.known[entry.server] = entry
-            self.sends.setdefault(entry.server, Decaying(10.0))
+            self.sends.setdefault(entry.zone, Decaying(10.0))
         self.zones, self.ready = {}, {s for s in self.known if self.known[s].readiness is Readiness.READY}
         for server in sorted(self.ready):
             self.zones.setdefault(self.known[server].zone, []).append(server)
         self.largest = {z: max(self.known[s].size for s in group) for z, group in self.zones.items()}
-        self.cold = {s for s in self.ready if self.known[s].started > now - self.cold_time}
-        self.reckoned = -math.inf
+        self.cold = {s for s in self.ready if self.warmth(now, s) < 1.0}
+        self.warm_size = {z: sum(self.known[s].size for s in group if s not in self.cold)
+                          for z, group in self.zones.items()}
         return fresh
 
     def warmth(self, now: float, server: str) -> float:
@@ -90,18 +62,13 @@
     def allowance(self, now: float, server: str) -> float:
         """Hand-offs a second that this sidecar may give a cold server. Each sidecar sends its share of what
         it sends a warm server on average; all together then send the share of what a warm server gets."""
-        if now >= self.reckoned + 0.25:
-            self.reckoned, self.usual = now, {}
-            everyone = [s for group in self.zones.values() for s in group]
-            for zone, group in [("", everyone), *self.zones.items()]:
-                warm = [s for s in group if self.warmth(now, s) == 1.0]
-                if warm:
-                    sent = sum(self.sends[s].read(now) for s in warm)
-                    self.usual[zone] = sent / sum(self.known[s].size for s in warm) / 10.0
-            # All of them just started: what is asked for, spread over them, stands in for what was sent.
-            self.usual.setdefault("", self.asked.read(now) / sum(self.known[s].size for s in everyone) / 10.0)
-        usual = self.usual.get(self.known[server].zone, self.usual[""]) * self.known[server].size
-        return self.headroom * self.warmth(now, server) * usual
+        for zones in ([self.known[server].zone], self.zones):
+            if (size := sum(self.warm_size[zone] for zone in zones)) > 0:
+                usual = sum(self.sends[zone].read(now) for zone in zones) / size
+                break
+        else:   # all just started: what is asked for, spread over them, stands in for what was sent
+            usual = self.asked.read(now) / sum(self.known[s].size for s in self.ready)
+        return self.headroom * self.warmth(now, server) * usual / 10.0 * self.known[server].size
 
     def has_budget(self, now: float, server: str) -> bool:
         if self.warmth(now, server) == 1.0:
@@ -112,26 +79,12 @@
         return held >= 1.0
 
     def spend(self, now: float, server: str) -> None:
-        self.sends[server].add(now)
-        if self.warmth(now, server) < 1.0:
+        if server not in self.cold:
+            self.sends[self.known[server].zone].add(now)
+        elif self.warmth(now, server) < 1.0:
             self.tokens[server] = (self.tokens[server][0] - 1.0, now)
 
 
-@dataclass
-class Mark:
-    """What one server's outcomes say of it."""
-
-    fails: deque[float] = field(default_factory=deque)
-    streak: int = 0                # failures in a row, however long ago
-    failed: Decaying = field(default_factory=lambda: Decaying(10.0))
-    ended: Decaying = field(default_factory=lambda: Decaying(10.0))
-    until: float | None = None     # marked down; trials from then on
-    spell: float = 0.0
-    passes: int = 0
-    trial_out: bool = False
-    readmitted: float = -math.inf
-
-
 class Marks:
     """NGINX's max_fails and fail_timeout, trials, and Envoy's panic floor."""
 
@@ -283,26 +236,6 @@
         return chosen
 
 
-class Slowness:
-    """How long hand-offs took, as a multiple of what is usual for their category; 1 where little is known."""
-
-    def __init__(self, span: float = 12.0) -> None:
-        self.ratios, self.count = Decaying(span), Decaying(span)
-
-    def add(self, now: float, ratio: float) -> None:
-        self.ratios.add(now, ratio)
-        self.count.add(now)
-
-    def read(self, now: float, usual: float = 1.0, weight: float = 1.0) -> float:
-        return (self.ratios.read(now) + usual * weight) / (self.count.read(now) + weight)
-
-    @staticmethod
-    def over(now: float, several: list["Slowness"], usual: float) -> float:
-        """The same for several together."""
-        return (sum(each.ratios.read(now) for each in several) + usual) / (
-            sum(each.count.read(now) for each in several) + 1.0)
-
-
 class Measures:
     """Rates and times, as this sidecar saw them."""
 
@@ -456,7 +389,6 @@
         self.alarms: list[tuple[float, str]] = []
         self.out: dict[str, dict[tuple[str, int], HandOff]] = {}   # by server with any, the oldest first
         self.answered: dict[str, float] = {}       # when a server last answered anything
-        self.queue = (Decaying(5.0), Decaying(5.0))   # lookups that left the queue, and those handed off
         self.worth = (Decaying(10.0, 1.0), Decaying(10.0, 0.0))
         # The list service does not grow with the sidecars: first calls are spread, later ones back off.
         self.spread = min(5.0, 0.04 * (sidecars - 1))
@@ -465,13 +397,12 @@
         self.least = max(1, round(4 / sidecars))
         self.marks, self.rotation = Marks(), Rotation(zone, chance, few=min(2, self.least))
         self.next_look = self.view_until = now
-        self.grouped = False
         self.plan: Iterator[Decision] | None = None
 
     # Inputs: each only brings what is known up to date.
 
     def lookup_taken(self, now: float, id: str, category: str, time_left: float, customer: str = "",
-                     key: str = "", repeat: bool = False) -> None:
+                     key: str = "") -> None:
         kind = self.categories[category]
         self.servers.asked.add(now)
         lookup = Lookup(id, kind, now + min(kind.expected_time, time_left), now + time_left,
@@ -505,7 +436,7 @@
         was_down = self.marks.down(server)
         self.marks.record(now, server, overdue or outcome.failure, hand_off.trial)
         if was_down != self.marks.down(server):
-            self.grouped, self.view_until = False, now
+            self.view_until = now
         lookup.over = lookup.over or closed or outcome is Outcome.DONE
         self.waiting[id] = lookup   # to go on, or to call off its other copy
 
@@ -515,7 +446,7 @@
             self.measures.met(now, server, self.servers.known[server].zone)
             self.in_flight.setdefault(server, 0)
             self.zone_flight.setdefault(self.servers.known[server].zone, 0)
-        self.grouped, self.view_until, self.ask_again = False, now, 0.5
+        self.view_until, self.ask_again = now, 0.5
 
     def list_call_failed(self, now: float) -> None:
         self.ask_at = now + self.ask_again * (0.5 + self.chance.draw())
@@ -551,8 +482,6 @@
         if now >= self.ask_at:
             self.ask_at = math.inf
             yield Decision(Act.SUBSCRIBE)
-        if not self.grouped:
-            self._regroup()
         if now >= self.view_until:
             self._look(now)
         while self.alarms and self.alarms[0][0] <= now + 1e-6:
@@ -570,10 +499,6 @@
             server = None if no_room and not lookup.sent else self._choose(now, lookup)
             no_room = no_room or (server is None and not lookup.sent)   # then none worth less finds any
             waits = server is None and not lookup.out() and self._worth_waiting(now, lookup, queued)
-            if lookup.queued and not waits:
-                self.queue[0].add(now)
-                self.queue[1].add(now, float(server is not None))
-            lookup.queued = waits
             if server is not None:
                 yield self._hand_off(now, lookup, server)
             elif lookup.out() and not self._too_late(now, lookup):
@@ -597,8 +522,7 @@
         """Queue only what will mostly be answered in time."""
         mean = self.measures.mean(now, lookup.category.name)
         wait = mean * (ahead + 1) / max(1, self.flight)
-        kept = (self.queue[1].read(now) + 1) / (self.queue[0].read(now) + 1)
-        in_time = now + wait / kept ** 2 + 1.5 * mean < lookup.expected_at
+        in_time = now + wait + 1.5 * mean < lookup.expected_at
         return in_time and not self._too_late(now, lookup) and self.gate.open(now, lookup)
 
     def _give_up(self, now: float, lookup: Lookup) -> Iterator[Decision]:
@@ -629,13 +553,13 @@
         # What is worth less than usual gets a smaller part of the room, so that it yields first when short.
         usual_worth = max(1e-9, self.worth[1].read(now) / self.worth[0].read(now))
         part = min(1.0, 0.5 + 0.5 * lookup.worth / usual_worth)
-        if not lookup.sent and self.flight >= self.measures.room_in_all(now, part, self.spare, lookup.draw):
+        if not lookup.sent and self.flight >= self.measures.room_in_all(now, part, len(self.servers.ready) / self.sidecars, lookup.draw):
             return None
         mean = {z: self.zone_flight[z] / max(1, len(g)) for z, g in self.sound.items()}
         zones = self.rotation.zones(self.servers.zones, mean, lambda z: self._draw(lookup, z))
         for server in self.due if not lookup.sent else ():
             if self.marks.trial_due(now, server) and self.servers.known[server].zone in zones[:1] \
-                    and self.gate.lets(now, lookup, server) and self._has_fellow(lookup, server):
+                    and self.gate.lets(now, lookup, server):
                 return server
         def fits(server: str) -> bool:
             return (server not in self.hushed and all(h.server != server for h in lookup.sent)
@@ -644,41 +568,29 @@
 
         rank = (lambda s: self._draw(lookup, s)) if lookup.key else None
         for zone in zones:
-            for fellow in (True, False):   # a labelled one first where it could go on after a failure
-                chosen = self.rotation.pick(zone, self.sound[zone], self.in_flight, mean[zone],
-                                            lambda s: self._part(now, s), lambda s: fits(s) and (
-                                                not fellow or self._has_fellow(lookup, s)), rank)
-                if chosen is not None:
-                    return chosen
-                if lookup.sent or lookup.category.effect is not Effect.LABELLED:
-                    break
+            chosen = self.rotation.pick(zone, self.sound[zone], self.in_flight, mean[zone],
+                                        lambda s: self._part(now, s), fits, rank)
+            if chosen is not None:
+                return chosen
         return None
 
-    def _regroup(self) -> None:
-        """Which servers count as healthy; kept until a mark or the list changes."""
-        ready, marked = self.servers.ready, self.marks.marked
+    def _look(self, now: float) -> None:
+        """Which servers and zones count as healthy; kept for a moment, or until a mark or the list changes."""
+        groups, ready, marked = self.servers.zones, self.servers.ready, self.marks.marked
         # Panic is of the whole fleet: judged by zone, a zone's lone hung server would get all its lookups.
         panic = self.marks.in_panic(ready)
-        self.sound = {z: [s for s in g if panic or s not in marked] for z, g in self.servers.zones.items()}
+        self.sound = {z: [s for s in g if panic or s not in marked] for z, g in groups.items()}
+        self.healthy = {z: sum(self.servers.warmth(now, s) for s in g) for z, g in self.sound.items()}
         self.due = [] if panic else sorted(marked & ready)
-        self.spare = len(ready) / self.sidecars
-        self.grouped = True
-
-    def _look(self, now: float) -> None:
-        """What changes with time alone; kept for a moment. Nothing here goes over all servers."""
-        self.healthy = {z: float(len(g)) for z, g in self.sound.items()}
-        for server in self.servers.cold:
-            if self.due == [] or server not in self.marks.marked:
-                self.healthy[self.servers.known[server].zone] -= 1 - self.servers.warmth(now, server)
         silent = {s for s in self.out if self._silent(now, s)}
-        self.hushed = silent if len(silent) <= (1 - self.marks.panic) * len(self.servers.ready) else set()
+        self.hushed = silent if len(silent) <= (1 - self.marks.panic) * len(ready) else set()
         self.flight = sum(len(sent) for s, sent in self.out.items() if s not in self.hushed)
         # An untried zone counts as one that answers in a fifth of the expected time: nothing to spill over.
         untried = min(1.0, 0.2 / self.measures.slow[""].read(now, 0.2))
         slow = self.measures.slow
         elsewhere = Slowness.over(now, [slow[z] for z in self.sound if z != self.rotation.zone], untried)
         slowness = {z: slow[z].read(now, elsewhere if z != self.rotation.zone else 1.0) for z in self.sound}
-        self.rotation.weigh(now, self.servers.zones, self.healthy, slowness, elsewhere)
+        self.rotation.weigh(now, groups, self.healthy, slowness, elsewhere)
         self.view_until = now + 0.25
 
     def _draw(self, lookup: Lookup, label: str) -> float:
@@ -708,13 +620,6 @@
         last = lookup.out()[-1]
         return now >= last.move_on and (self.marks.down(last.server) or last.server in self.hushed)
 
-    def _has_fellow(self, lookup: Lookup, server: str) -> bool:
-        """A labelled lookup that fails can go on only within the server's group: prefer one with a fellow."""
-        if lookup.category.effect is not Effect.LABELLED or lookup.category.scope == "all":
-            return True
-        return any(s != server and not self.marks.down(s) and self.gate.together(lookup, server, s)
-                   for s in self.servers.zones.get(self.servers.known[server].zone, []))
-
     def _hand_off(self, now: float, lookup: Lookup, server: str) -> Decision:
         self.servers.spend(now, server)
         entry, warm = self.servers.known[server], self.servers.warmth(now, server) == 1.0
--- a/foxspread/model.py
+++ b/foxspread/model.py
@@ -1,9 +1,12 @@
 """Plain types that the decisions and their hosts share. Times are seconds with fractions."""
 
 import math
+from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
 
+from foxspread.sums import Decaying
+
 
 class Effect(Enum):
     REDOABLE = "redoable"          # may run again
@@ -97,7 +100,6 @@
     sent: list[HandOff] = field(default_factory=list)
     over: bool = False             # answered, or the client has left
     streaming: bool = False
-    queued: bool = False
 
     def out(self) -> list[HandOff]:
         return [h for h in self.sent if h.outcome is None]
@@ -106,6 +108,21 @@
         return [h for h in self.sent if h.outcome is None or not h.outcome.never_ran]
 
 
+@dataclass
+class Mark:
+    """What one server's outcomes say of it."""
+
+    fails: deque[float] = field(default_factory=deque)
+    streak: int = 0                # failures in a row, however long ago
+    failed: Decaying = field(default_factory=lambda: Decaying(10.0))
+    ended: Decaying = field(default_factory=lambda: Decaying(10.0))
+    until: float | None = None     # marked down; trials from then on
+    spell: float = 0.0
+    passes: int = 0
+    trial_out: bool = False
+    readmitted: float = -math.inf
+
+
 class Act(Enum):
     HAND_OFF = "hand off"
     CALL_OFF = "call off"
--- /dev/null
+++ b/foxspread/sums.py
@@ -0,0 +1,51 @@
+"""What is counted over time, and chance: tools of the decisions, none themselves."""
+
+import math
+import zlib
+
+
+class Decaying:
+    """A sum in which what was added `span` ago counts 1/e; brought up to date when read."""
+
+    def __init__(self, span: float, value: float = 0.0) -> None:
+        self.span, self.value, self.at = span, value, math.inf   # a first value stands until first read
+
+    def read(self, now: float) -> float:
+        if now > self.at:
+            self.value *= math.exp((self.at - now) / self.span)
+        self.at = now
+        return self.value
+
+    def add(self, now: float, amount: float = 1.0) -> None:
+        self.value = self.read(now) + amount
+
+
+class Chance:
+    """Numbers from 0 up to 1, the same for the same seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed, self.count = seed, 0
+
+    def draw(self) -> float:
+        self.count += 1
+        return zlib.crc32(b"%d:%d" % (self.seed, self.count)) / 2**32
+
+
+class Slowness:
+    """How long hand-offs took, as a multiple of what is usual for their category; 1 where little is known."""
+
+    def __init__(self, span: float = 12.0) -> None:
+        self.ratios, self.count = Decaying(span), Decaying(span)
+
+    def add(self, now: float, ratio: float) -> None:
+        self.ratios.add(now, ratio)
+        self.count.add(now)
+
+    def read(self, now: float, usual: float = 1.0, weight: float = 1.0) -> float:
+        return (self.ratios.read(now) + usual * weight) / (self.count.read(now) + weight)
+
+    @staticmethod
+    def over(now: float, several: list["Slowness"], usual: float) -> float:
+        """The same for several together."""
+        return (sum(each.ratios.read(now) for each in several) + usual) / (
+            sum(each.count.read(now) for each in several) + 1.0)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -1,7 +1,8 @@
 import unittest
 
-from foxspread.logic import Chance, Decaying, Mark, Marks, Measures, Rotation, ServerList
-from foxspread.model import Act, Category, Customer, Effect, Lookup, Outcome, Readiness
+from foxspread.logic import Marks, Measures, Rotation, ServerList
+from foxspread.model import Act, Category, Customer, Effect, Lookup, Mark, Outcome, Readiness
+from foxspread.sums import Chance, Decaying
 from tests.helpers import NAMES, acts, balancer, mark_down, pull, sent_to, servers, take
 
 FAIL, OK = True, False
