No pause for full servers; overdue without regard to the time left

Cause: guards added for few sidecars overlap with turns by speed; leaving time for a further hand-off made merely long lookups look lost.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -10,7 +10,7 @@
 
 from foxspread.model import (Act, Category, Customer, Decision, Effect, HandOff, ListedServer, Lookup, Mark,
                              Outcome, Readiness)
-from foxspread.sums import Chance, Decaying, Slowness
+from foxspread.sums import Chance, Decaying, Mean
 
 
 class ServerList:
@@ -28,7 +28,7 @@
         self.ready: set[str] = set()
         self.cold: set[str] = set()                        # ready, and not warm when last listed
         self.warm_size: dict[str, float] = {}              # by zone, all warm servers together
-        self.largest: dict[str, float] = {}                # size by zone
+        self.largest = 1.0
         self.asked = Decaying(10.0)                        # lookups taken
 
     def update(self, now: float, entries: Iterable[ListedServer], whole: bool) -> list[str]:
@@ -46,7 +46,7 @@
         self.zones, self.ready = {}, {s for s in self.known if self.known[s].readiness is Readiness.READY}
         for server in sorted(self.ready):
             self.zones.setdefault(self.known[server].zone, []).append(server)
-        self.largest = {z: max(self.known[s].size for s in group) for z, group in self.zones.items()}
+        self.largest = max((self.known[s].size for s in self.ready), default=1.0)
         self.cold = {s for s in self.ready if self.warmth(now, s) < 1.0}
         self.warm_size = {z: sum(self.known[s].size for s in group if s not in self.cold)
                           for z, group in self.zones.items()}
@@ -94,7 +94,7 @@
         self.panic = panic
         self.of: dict[str, Mark] = {}
         self.marked: set[str] = set()
-        self.failed, self.ended = Decaying(10.0), Decaying(10.0)   # over all unmarked servers
+        self.verdicts = Mean(10.0, 0.0)   # 1 for each failure, over all servers
 
     def met(self, server: str) -> None:
         """A server that is new or has started anew."""
@@ -105,8 +105,7 @@
         return server in self.marked
 
     def trial_due(self, now: float, server: str) -> bool:
-        mark = self.of[server]
-        return mark.until is not None and now >= mark.until and not mark.trial_out
+        return self.down(server) and now >= self.of[server].until and not self.of[server].trial_out
 
     def in_panic(self, ready: set[str]) -> bool:
         return len(ready) - sum(s in ready for s in self.marked) < self.panic * len(ready)
@@ -114,17 +113,17 @@
     def record(self, now: float, server: str, failure: bool | None, trial: bool) -> None:
         """Notes a verdict; None where there is none, as from a full server."""
         mark = self.of[server]
-        if mark.until is not None or failure is None:
-            if trial and mark.until is not None:
+        if self.down(server):
+            if trial:
                 self._trial_ended(now, server, mark, failure)
             return
-        for ended, failed in ((mark.ended, mark.failed), (self.ended, self.failed)):
-            ended.add(now)
-            failed.add(now, float(failure))
+        if failure is None:
+            return
+        for sums in (mark.verdicts, self.verdicts):
+            sums.add(now, float(failure))
+        mark.streak = mark.streak + 1 if failure else 0
         if not failure:
-            mark.streak = 0
             return
-        mark.streak += 1
         mark.fails.append(now)
         while mark.fails[0] < now - self.fail_timeout:
             mark.fails.popleft()
@@ -136,14 +135,12 @@
             mark.spell = min(mark.spell * 2, 4 * self.spell) if again else self.spell
             mark.until, mark.passes = now + mark.spell, 0
             self.marked.add(server)
-            self.ended.add(now, -mark.ended.read(now))
-            self.failed.add(now, -mark.failed.read(now))
 
     def _worse_than_rest(self, now: float, mark: Mark) -> bool:
         """Guards sound servers against failures that belong to lookups: those strike all servers alike."""
-        failed, ended = mark.failed.read(now), mark.ended.read(now)
-        usual = (self.failed.read(now) - failed + 0.1) / (self.ended.read(now) - ended + 1.0)
-        return failed / ended > min(0.9, 0.15 + 2 * usual)
+        failed, ended = mark.verdicts.total.read(now), mark.verdicts.count.read(now)
+        all_failed, all_ended = self.verdicts.total.read(now), self.verdicts.count.read(now)
+        return failed / ended > min(0.9, 0.15 + 2 * (all_failed - failed + 0.1) / (all_ended - ended + 1.0))
 
     def _trial_ended(self, now: float, server: str, mark: Mark, failure: bool | None) -> None:
         mark.trial_out = False
@@ -196,15 +193,12 @@
         what this sidecar has in flight elsewhere."""
         others = sorted((z for z in groups if z != self.zone),
                         key=lambda z: -draw(z) ** (1 / self.weight[z]))
-        if self.zone not in groups:
-            return others
+        own = [self.zone] if self.zone in groups else []
         elsewhere = min((mean[z] for z in others), default=math.inf)
-        crowded = mean[self.zone] > max(self.few, self.well_over * elsewhere)
-        if others and (crowded or draw("") >= self.share):
-            return [*others, self.zone]
-        return [self.zone, *others]
+        crowded = mean.get(self.zone, 0.0) > max(self.few, self.well_over * elsewhere)
+        return others + own if crowded or draw("") >= self.share else own + others
 
-    def pick(self, zone: str, servers: list[str], in_flight: dict[str, int], mean: float,
+    def pick(self, zone: str, servers: list[str], held: Callable[[str], int], mean: float,
              part: Callable[[str], float], fits: Callable[[str], bool],
              rank: Callable[[str], float] | None = None) -> str | None:
         """The next in turn that fits and does not hold well over the group's mean; else the least laden.
@@ -223,12 +217,12 @@
                 continue
             turn = self.turns.get(server) or self.chance.draw()
             turn = self.turns[server] = min(1.5, turn + part(server))
-            if in_flight[server] < most and turn >= 1.0:
+            if held(server) < most and turn >= 1.0:
                 self.turns[server] = turn - 1.0
                 due.append(server)
-            elif spare is None or (in_flight[server], -turn) < (in_flight[spare], -self.turns[spare]):
+            elif spare is None or (held(server), -turn) < (held(spare), -self.turns[spare]):
                 spare = server
-        usable = [s for s in due if in_flight[s] < most and fits(s)]
+        usable = [s for s in due if held(s) < most and fits(s)]
         if not usable:
             return spare
         chosen = min(usable, key=rank) if rank else usable[0]
@@ -244,49 +238,44 @@
         self.span, self.few, self.fair_time, self.waste_price = span, few, fair_time, waste_price
         # What may be in flight on a server: what it does in this part of the usual expected time.
         self.time_bound = 0.18 * sum(c.expected_time for c in categories) / max(1, len(categories))
-        self.times = {c.name: [Decaying(20.0, 1.0), Decaying(20.0, c.expected_time / 4),
-                               Decaying(20.0, c.expected_time ** 2 / 12)] for c in categories}
+        self.times = {c.name: (Mean(20.0, c.expected_time / 4), Mean(20.0, c.expected_time ** 2 / 12))
+                      for c in categories}             # of a hand-off, and of its square
         self.done = {"": (Decaying(span), now)}   # by server, "" for all; and since when
-        self.slow = {"": Slowness(3.0)}           # by server and zone, "" for all as part of the expected time
+        self.slow = {"": Mean(3.0, 0.2)}           # by server and zone, "" for all as part of the expected time
         self.turn: dict[str, float] = {}          # part of a turn by kind
         self.heard: dict[str, int] = {}           # answers by kind
-        self.shut: dict[str, float] = {}      # servers that were full: until when they get nothing
 
     def met(self, now: float, server: str, zone: str) -> None:
         """A server that is new or has started anew."""
-        self.done[server], self.slow[server] = (Decaying(self.span), now), Slowness()
-        self.slow.setdefault(zone, Slowness(8.0))
+        self.done[server], self.slow[server] = (Decaying(self.span), now), Mean(12.0)
+        self.slow.setdefault(zone, Mean(8.0))
 
     def ended(self, now: float, server: str, zone: str, kind: str | None, category: Category, took: float,
               outcome: Outcome) -> None:
         """`kind` is None for a server that is not warm: that it is slow says nothing of the rest."""
-        mean = self.mean(now, category.name)
+        mean = self.mean(now, category)
         if outcome is Outcome.DONE:
             for name in (server, ""):
                 self.done[name][0].add(now)
         elif outcome is Outcome.FULL:
-            # A full server answers at once and so looks idle: without a pause it would draw all lookups.
-            self.shut[server] = now + mean
-            self.slow[server].add(now, 4.0)
+            self.slow[server].add(now, 8.0)   # it answers at once and so looks idle: it would draw all lookups
         # What was cut off counts with the time it had: else slow times would look ever shorter.
-        cut = outcome in (Outcome.TIMED_OUT, Outcome.CALLED_OFF) and took > mean
-        if outcome is Outcome.DONE or cut:
+        if outcome is Outcome.DONE or outcome in (Outcome.TIMED_OUT, Outcome.CALLED_OFF) and took > mean:
             self.slow[server].add(now, took / mean)
             if kind is not None:
                 self._learn(kind, min(4.0, took / mean))
                 self.slow[zone].add(now, took / mean)
                 self.slow[""].add(now, took / category.expected_time)
-            for total, amount in zip(self.times[category.name], (1.0, took, took * took)):
-                total.add(now, amount)
+            for mean_of, power in zip(self.times[category.name], (1, 2)):
+                mean_of.add(now, took ** power)
 
     def _learn(self, kind: str, ratio: float) -> None:
         """What many machines of one kind show is known long before each is: turns move until the times of all
         kinds are alike."""
         self.heard[kind] = self.heard.get(kind, 0) + 1
-        step = max(0.03, 0.6 / (3 + self.heard[kind]))   # soon at first: servers crowded at the start stay slow
+        step = max(0.03, 0.6 / (3 + self.heard[kind]))   # soon at first: servers crowded then stay slow
         self.turn[kind] = max(0.05, self.turn.get(kind, 1.0) * math.exp(-step * (ratio - 1)))
-        if self.turn[kind] > 1.0:
-            top = self.turn[kind]
+        if (top := self.turn[kind]) > 1.0:
             self.turn = {each: turn / top for each, turn in self.turn.items()}
 
     def rate(self, now: float, name: str = "") -> float:
@@ -296,8 +285,6 @@
 
     def room(self, now: float, server: str, part: float, least: int) -> float:
         """How many may be in flight: rate x the time they may take."""
-        if now < self.shut.get(server, now):
-            return 0
         return max(self.rate(now, server) * part * self.time_bound, least)
 
     def room_in_all(self, now: float, part: float, spare: float, draw: float) -> float:
@@ -307,22 +294,21 @@
         room = 2 * self.rate(now) * part * self.time_bound + spare
         if room >= self.few:
             return room
-        return self.few if draw < part * (self.fair_time / self.slow[""].read(now, 0.2)) ** 2 else 0.0
+        return self.few if draw < part * (self.fair_time / self.slow[""].read(now)) ** 2 else 0.0
 
-    def part_of_turn(self, now: float, server: str, kind: str) -> float:
+    def part_of_turn(self, now: float, entry: ListedServer, largest: float) -> float:
         """Turns go as the speed: times of servers that are busy alike then become alike."""
-        single = min(1.0, 1 / self.slow[server].read(now) ** 2)
-        return max(0.05, single * self.turn.get(kind, 1.0))
+        single = min(1.0, 1 / self.slow[entry.server].read(now) ** 2)
+        return max(0.05, single * self.turn.get(entry.kind, 1.0)) * entry.size / largest
 
-    def mean(self, now: float, category: str) -> float:
-        return self.times[category][1].read(now) / self.times[category][0].read(now)
+    def mean(self, now: float, category: Category) -> float:
+        return self.times[category.name][0].read(now)
 
     def overdue(self, now: float, category: Category) -> float:
         """The time after which a hand-off is out well beyond what is usual. What is long is mostly just long,
         and done twice it is waste: the dearer that is, the surer we must be."""
-        count, _, squares = (each.read(now) for each in self.times[category.name])
-        mean = self.mean(now, category.name)
-        deviation = math.sqrt(max(0.0, squares / count - mean * mean))
+        mean, square = (each.read(now) for each in self.times[category.name])
+        deviation = math.sqrt(max(0.0, square - mean * mean))
         caution = 2 + 10 * self.waste_price if category.late_benefit > 0 else 3
         return mean + caution * max(deviation, 2 / 3 * mean)
 
@@ -371,8 +357,8 @@
 
     def __init__(self, now: float, seed: int, zone: str, sidecars: int, categories: list[Category],
                  customers: list[Customer], surplus_benefit: float, max_hand_offs: int, copies: bool,
-                 calling_off: bool, longest_back_in: float, tick: float, asks: bool, keys_remembered: bool, waste_price: float,
-                 cold: tuple[float, float, float]) -> None:
+                 calling_off: bool, longest_back_in: float, tick: float, asks: bool, keys_remembered: bool,
+                 waste_price: float, cold: tuple[float, float, float]) -> None:
         chance = self.chance = Chance(seed)
         self.tick, self.longest_back_in, self.keys_remembered = tick, longest_back_in, keys_remembered
         self.calling_off, self.sidecars, self.surplus_benefit = calling_off, sidecars, surplus_benefit
@@ -381,15 +367,12 @@
         self.servers = ServerList(*cold, chance=chance)
         self.measures = Measures(now, categories, waste_price=waste_price)
         self.gate = Gate(self.servers, max_hand_offs, copies)
-        self.in_flight: dict[str, int] = {}
-        self.zone_flight: dict[str, int] = {}      # the same by zone, and over all but silent servers
-        self.flight = 0
         self.lookups: dict[str, Lookup] = {}
         self.waiting: dict[str, Lookup] = {}     # to be looked at by the next decisions
         self.alarms: list[tuple[float, str]] = []
         self.out: dict[str, dict[tuple[str, int], HandOff]] = {}   # by server with any, the oldest first
         self.answered: dict[str, float] = {}       # when a server last answered anything
-        self.worth = (Decaying(10.0, 1.0), Decaying(10.0, 0.0))
+        self.worth = Mean(10.0, 0.0)
         # The list service does not grow with the sidecars: first calls are spread, later ones back off.
         self.spread = min(5.0, 0.04 * (sidecars - 1))
         self.ask_at, self.ask_again = now + chance.draw() * self.spread if asks else math.inf, 0.5
@@ -406,13 +389,12 @@
         kind = self.categories[category]
         self.servers.asked.add(now)
         lookup = Lookup(id, kind, now + min(kind.expected_time, time_left), now + time_left,
-                        kind.benefit * self._share_left(now, customer) / self.measures.mean(now, category),
+                        kind.benefit * self._share_left(now, customer) / self.measures.mean(now, kind),
                         self.chance.draw(), key if self.keys_remembered else "")
         self.lookups[id] = lookup
-        self.worth[0].add(now)
-        self.worth[1].add(now, lookup.worth)
+        self.worth.add(now, lookup.worth)
         self.waiting[id] = lookup
-        heapq.heappush(self.alarms, (lookup.abandon_at - 2 * self.tick, id))
+        self._wake(lookup.abandon_at - 2 * self.tick, lookup)
 
     def hand_off_ended(self, now: float, id: str, number: int, outcome: Outcome, closed: bool,
                        report: dict[str, float]) -> None:
@@ -422,7 +404,6 @@
         hand_off = lookup.sent[number]
         hand_off.outcome = outcome
         server = hand_off.server
-        self._count(server, hand_off.zone, -1)
         del self.out[server][(id, number)]
         if not self.out[server]:
             del self.out[server]
@@ -433,10 +414,8 @@
         self.measures.ended(now, server, hand_off.zone, hand_off.kind, lookup.category, took, outcome)
         if outcome in (Outcome.DONE, Outcome.ERROR):   # a hung server can still say that it is full
             self.answered[server] = now
-        was_down = self.marks.down(server)
         self.marks.record(now, server, overdue or outcome.failure, hand_off.trial)
-        if was_down != self.marks.down(server):
-            self.view_until = now
+        self.view_until = now if self.marks.down(server) or hand_off.trial else self.view_until
         lookup.over = lookup.over or closed or outcome is Outcome.DONE
         self.waiting[id] = lookup   # to go on, or to call off its other copy
 
@@ -444,8 +423,6 @@
         for server in self.servers.update(now, entries, whole):
             self.marks.met(server)
             self.measures.met(now, server, self.servers.known[server].zone)
-            self.in_flight.setdefault(server, 0)
-            self.zone_flight.setdefault(self.servers.known[server].zone, 0)
         self.view_until, self.ask_again = now, 0.5
 
     def list_call_failed(self, now: float) -> None:
@@ -493,8 +470,9 @@
         self.next_look = now + 4 * self.tick
         queued, no_room = 0, False
         for lookup in waiting:
+            if lookup.over:
+                yield from self._close(lookup)
             if lookup.over or lookup.streaming:
-                yield from self._close(lookup) if lookup.over else ()
                 continue
             server = None if no_room and not lookup.sent else self._choose(now, lookup)
             no_room = no_room or (server is None and not lookup.sent)   # then none worth less finds any
@@ -505,8 +483,7 @@
                 if not self.gate.copies and self._given_up_on(now, lookup):
                     yield from self._call_off(lookup)
                 else:   # looked at again after the usual time
-                    again = now + self.measures.mean(now, lookup.category.name)
-                    heapq.heappush(self.alarms, (again, lookup.id))
+                    self._wake(now + self.measures.mean(now, lookup.category), lookup)
             elif waits:
                 queued += 1
                 self.waiting[lookup.id] = lookup
@@ -520,8 +497,8 @@
 
     def _worth_waiting(self, now: float, lookup: Lookup, ahead: int) -> bool:
         """Queue only what will mostly be answered in time."""
-        mean = self.measures.mean(now, lookup.category.name)
-        wait = mean * (ahead + 1) / max(1, self.flight)
+        mean = self.measures.mean(now, lookup.category)
+        wait = mean * (ahead + 1) / max(1, self._in_flight())
         in_time = now + wait + 1.5 * mean < lookup.expected_at
         return in_time and not self._too_late(now, lookup) and self.gate.open(now, lookup)
 
@@ -546,16 +523,19 @@
     def _choose(self, now: float, lookup: Lookup) -> str | None:
         # Carried over: a further hand-off only if the time left exceeds the time it should take.
         limit = lookup.abandon_at if lookup.category.late_benefit > 0 else lookup.expected_at
-        short = lookup.sent and limit - now <= self.measures.mean(now, lookup.category.name)
+        short = lookup.sent and limit - now <= self.measures.mean(now, lookup.category)
         if short or self._too_late(now, lookup) or not self.gate.open(now, lookup) \
                 or (lookup.out() and not self._given_up_on(now, lookup)):
             return None
         # What is worth less than usual gets a smaller part of the room, so that it yields first when short.
-        usual_worth = max(1e-9, self.worth[1].read(now) / self.worth[0].read(now))
-        part = min(1.0, 0.5 + 0.5 * lookup.worth / usual_worth)
-        if not lookup.sent and self.flight >= self.measures.room_in_all(now, part, len(self.servers.ready) / self.sidecars, lookup.draw):
+        part = min(1.0, 0.5 + 0.5 * lookup.worth / max(1e-9, self.worth.read(now)))
+        spare = len(self.servers.ready) / self.sidecars
+        if not lookup.sent and self._in_flight() >= self.measures.room_in_all(now, part, spare, lookup.draw):
             return None
-        mean = {z: self.zone_flight[z] / max(1, len(g)) for z, g in self.sound.items()}
+        mean = dict.fromkeys(self.sound, 0.0)
+        for hand_off in (each for sent in self.out.values() for each in sent.values()):
+            if hand_off.zone in mean:
+                mean[hand_off.zone] += 1 / max(1, len(self.sound[hand_off.zone]))
         zones = self.rotation.zones(self.servers.zones, mean, lambda z: self._draw(lookup, z))
         for server in self.due if not lookup.sent else ():
             if self.marks.trial_due(now, server) and self.servers.known[server].zone in zones[:1] \
@@ -564,14 +544,15 @@
         def fits(server: str) -> bool:
             return (server not in self.hushed and all(h.server != server for h in lookup.sent)
                     and self.gate.lets(now, lookup, server)
-                    and self.in_flight[server] < self.measures.room(now, server, part, self.least))
+                    and self._held(server) < self.measures.room(now, server, part, self.least))
+
+        def part_of_turn(server: str) -> float:
+            return self.measures.part_of_turn(now, self.servers.known[server], self.servers.largest)
 
         rank = (lambda s: self._draw(lookup, s)) if lookup.key else None
         for zone in zones:
-            chosen = self.rotation.pick(zone, self.sound[zone], self.in_flight, mean[zone],
-                                        lambda s: self._part(now, s), fits, rank)
-            if chosen is not None:
-                return chosen
+            if server := self.rotation.pick(zone, self.sound[zone], self._held, mean[zone], part_of_turn, fits, rank):
+                return server
         return None
 
     def _look(self, now: float) -> None:
@@ -584,11 +565,10 @@
         self.due = [] if panic else sorted(marked & ready)
         silent = {s for s in self.out if self._silent(now, s)}
         self.hushed = silent if len(silent) <= (1 - self.marks.panic) * len(ready) else set()
-        self.flight = sum(len(sent) for s, sent in self.out.items() if s not in self.hushed)
         # An untried zone counts as one that answers in a fifth of the expected time: nothing to spill over.
         untried = min(1.0, 0.2 / self.measures.slow[""].read(now, 0.2))
         slow = self.measures.slow
-        elsewhere = Slowness.over(now, [slow[z] for z in self.sound if z != self.rotation.zone], untried)
+        elsewhere = Mean.over(now, [slow[z] for z in self.sound if z != self.rotation.zone], untried)
         slowness = {z: slow[z].read(now, elsewhere if z != self.rotation.zone else 1.0) for z in self.sound}
         self.rotation.weigh(now, groups, self.healthy, slowness, elsewhere)
         self.view_until = now + 0.25
@@ -599,14 +579,15 @@
             return self.chance.draw()
         return zlib.crc32(f"{lookup.key}:{label}".encode()) / 2**32
 
-    def _part(self, now: float, server: str) -> float:
-        entry = self.servers.known[server]
-        return self.measures.part_of_turn(now, server, entry.kind) * entry.size / self.servers.largest[entry.zone]
+    def _wake(self, at: float, lookup: Lookup) -> None:
+        heapq.heappush(self.alarms, (at, lookup.id))
+
+    def _held(self, server: str) -> int:
+        return len(self.out.get(server, ()))
 
-    def _count(self, server: str, zone: str, more: int) -> None:
-        self.in_flight[server] += more
-        self.zone_flight[zone] += more
-        self.flight += more
+    def _in_flight(self) -> int:
+        """Over all servers; what hangs at silent ones takes no room from the rest."""
+        return sum(len(sent) for server, sent in self.out.items() if server not in self.hushed)
 
     def _silent(self, now: float, server: str) -> bool:
         """Guards against hung servers before their time-outs are counted, above all on a quiet sidecar: with
@@ -626,22 +607,17 @@
         hand_off = HandOff(server, entry.zone, entry.kind if warm else None, now, trial=self.marks.down(server))
         self.marks.of[server].trial_out = hand_off.trial
         lookup.sent.append(hand_off)
-        self._count(server, hand_off.zone, 1)
-        # Leave time for a further hand-off that still meets the expected time, if this one hangs.
-        mean, overdue = self.measures.mean(now, lookup.category.name), self.measures.overdue(now, lookup.category)
-        # But not so early that what is merely long is taken for lost: under load that would double the work.
-        overdue = max(min(overdue, lookup.expected_at - now - 1.5 * mean), mean + (overdue - mean) * 2 / 3)
+        mean, overdue = (of(now, lookup.category) for of in (self.measures.mean, self.measures.overdue))
         hand_off.overdue = now + overdue / self.servers.warmth(now, server)   # cold is slow, not hung
-        # A server may look silent early, but the lookup itself moves on only when it must to be in time: most
-        # of those that are long are just long.
+        # A server may look silent early, but the lookup itself moves on only when it must to be in time.
         hand_off.move_on = max(hand_off.overdue, lookup.expected_at - 2.5 * mean)
         self.out.setdefault(server, {})[(lookup.id, len(lookup.sent) - 1)] = hand_off
         end = lookup.abandon_at - self.tick
         if not self.gate.copies and not self.calling_off and hand_off.overdue + mean < end:
             end = hand_off.overdue
-        heapq.heappush(self.alarms, (hand_off.move_on, lookup.id))
+        self._wake(hand_off.move_on, lookup)
         if lookup.category.late_benefit <= 0:
-            heapq.heappush(self.alarms, (lookup.expected_at, lookup.id))
+            self._wake(lookup.expected_at, lookup)
         return Decision(Act.HAND_OFF, lookup.id, server, max(end - now, self.tick))
 
     def _share_left(self, now: float, customer: str) -> float:
--- a/foxspread/model.py
+++ b/foxspread/model.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from foxspread.sums import Decaying
+from foxspread.sums import Mean
 
 
 class Effect(Enum):
@@ -114,8 +114,7 @@
 
     fails: deque[float] = field(default_factory=deque)
     streak: int = 0                # failures in a row, however long ago
-    failed: Decaying = field(default_factory=lambda: Decaying(10.0))
-    ended: Decaying = field(default_factory=lambda: Decaying(10.0))
+    verdicts: Mean = field(default_factory=lambda: Mean(10.0, 0.0))   # 1 for each failure
     until: float | None = None     # marked down; trials from then on
     spell: float = 0.0
     passes: int = 0
--- a/foxspread/sums.py
+++ b/foxspread/sums.py
@@ -31,21 +31,21 @@
         return zlib.crc32(b"%d:%d" % (self.seed, self.count)) / 2**32
 
 
-class Slowness:
-    """How long hand-offs took, as a multiple of what is usual for their category; 1 where little is known."""
+class Mean:
+    """The mean of what was added lately; `usual` where that is little."""
 
-    def __init__(self, span: float = 12.0) -> None:
-        self.ratios, self.count = Decaying(span), Decaying(span)
+    def __init__(self, span: float, usual: float = 1.0) -> None:
+        self.total, self.count, self.usual = Decaying(span), Decaying(span), usual
 
-    def add(self, now: float, ratio: float) -> None:
-        self.ratios.add(now, ratio)
+    def add(self, now: float, value: float) -> None:
+        self.total.add(now, value)
         self.count.add(now)
 
-    def read(self, now: float, usual: float = 1.0, weight: float = 1.0) -> float:
-        return (self.ratios.read(now) + usual * weight) / (self.count.read(now) + weight)
+    def read(self, now: float, usual: float | None = None) -> float:
+        return Mean.over(now, [self], self.usual if usual is None else usual)
 
     @staticmethod
-    def over(now: float, several: list["Slowness"], usual: float) -> float:
-        """The same for several together."""
-        return (sum(each.ratios.read(now) for each in several) + usual) / (
+    def over(now: float, several: list["Mean"], usual: float) -> float:
+        """Of several together."""
+        return (sum(each.total.read(now) for each in several) + usual) / (
             sum(each.count.read(now) for each in several) + 1.0)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -8,6 +8,10 @@
 FAIL, OK = True, False
 
 
+def nothing_held(server):
+    return 0
+
+
 def whole_turn(server):
     return 1.0
 
@@ -95,12 +99,12 @@
 class TestRotation(unittest.TestCase):
     def test_visits_all_in_turn(self):
         it = Rotation("a", Chance(1))
-        picks = [it.pick("a", NAMES, dict.fromkeys(NAMES, 0), 0.0, whole_turn, lambda s: True) for _ in range(8)]
+        picks = [it.pick("a", NAMES, nothing_held, 0.0, whole_turn, lambda s: True) for _ in range(8)]
         self.assertEqual(sorted(picks), sorted(NAMES * 2))
 
     def test_passes_over_one_well_above_the_mean(self):
         it = Rotation("a", Chance(1))
-        flight = {"s1": 9, "s2": 3, "s3": 3, "s4": 3}
+        flight = {"s1": 9, "s2": 3, "s3": 3, "s4": 3}.get
         picks = {it.pick("a", NAMES, flight, 4.5, whole_turn, lambda s: True) for _ in range(8)}
         self.assertEqual(picks, {"s2", "s3", "s4"})
 
@@ -127,14 +131,14 @@
         it, picks = Rotation("a", Chance(1)), []
         for step in range(80):
             liked = NAMES[step % 2]
-            picks.append((liked, it.pick("a", NAMES, dict.fromkeys(NAMES, 0), 0.0, whole_turn,
+            picks.append((liked, it.pick("a", NAMES, nothing_held, 0.0, whole_turn,
                                          lambda s: True, lambda s: s != liked)))
         self.assertGreater(picks.count(("s1", "s1")), 2 * picks.count(("s2", "s1")))
         self.assertAlmostEqual([server for _, server in picks].count("s3"), 20, delta=2)
 
     def test_half_a_turn_is_every_other_round(self):
         it, half = Rotation("a", Chance(1)), {"s1": 0.5}
-        picks = [it.pick("a", NAMES, dict.fromkeys(NAMES, 0), 0.0, lambda s: half.get(s, 1.0), lambda s: True) for _ in range(70)]
+        picks = [it.pick("a", NAMES, nothing_held, 0.0, lambda s: half.get(s, 1.0), lambda s: True) for _ in range(70)]
         self.assertAlmostEqual(picks.count("s1"), 10, delta=1)
 
 
@@ -205,14 +209,14 @@
         it = measures()
         for _ in range(10):
             it.ended(100.0, "s1", "a", "k", C, 1.0, Outcome.DONE)
-        self.assertLess(it.part_of_turn(100.0, "s1", ""), 0.6)
-        self.assertEqual(it.part_of_turn(1000.0, "s1", ""), 1.0)
+        self.assertLess(it.part_of_turn(100.0, *servers(["s1"]), 1.0), 0.6)
+        self.assertEqual(it.part_of_turn(1000.0, *servers(["s1"]), 1.0), 1.0)
 
     def test_what_was_cut_off_lengthens_the_usual_time(self):
         it = measures()
-        before = it.mean(100.0, "c")
+        before = it.mean(100.0, C)
         it.ended(100.0, "s1", "a", "k", C, 2.0, Outcome.TIMED_OUT)
-        self.assertGreater(it.mean(100.0, "c"), before)
+        self.assertGreater(it.mean(100.0, C), before)
 
 
 class TestRules(unittest.TestCase):
@@ -324,4 +328,4 @@
             it.hand_off_ended(100.1, "x", 0, Outcome.DONE, True, {})
         it.client_left(100.2, "x")
         it.client_left(100.2, "never")
-        self.assertEqual((pull(it, 100.2), set(it.in_flight.values())), ([], {0}))
+        self.assertEqual((pull(it, 100.2), it.out), ([], {}))
