--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -163,8 +163,7 @@
                  skip: float = 1.25, few: int = 2) -> None:
         self.zone, self.chance, self.spill, self.well_over = zone, chance, spill, well_over
         self.skip, self.few = skip, few
-        self.share, self.weight, self.weighed = 1.0, {}, 0.0   # of the own zone; by zone; and as of when
-        self.learned: float | None = None   # logarithm of what the own zone gives up
+        self.share, self.weight = 1.0, {}   # of the own zone; by zone, in what it does not take
         self.cursor: dict[str, int] = {}
         self.due: dict[str, list[str]] = {}   # by zone: whose turn it is, the longest first
         self.turns: dict[str, float] = {}   # parts of a turn saved up by servers that get fewer turns
@@ -172,20 +171,13 @@
     def weigh(self, now: float, groups: dict[str, list[str]], healthy: dict[str, float],
               slowness: dict[str, float], elsewhere: float) -> None:
         """How much goes to the own zone: 1.4 x its healthy fraction, less while it answers slower than the
-        rest do. A quiet sidecar's counts in flight are 0 or 1; over time they go as the times, which stand in
-        for them, also in a part that is learned, so that zones unlike in servers and traffic come level."""
+        rest do. A quiet sidecar's counts in flight are 0 or 1; over time they go as the times, which stand in."""
         self.weight = {z: max(0.01, healthy[z]) / slowness[z] ** 2 for z in groups}
         if self.zone not in groups or len(groups) == 1:
             self.share = float(self.zone in groups)
             return
-        if self.learned is None:   # first guess: traffic is alike in all zones
-            own, everyone = len(groups[self.zone]), sum(len(g) for g in groups.values())
-            self.learned = math.log(min(1.0, own * len(groups) / everyone))
         ratio = elsewhere / slowness[self.zone]
-        step = max(-0.5, min(0.5, 1.2 * ratio - 1)) * 0.1 * min(1.0, now - self.weighed)
-        self.learned, self.weighed = max(-3.0, min(0.0, self.learned + step)), now
-        share = min(1.0, self.spill * healthy[self.zone] / len(groups[self.zone]), self.spill * ratio ** 2)
-        self.share = share * math.exp(self.learned)
+        self.share = min(self.spill * healthy[self.zone] / len(groups[self.zone]), self.spill * ratio ** 3)
 
     def zones(self, groups: dict[str, list[str]], mean: dict[str, float],
               draw: Callable[[str], float]) -> list[str]:
@@ -599,7 +591,7 @@
         """A lookup moves on from a hand-off only when its server looks dead: what is merely slow would be
         done twice, which makes the rest slow as well."""
         last = lookup.out()[-1]
-        return now >= last.move_on and (self.marks.down(last.server) or last.server in self.hushed)
+        return now >= last.overdue and (self.marks.down(last.server) or last.server in self.hushed)
 
     def _hand_off(self, now: float, lookup: Lookup, server: str) -> Decision:
         self.servers.spend(now, server)
@@ -609,13 +601,11 @@
         lookup.sent.append(hand_off)
         mean, overdue = (of(now, lookup.category) for of in (self.measures.mean, self.measures.overdue))
         hand_off.overdue = now + overdue / self.servers.warmth(now, server)   # cold is slow, not hung
-        # A server may look silent early, but the lookup itself moves on only when it must to be in time.
-        hand_off.move_on = max(hand_off.overdue, lookup.expected_at - 2.5 * mean)
         self.out.setdefault(server, {})[(lookup.id, len(lookup.sent) - 1)] = hand_off
         end = lookup.abandon_at - self.tick
         if not self.gate.copies and not self.calling_off and hand_off.overdue + mean < end:
             end = hand_off.overdue
-        self._wake(hand_off.move_on, lookup)
+        self._wake(hand_off.overdue, lookup)
         if lookup.category.late_benefit <= 0:
             self._wake(lookup.expected_at, lookup)
         return Decision(Act.HAND_OFF, lookup.id, server, max(end - now, self.tick))
