--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -157,6 +157,25 @@
         self.assertGreater(len(sent), 10)
         self.assertLess(len(sent), 40)
 
+    def test_hundreds_of_quiet_sidecars_together_keep_a_cold_servers_budget(self):
+        fleet, names, sent = [], [f"w{n}" for n in range(20)], []
+        for seed in range(300):
+            fleet.append(ServerList(0.13, 23.0, 3.0, Chance(seed)))
+            fleet[-1].update(100.0, servers(names), True)
+        for step in range(60):   # each takes two lookups a second
+            for number, it in enumerate(fleet):
+                now = 100 + step / 2 + number / 600
+                if step == 20:
+                    it.update(now, servers(["cold"], started=110.0), False)
+                cold = step >= 20 and it.has_budget(now, "cold")
+                sent += [now] * cold
+                it.spend(now, "cold" if cold else names[(step + number) % 20])
+        warm_rate = 300 * 2 / 20
+        for start in (110.0, 112.0, 115.0, 118.0):
+            capacity = warm_rate * (0.13 + 0.87 * (start - 110.0) / 23.0)
+            self.assertLess(sum(start <= at < start + 2 for at in sent), 2 * 2.5 * capacity)
+        self.assertGreater(len(sent), 50)
+
     def test_all_just_started_still_get_something(self):
         it = ServerList(0.1, 20.0, 2.5, Chance(1))
         it.update(100.0, servers(started=100.0), True)
