One failed connection marks a server; the lookup goes on in another zone

Incident on the grown charts (465 sidecars, 24 of 71 servers lost) and portal (a third of 155 lost): a thousand failed connections in 5 s, since each quiet sidecar needed three failures for each server and a lookup spent all five hand-offs in the lost zone. Told apart from hung servers by the outcome: no connection.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -107,7 +107,7 @@
     def in_panic(self, ready: set[str]) -> bool:
         return len(ready) - sum(s in ready for s in self.marked) < self.panic * len(ready)
 
-    def record(self, now: float, server: str, failure: bool | None, trial: bool) -> None:
+    def record(self, now: float, server: str, failure: bool | None, trial: bool, weight: int = 1) -> None:
         """Notes a verdict; None where there is none, as from a full server."""
         mark = self.of[server]
         if self.down(server) and trial:
@@ -116,7 +116,7 @@
             return
         for sums in (mark.verdicts, self.verdicts):
             sums.add(now, float(failure))
-        mark.streak = mark.streak + 1 if failure else 0
+        mark.streak = mark.streak + weight if failure else 0
         if not failure:
             return
         mark.fails.append(now)
@@ -267,9 +267,8 @@
         """The same over all servers, where each is met too seldom to tell. Where even that is but a few, a
         burst would fill it: a share of lookups, by chance, is let in, the smaller the longer answers take."""
         room = 2 * self.room(now) * part + spare
-        if room >= self.few:
-            return room
-        return self.few if draw < part * (self.fair_time / self.slow[""].read(now)) ** 2 else 0.0
+        let_in = draw < part * (self.fair_time / self.slow[""].read(now)) ** 2
+        return room if room >= self.few else self.few * let_in
 
     def part_of_turn(self, now: float, entry: ListedServer, largest: float) -> float:
         """Turns go as the speed: times of servers that are busy alike then become alike."""
@@ -380,10 +379,11 @@
         self.measures.ended(now, hand_off, lookup.category)
         if outcome in (Outcome.DONE, Outcome.ERROR):   # a hung server can still say that it is full
             self.answered[server] = now
-        # A slow server whose lookups are called off when their time is up never times out: being called off
-        # when overdue counts as a time-out.
+        # A slow server whose lookups are called off in time never times out: overdue counts as a time-out.
         overdue = outcome is Outcome.CALLED_OFF and now > hand_off.overdue
-        self.marks.record(now, server, overdue or outcome.failure, hand_off.trial)
+        # A failed connection is the server's own: in a lost zone, three for each would use up all hand-offs.
+        weight = self.marks.max_fails if outcome is Outcome.UNCONNECTED else 1
+        self.marks.record(now, server, overdue or outcome.failure, hand_off.trial, weight)
         self.view_until = now if self.marks.down(server) or hand_off.trial else self.view_until
         lookup.over |= closed or outcome is Outcome.DONE
         self.waiting[id] = lookup   # to go on, or to call off its other copy
@@ -463,8 +463,8 @@
     def _give_up(self, now: float, lookup: Lookup) -> Iterator[Decision]:
         lookup.over = True
         back_in = min(self.longest_back_in, 0.3 + 0.4 * self.chance.draw())
-        dismiss = self.gate.may_dismiss(lookup)
-        yield Decision(Act.DISMISS, lookup.id, back_in=back_in) if dismiss else Decision(Act.SCRAP, lookup.id)
+        act = Act.DISMISS if self.gate.may_dismiss(lookup) else Act.SCRAP
+        yield Decision(act, lookup.id, back_in=back_in)
         yield from self._close(lookup)
 
     def _close(self, lookup: Lookup) -> Iterator[Decision]:
@@ -491,6 +491,7 @@
             return None
         mean = {z: sum(map(self._held, g)) / max(1, len(g)) for z, g in self.sound.items()}
         zones = self.rotation.zones(self.servers.zones, mean, lambda z: self._draw(lookup, z))
+        zones.sort(key=lambda z: any(h.zone == z and h.outcome is Outcome.UNCONNECTED for h in lookup.sent))
         for server in self.due if not lookup.sent else ():
             if self.servers.known[server].zone == zones[0] and self.marks.trial_due(now, server) \
                     and self.gate.lets(now, lookup, server):
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -75,6 +75,18 @@
         self.assertFalse(it.trial_due(103.9, "s1"))
         self.assertTrue(it.trial_due(104.0, "s1"))
 
+    def test_one_failed_connection_marks_down(self):
+        it = balancer()
+        server = sent_to(take(it, 100.0, "x"))[0]
+        it.hand_off_ended(100.1, "x", 0, Outcome.UNCONNECTED, False)
+        self.assertTrue(it.marks.down(server))
+
+    def test_a_lookup_that_could_not_connect_goes_on_in_another_zone(self):
+        it = balancer([*servers(["s1", "s2", "s3"]), *servers(["t1"], zone="b")])
+        take(it, 100.0, "x")
+        it.hand_off_ended(100.1, "x", 0, Outcome.UNCONNECTED, False)
+        self.assertEqual(sent_to(pull(it, 100.1)), ["t1"])
+
     def test_panic_below_the_floor(self):
         it = marks()
         mark_down(it, "s1", "s2")
