--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -272,7 +272,7 @@
 
     def part_of_turn(self, now: float, entry: ListedServer, largest: float) -> float:
         """Turns go as the speed: times of servers that are busy alike then become alike."""
-        single = min(1.0, 1 / self.slow[entry.server].read(now) ** 2)
+        single = min(1.0, 1 / self.slow[entry.server].read(now) ** 3)
         return max(0.05, single * self.turn.get(entry.kind, 1.0)) * entry.size / largest
 
     def usual(self, now: float, category: Category) -> float:
