Times over 0.6 of the expected count as 0.6 for what is let in; fair time 0.35

Cause: the share let in followed a few very late answers rather than how busy the fleet is; deployments with tight expected times were let in too little, others too much.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -215,7 +215,7 @@
     """Rates and times, as this sidecar saw them."""
 
     def __init__(self, now: float, categories: list[Category], span: float = 8.0, few: int = 3,
-                 fair_time: float = 0.4, waste_price: float = 0.1) -> None:
+                 fair_time: float = 0.35, waste_price: float = 0.1) -> None:
         self.span, self.few, self.fair_time, self.waste_price = span, few, fair_time, waste_price
         # What may be in flight on a server: what it does in this part of the usual expected time.
         self.time_bound = 0.18 * sum(c.expected_time for c in categories) / max(1, len(categories))
@@ -244,7 +244,7 @@
             if hand_off.kind is not None:   # that a cold server is slow says nothing of the rest
                 self._learn(hand_off.kind, min(4.0, took / mean))
                 self.slow[hand_off.zone].add(now, took / mean)
-                self.slow[""].add(now, took / category.expected_time)
+                self.slow[""].add(now, min(0.6, took / category.expected_time))
             for mean_of, power in zip(self.times[category.name], (1, 2)):
                 mean_of.add(now, took ** power)
 
