--- /dev/null
+++ b/foxspread/__main__.py
@@ -0,0 +1,45 @@
+"""Starts one real sidecar; how it is told what to do is in foxspread/config.py."""
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+
+import uvloop
+
+from foxspread import config
+from foxspread.net import log
+from foxspread.net.sidecar import Sidecar
+
+
+async def serve(told: config.Config) -> None:
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    sidecar = Sidecar(loop, told)
+    gc.collect()
+    gc.freeze()   # what is loaded stays: collections look at what comes and goes only
+    await sidecar.run(stop)
+
+
+def main() -> int:
+    try:
+        told = config.read(os.environ)
+    except config.ConfigError as error:
+        print(f"foxspread: {error}", file=sys.stderr)
+        return 2
+    sink = log.start()
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(told))
+    except OSError as error:   # the address cannot be had
+        print(f"foxspread: {told.listen}: {error}", file=sys.stderr)
+        return 1
+    finally:
+        sink.close()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/foxspread/facade.py
@@ -0,0 +1,110 @@
+"""The decisions in blocking style: each call brings what is known up to date and returns the steps now
+due, for every lookup. Who carries them out needs neither the module's inputs nor its `Decision`s.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from foxspread.logic import Balancer
+from foxspread.model import Act, ListedServer, Outcome
+
+__all__ = ["Answer", "CallOff", "Facade", "Outcome", "Send", "Step", "Subscribe"]
+
+
+@dataclass(frozen=True)
+class Send:
+    """Hand the lookup to the server. Just before the first byte `Facade.holds` must agree; else it is unsent.
+    Each `Send` gets exactly one `Facade.report`."""
+
+    lookup: str
+    number: int
+    server: str
+    time_out: float
+
+
+@dataclass(frozen=True)
+class CallOff:
+    lookup: str
+    number: int
+
+
+@dataclass(frozen=True)
+class Answer:
+    """The lookup's final answer, where no server gave one."""
+
+    lookup: str
+    dismissed: bool                # else scrapped
+    back_in: float = 0.0           # 0: no advice
+
+
+@dataclass(frozen=True)
+class Subscribe:
+    """Ask for the list of servers and its changes; `list_failed` if that fails or ends."""
+
+
+Step = Send | CallOff | Answer | Subscribe
+
+
+class Facade:
+    def __init__(self, now: float, settings: dict[str, Any]) -> None:
+        self.balancer = Balancer(now, **settings)
+
+    @property
+    def categories(self) -> set[str]:
+        return set(self.balancer.categories)
+
+    def abandon_time(self, category: str) -> float:
+        return self.balancer.categories[category].abandon_time
+
+    def can_serve(self) -> bool:
+        return bool(self.balancer.servers.ready)
+
+    def pick(self, now: float, id: str, category: str, time_left: float, customer: str = "",
+             key: str = "") -> list[Step]:
+        """A lookup has come."""
+        self.balancer.lookup_taken(now, id, category, time_left, customer, key)
+        return self.tick(now)
+
+    def report(self, now: float, id: str, number: int, outcome: Outcome) -> list[Step]:
+        """A hand-off has ended. The first that is done answers its lookup."""
+        self.balancer.hand_off_ended(now, id, number, outcome, closed=False)
+        return self.tick(now)
+
+    def left(self, now: float, id: str) -> list[Step]:
+        """The client has gone away."""
+        self.balancer.client_left(now, id)
+        return self.tick(now)
+
+    def listed(self, now: float, entries: Iterable[ListedServer], whole: bool) -> list[Step]:
+        self.balancer.servers_listed(now, entries, whole)
+        return self.tick(now)
+
+    def list_failed(self, now: float) -> list[Step]:
+        self.balancer.list_call_failed(now)
+        return self.tick(now)
+
+    def tick(self, now: float) -> list[Step]:
+        """What is due by time alone; to be called at `wake_at`."""
+        steps = []
+        while (decision := self.balancer.next_decision(now)) is not None:
+            match decision.act:
+                case Act.HAND_OFF:   # it is the lookup's last one until the next decision is pulled
+                    number = len(self.balancer.lookups[decision.lookup].sent) - 1
+                    steps.append(Send(decision.lookup, number, decision.server, decision.time_out))
+                case Act.CALL_OFF:
+                    steps.append(CallOff(decision.lookup, decision.number))
+                case Act.SUBSCRIBE:
+                    steps.append(Subscribe())
+                case act:
+                    steps.append(Answer(decision.lookup, act is Act.DISMISS, decision.back_in))
+        return steps
+
+    def wake_at(self) -> float | None:
+        return self.balancer.wake_at()
+
+    def holds(self, now: float, id: str, number: int) -> bool:
+        """Guards against a send that was right when decided and is wrong once the connection is up: the
+        server drains by now, the lookup is answered, its copy is done."""
+        lookup = self.balancer.lookups.get(id)
+        return lookup is not None and self.balancer.gate.holds(now, lookup, number)
--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -171,8 +171,7 @@
 
     def zones(self, groups: dict[str, list[str]], mean: dict[str, float],
               draw: Callable[[str], float]) -> list[str]:
-        """Zone groups, best first: the own zone up to its share, and not while its servers hold well over
-        what this sidecar has in flight elsewhere."""
+        """Zone groups, best first: the own up to its share, and not while it holds well over the others."""
         others = sorted((z for z in groups if z != self.zone), key=lambda z: -draw(z) ** (1 / self.weight[z]))
         own = [self.zone] if self.zone in groups else []
         least = min((mean[z] for z in others), default=math.inf)
@@ -306,22 +305,27 @@
     def lets(self, now: float, lookup: Lookup, server: str) -> bool:
         """May it go to this server? Nothing to a draining or gone one, repeats only where they are dropped,
         and a cold one only within this sidecar's part of its budget."""
+        return self.suits(lookup, server) and self.servers.has_budget(now, server)
+
+    def suits(self, lookup: Lookup, server: str) -> bool:
         ran = lookup.may_have_run() if lookup.category.effect is Effect.LABELLED else []
-        return (server in self.servers.ready and (not ran or self.together(lookup, ran[0].server, server))
-                and self.servers.has_budget(now, server))
+        return server in self.servers.ready and (not ran or self.together(lookup, ran[0].server, server))
+
+    def holds(self, now: float, lookup: Lookup, number: int) -> bool:
+        """Asked again before the first byte of a hand-off: connecting takes time, in which all may change."""
+        others = lookup.without(number)
+        return self.open(now, others) and self.suits(others, lookup.sent[number].server)
 
     def together(self, lookup: Lookup, one: str, other: str) -> bool:
         """True where the two servers drop each other's repeats of this lookup."""
         a, b, scope = self.servers.known.get(one), self.servers.known.get(other), lookup.category.scope
-        if a is None or b is None or scope == "all":
-            return scope == "all"
-        return a.zone == b.zone and (scope == "zone" or a.cell == b.cell)
+        near = None not in (a, b) and a.zone == b.zone
+        return scope == "all" or near and (scope == "zone" or a.cell == b.cell)
 
     def may_dismiss(self, lookup: Lookup) -> bool:
         """A dismissal says that trying again is harmless."""
-        effect = lookup.category.effect
-        return (effect is Effect.REDOABLE or not lookup.may_have_run()
-                or (effect is Effect.LABELLED and lookup.category.scope == "all"))
+        return (lookup.category.effect is Effect.REDOABLE or not lookup.may_have_run()
+                or (lookup.category.effect is Effect.LABELLED and lookup.category.scope == "all"))
 
 
 class Balancer:
@@ -462,9 +466,8 @@
 
     def _give_up(self, now: float, lookup: Lookup) -> Iterator[Decision]:
         lookup.over = True
-        back_in = min(self.longest_back_in, 0.3 + 0.4 * self.chance.draw())
         act = Act.DISMISS if self.gate.may_dismiss(lookup) else Act.SCRAP
-        yield Decision(act, lookup.id, back_in=back_in)
+        yield Decision(act, lookup.id, back_in=min(self.longest_back_in, 0.3 + 0.4 * self.chance.draw()))
         yield from self._close(lookup)
 
     def _close(self, lookup: Lookup) -> Iterator[Decision]:
@@ -546,8 +549,7 @@
         return now > first.overdue and self.answered.get(server, -math.inf) < first.sent
 
     def _given_up_on(self, now: float, lookup: Lookup) -> bool:
-        """A lookup moves on from a hand-off only when its server looks dead: what is merely slow would be
-        done twice, which makes the rest slow as well."""
+        """Moves on only from a server that looks dead: what is merely slow, done twice, slows the rest."""
         last = lookup.out()[-1]
         return now >= last.overdue and (self.marks.down(last.server) or last.server in self.hushed)
 
--- a/foxspread/model.py
+++ b/foxspread/model.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from foxspread.sums import Mean
@@ -107,6 +107,10 @@
     def out(self) -> list[HandOff]:
         return [h for h in self.sent if h.outcome is None]
 
+    def without(self, number: int) -> "Lookup":
+        """As if that hand-off had not been decided."""
+        return replace(self, sent=self.sent[:number] + self.sent[number + 1:])
+
     def may_have_run(self) -> list[HandOff]:
         return [h for h in self.sent if h.outcome is None or not h.outcome.never_ran]
 
--- /dev/null
+++ b/foxspread/net/discovery.py
@@ -0,0 +1,108 @@
+"""The watch on discovery: the list of servers and its changes, line by line. When to ask again after a
+failure, with back-off and jitter, is the decisions' to say."""
+
+import asyncio
+import json
+import socket
+from collections.abc import Callable
+
+from loguru import logger
+
+from foxspread.config import Address, ConfigError, ListPart, list_part
+from foxspread.net import http
+from foxspread.net.pool import BUFFER, write
+from foxspread.net.reasons import Reason
+
+LINE_MOST = 4 * 1024 * 1024
+
+
+class LineReader(http.AnswerReader):
+    """Of an answer that stays open; its lines may come split anywhere."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rest, self.lines = b"", []
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        if self.message.status >= 300:
+            raise http.BadMessage(self.message.status, f"discovery answered {self.message.status}")
+
+    def on_body(self, part: bytes) -> None:
+        *lines, self.rest = (self.rest + part).split(b"\n")
+        self.lines += lines
+        if len(self.rest) > LINE_MOST:
+            raise http.BadMessage(413, "a line without an end")
+
+
+class Discovery:
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, version: int,
+                 listed: Callable[[ListPart], None], failed: Callable[[], None], connect_time: float = 1.0,
+                 silence: float = 4.5) -> None:
+        self.loop, self.address, self.version = loop, address, version
+        self.listed, self.failed = listed, failed
+        # While nothing changes an empty line comes every 2 s. What is told counts as told after 6 s, come or
+        # not, so a watch that is silent for longer than two such lines is given up before.
+        self.connect_time, self.silence = connect_time, silence
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        if self.task is None:
+            self.task = self.loop.create_task(self._watch())
+
+    async def stop(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+
+    async def _watch(self) -> None:
+        reason, sock = Reason.WATCH_REFUSED, None
+        try:
+            sock = socket.socket(socket.AF_INET6 if ":" in self.address.host else socket.AF_INET)
+            sock.setblocking(False)
+            reason = await self._follow(sock)
+        except TimeoutError:   # silent links look alive for ever
+            reason = Reason.WATCH_SILENT
+        except OSError as error:
+            logger.debug("discovery: {}", error)
+        except (http.BadMessage, ConfigError, ValueError) as error:
+            logger.warning("discovery: {}", error)
+            refused = isinstance(error, http.BadMessage) and error.status >= 500
+            reason = Reason.WATCH_REFUSED if refused else Reason.WATCH_BAD
+            self.version = self.version if refused else 0   # what was missed is told whole
+        except asyncio.CancelledError:
+            reason = Reason.WATCH_STOP
+            raise
+        except Exception:
+            logger.exception("discovery")
+        finally:
+            if sock is not None:
+                sock.close()
+            logger.info("{} discovery={}", reason.value, self.address)
+            self.task = None
+        self.failed()
+
+    async def _follow(self, sock: socket.socket) -> Reason:
+        async with asyncio.timeout(self.connect_time):
+            await self.loop.sock_connect(sock, (self.address.host, self.address.port))
+        target = f"/api/targets?watch=1&from={self.version}"
+        await write(self.loop, sock, http.query(target, str(self.address)))
+        reader, buffer = LineReader(), bytearray(BUFFER)
+        while True:
+            async with asyncio.timeout(self.silence):
+                size = await self.loop.sock_recv_into(sock, buffer)
+            if size == 0:
+                return Reason.WATCH_ENDED
+            reader.feed(memoryview(buffer)[:size], 0.0)
+            for line in filter(bytes.strip, reader.lines):
+                self._told(line)
+            reader.lines.clear()
+            if reader.ready:
+                return Reason.WATCH_ENDED
+
+    def _told(self, line: bytes) -> None:
+        part = list_part(json.loads(line), "list")
+        for fault in part.faults:
+            logger.warning("discovery: left out: {}", fault)
+        self.version = part.version
+        self.listed(part)
--- /dev/null
+++ b/foxspread/net/hand_off.py
@@ -0,0 +1,89 @@
+"""One hand-off: a request to a server, and how it ended. It is tried once; only the decisions repeat it."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from foxspread.config import Address
+from foxspread.facade import Outcome
+from foxspread.net import http
+from foxspread.net.pool import Connection, Pool, write
+from foxspread.net.reasons import Reason
+
+
+@dataclass
+class Ending:
+    outcome: Outcome
+    answer: http.Message | None = None
+
+
+class HandOff:
+    def __init__(self, loop: asyncio.AbstractEventLoop, pool: Pool, clock: Callable[[], float],
+                 message: http.Message, address: Address, until: float, holds: Callable[[], bool]) -> None:
+        self.loop, self.pool, self.clock = loop, pool, clock
+        self.message, self.address, self.until, self.holds = message, address, until, holds
+        self.begun = False   # from the first byte on it may have run, as far as one who cuts it off can tell
+
+    async def run(self) -> Ending:
+        try:
+            async with asyncio.timeout(max(0.0, self.until - self.clock())):
+                return await self._run()
+        except TimeoutError:
+            return Ending(Outcome.TIMED_OUT if self.begun else Outcome.UNSENT)
+
+    async def _run(self) -> Ending:
+        try:
+            connection = self.pool.reuse(self.address) or await self.pool.connect(self.address)
+        except OSError:   # refused, or (as TimeoutError) never up within the connect time
+            return Ending(Outcome.UNCONNECTED)
+        # Guards against sends that connecting has made late: a drain told since, an answer from elsewhere.
+        if connection is None or not self.holds():
+            if connection is not None:
+                self.pool.keep(connection)
+            return Ending(Outcome.UNSENT)
+        reason = Reason.SERVER_LATE
+        try:
+            reason, ending = await self._exchange(connection)
+            return ending
+        except asyncio.CancelledError:   # a time-out, too, comes as one
+            reason = Reason.SERVER_LATE if self.clock() >= self.until else Reason.CALLED_OFF
+            raise
+        finally:   # here no loop call is pending on the socket: what was awaited has ended
+            if reason is None:
+                self.pool.keep(connection)
+            else:
+                connection.close(reason)
+
+    async def _exchange(self, connection: Connection) -> tuple[Reason | None, Ending]:
+        """The reason to end the connection, None to keep it, and how the hand-off ended."""
+        connection.used += 1
+        parts = http.request(self.message, str(self.address), self.until - self.clock())
+        self.begun = True
+        try:
+            await write(self.loop, connection.sock, parts)
+        except OSError:   # it broke before the last byte was written: never run
+            return Reason.SERVER_BROKEN, Ending(Outcome.UNCONNECTED)
+        reader = http.AnswerReader()
+        try:
+            while not reader.ready:
+                size = await self.loop.sock_recv_into(connection.sock, connection.buffer)
+                if size == 0:
+                    return Reason.SERVER_RESET, Ending(Outcome.RESET)
+                reader.feed(memoryview(connection.buffer)[:size], self.clock())
+        except OSError:
+            return Reason.SERVER_RESET, Ending(Outcome.RESET)
+        except http.BadMessage:
+            return Reason.SERVER_BAD, Ending(Outcome.ERROR)
+        answer = reader.ready.popleft()
+        clean = answer.keep and not reader.ready and reader.message is None
+        return None if clean else Reason.SERVER_LAST, Ending(outcome(answer), answer)
+
+
+def outcome(answer: http.Message) -> Outcome:
+    """Only the header says that it was turned away, and so never ran; the status alone may come from any
+    hop, or from a server that broke half-way."""
+    if answer.status == 200:
+        return Outcome.DONE
+    if answer.status in (503, 504) and answer.header(b"x-turned-away") == b"1":
+        return Outcome.FULL
+    return Outcome.ERROR
--- /dev/null
+++ b/foxspread/net/http.py
@@ -0,0 +1,203 @@
+"""HTTP/1.1 heads and framing, without I/O. What is read is parsed where it lies in the receive buffer; what
+is written is a list of parts for one gathered write.
+"""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from urllib.parse import unquote_plus
+
+import httptools
+
+HEAD_MOST = 16 * 1024
+BODY_MOST = 64 * 1024
+# Of one connection alone, never passed on (RFC 9110, 7.6.1); the rest we write ourselves.
+OURS = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+        b"upgrade", b"host", b"content-length", b"expect", b"x-remaining"}
+PHRASES = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+           413: b"Content Too Large", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
+           502: b"Bad Gateway", 503: b"Service Unavailable"}
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class BadMessage(Exception):
+    """What came is refused; with the status that says so."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass
+class Message:
+    """A request or an answer, as far as it was read."""
+
+    method: bytes = b""
+    target: bytes = b""
+    status: int = 0
+    headers: Headers = field(default_factory=list)
+    body: bytes | bytearray = b""
+    keep: bool = True              # the connection may be used again
+    began: float = 0.0             # when its first byte was read
+
+    def header(self, name: bytes) -> bytes | None:
+        return next((value for key, value in self.headers if key.lower() == name), None)
+
+    def text(self, name: bytes) -> str:
+        return (self.header(name) or b"").decode("latin-1")
+
+    def passed_on(self) -> list[bytes]:
+        """The head's lines that the other side gets, in parts."""
+        named = {part.strip().lower() for key, value in self.headers if key.lower() == b"connection"
+                 for part in value.split(b",")}
+        parts = []
+        for key, value in self.headers:
+            if (low := key.lower()) not in OURS and low not in named:
+                parts += (key, b": ", value, b"\r\n")
+        return parts
+
+
+class Reader:
+    """Feeds a parser with what was received; whole messages gather in `ready`."""
+
+    def __init__(self) -> None:
+        self.parser = self.new_parser()
+        self.ready: deque[Message] = deque()
+        self.message: Message | None = None
+        self.head, self.fed, self.now, self.in_body = 0, 0, 0.0, False
+
+    def new_parser(self):
+        raise NotImplementedError
+
+    def feed(self, data: memoryview | bytes, now: float) -> None:
+        self.now = now
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            if isinstance(error.__context__, BadMessage):
+                raise error.__context__ from None
+            raise
+        except httptools.HttpParserUpgrade:
+            raise BadMessage(400, "no upgrade is offered") from None
+        except httptools.HttpParserError as error:
+            raise BadMessage(400, str(error)) from None
+        if self.message is not None and not self.in_body:   # an endless line is told by no callback
+            self.fed += len(data)
+            self.count(0)
+
+    def count(self, size: int) -> None:
+        self.head += size
+        if max(self.head, self.fed) > HEAD_MOST:
+            raise BadMessage(431, f"a head of more than {HEAD_MOST} bytes")
+
+    def on_message_begin(self) -> None:
+        self.message, self.head, self.fed, self.in_body = Message(began=self.now), 0, 0, False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.count(len(name) + len(value) + 4)
+        self.message.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        self.in_body, length = True, self.message.header(b"content-length")
+        if length is not None and length.isdigit() and int(length) > BODY_MOST:
+            raise BadMessage(413, f"a body of more than {BODY_MOST} bytes")
+
+    def on_body(self, part: bytes) -> None:
+        message = self.message
+        if len(message.body) + len(part) > BODY_MOST:
+            raise BadMessage(413, f"a body of more than {BODY_MOST} bytes")
+        if message.body:
+            message.body = bytearray(message.body) if isinstance(message.body, bytes) else message.body
+            message.body += part
+        else:
+            message.body = part
+
+    def on_message_complete(self) -> None:
+        message, self.message = self.message, None
+        message.keep = self.parser.should_keep_alive()
+        self.ready.append(message)
+
+
+class RequestReader(Reader):
+    def new_parser(self):
+        return httptools.HttpRequestParser(self)
+
+    def on_url(self, part: bytes) -> None:
+        self.count(len(part))
+        self.message.target += part   # in pieces where the line was
+
+    def on_headers_complete(self) -> None:
+        self.message.method = self.parser.get_method()
+        super().on_headers_complete()
+
+    @property
+    def wants_continue(self) -> bool:
+        """True while a client waits for leave to send its body."""
+        message = self.message
+        return (self.in_body and message is not None and not message.body
+                and (message.header(b"expect") or b"").lower() == b"100-continue")
+
+
+class AnswerReader(Reader):
+    def new_parser(self):
+        return httptools.HttpResponseParser(self)
+
+    def on_headers_complete(self) -> None:
+        self.message.status = self.parser.get_status_code()
+        super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        if self.message.status < 200:   # 100 Continue and the like: the answer is still to come
+            self.message = None
+        else:
+            super().on_message_complete()
+
+
+def remaining(text: str) -> float:
+    """Seconds, from a number and a unit: `480m` milliseconds, `480000u` microseconds."""
+    scale = {"m": 1e3, "u": 1e6}.get(text[-1:])
+    try:
+        value = float(text[:-1])
+    except ValueError:
+        value = -1.0
+    if scale is None or not 0 <= value < 1e12:
+        raise BadMessage(400, "X-Remaining must be a number and a unit, m or u")
+    return value / scale
+
+
+def parameter(target: bytes, name: str) -> str:
+    """A parameter of the query; "" where there is none."""
+    query = target.partition(b"?")[2].decode("latin-1")
+    for pair in query.split("&"):
+        key, _, value = pair.partition("=")
+        if unquote_plus(key) == name:
+            return unquote_plus(value)
+    return ""
+
+
+def first_part(target: bytes) -> str:
+    """The first part of the path."""
+    return target.partition(b"?")[0].lstrip(b"/").partition(b"/")[0].decode("latin-1")
+
+
+def request(message: Message, host: str, time_left: float) -> list[bytes]:
+    """A client's request as a server gets it, for a gathered write."""
+    head = [message.method, b" ", message.target, b" HTTP/1.1\r\nHost: ", host.encode(), b"\r\n",
+            *message.passed_on(), b"X-Remaining: %du\r\n" % max(0, int(time_left * 1e6))]
+    if message.body or message.method not in (b"GET", b"HEAD"):
+        head.append(b"Content-Length: %d\r\n" % len(message.body))
+    return [*head, b"\r\n", message.body] if message.body else [*head, b"\r\n"]
+
+
+def answer(status: int, body: bytes | bytearray = b"", lines: Sequence[bytes] = (),
+           keep: bool = True) -> list[bytes]:
+    """An answer to a client, for a gathered write."""
+    close = b"" if keep else b"Connection: close\r\n"
+    parts = [b"HTTP/1.1 %d %s\r\n" % (status, PHRASES.get(status, b"Status")), *lines,
+             b"Content-Length: %d\r\n" % len(body), close, b"\r\n"]
+    return [*parts, body] if body else parts
+
+
+def query(target: str, host: str) -> list[bytes]:
+    return [f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()]
--- /dev/null
+++ b/foxspread/net/listener.py
@@ -0,0 +1,220 @@
+"""Clients: accepts their connections, reads their requests, writes the answers."""
+
+import asyncio
+import socket
+from dataclasses import dataclass, field
+
+from loguru import logger
+
+from foxspread.config import Address
+from foxspread.net import http
+from foxspread.net.pool import BUFFER, Descriptors, write
+from foxspread.net.reasons import Reason
+
+CONTINUE = [b"HTTP/1.1 100 Continue\r\n\r\n"]
+
+
+@dataclass
+class Reply:
+    status: int
+    body: bytes | bytearray = b""
+    lines: list[bytes] = field(default_factory=list)
+
+
+class Front:
+    """What the listener needs of the sidecar."""
+
+    def taken(self, message: http.Message) -> asyncio.Future[Reply]:
+        """The future answer; `BadMessage` where the request is none."""
+        raise NotImplementedError
+
+    def left(self, reply: asyncio.Future[Reply]) -> None:
+        raise NotImplementedError
+
+    def clock(self) -> float:
+        raise NotImplementedError
+
+
+class Client:
+    """One connection of a client, and the task that serves it."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, front: Front,
+                 patience: float) -> None:
+        self.loop, self.sock, self.front, self.patience = loop, sock, front, patience
+        self.reader, self.buffer = http.RequestReader(), bytearray(BUFFER)
+        self.receiving: asyncio.Task | None = None   # the one read that may be pending
+        self.reply: asyncio.Future[Reply] | None = None
+        self.retired: Reason | None = None
+        self.idle_since, self.answers, self.detail = loop.time(), 0, ""
+
+    @property
+    def idle(self) -> bool:
+        return self.reply is None and self.reader.message is None and not self.reader.ready
+
+    def retire(self, reason: Reason) -> None:
+        """Ends the connection after the lookup that it holds. Guards against losing one that crosses this:
+        what has come is still read, and the read after it finds the end; a cancelled read could lose it."""
+        if self.retired is None:
+            self.retired = reason
+            try:
+                self.sock.shutdown(socket.SHUT_RD)
+            except OSError:
+                pass   # it has broken: its task sees that too
+
+    async def run(self) -> Reason:
+        try:
+            reason = await self._serve()
+        except http.BadMessage as error:
+            self.detail = f" status={error.status} fault={error}"
+            reason = Reason.CLIENT_BAD
+            await self._refuse(error.status)
+        except TimeoutError:
+            reason = Reason.CLIENT_SLOW
+        except OSError:
+            reason = Reason.CLIENT_RESET
+        except Exception:   # must not end the process, nor go unseen
+            logger.exception("a client's connection")
+            reason = Reason.CLIENT_FAULT
+        finally:
+            if self.reply is not None:
+                self.front.left(self.reply)
+            if self.receiving is not None:   # closed only once its loop call has ended
+                self.receiving.cancel()
+                await asyncio.gather(self.receiving, return_exceptions=True)
+            self.sock.close()
+        return reason
+
+    async def _serve(self) -> Reason:
+        while True:
+            while not self.reader.ready:
+                if not await self._receive():
+                    return self.retired or Reason.CLIENT_CLOSED
+                if self.reader.wants_continue:
+                    await self._write(CONTINUE)
+            message = self.reader.ready.popleft()
+            self.reply = self.front.taken(message)
+            if not await self._client_stays(self.reply):
+                return Reason.CLIENT_LEFT
+            reply, self.reply = self.reply.result(), None
+            keep = message.keep and self.retired is None
+            await self._write(http.answer(reply.status, reply.body, reply.lines, keep))
+            self.answers, self.idle_since = self.answers + 1, self.loop.time()
+            if not keep:
+                return self.retired or Reason.CLIENT_LAST
+
+    def _start_receiving(self) -> asyncio.Task:
+        if self.receiving is None:
+            self.receiving = self.loop.create_task(self.loop.sock_recv_into(self.sock, self.buffer))
+        return self.receiving
+
+    async def _receive(self) -> int:
+        """How much has come; 0 at the end. A request, once begun, must come whole in time."""
+        patience = None if self.reader.message is None else self.patience
+        done, _ = await asyncio.wait({self._start_receiving()}, timeout=patience)
+        if not done:
+            raise TimeoutError
+        size = self.receiving.result()
+        self.receiving = None
+        self.reader.feed(memoryview(self.buffer)[:size], self.front.clock())
+        return size
+
+    async def _client_stays(self, reply: asyncio.Future[Reply]) -> bool:
+        """Waits for the reply; False if the client goes away before. One read stays out to notice that: what
+        comes early stays in it until the answer is written."""
+        receiving = self._start_receiving()
+        if not receiving.done():
+            await asyncio.wait({receiving, reply}, return_when=asyncio.FIRST_COMPLETED)
+        if not reply.done():
+            gone = receiving.exception() is not None or receiving.result() == 0
+            if gone and self.retired is None:
+                return False
+            await asyncio.wait({reply})
+        return True
+
+    async def _write(self, parts: list[bytes]) -> None:
+        """Guards against clients that do not read: their answer must not stay for ever."""
+        async with asyncio.timeout(self.patience):
+            await write(self.loop, self.sock, parts)
+
+    async def _refuse(self, status: int) -> None:
+        """Answers what is malformed and ends the connection, reading on for a moment: closing with bytes
+        unread would reset it, and the answer could be lost."""
+        try:
+            await self._write(http.answer(status, keep=False))
+            self.sock.shutdown(socket.SHUT_WR)
+            async with asyncio.timeout(1.0):
+                while self.receiving is None and await self.loop.sock_recv_into(self.sock, self.buffer):
+                    pass
+        except OSError:
+            pass
+
+
+class Listener:
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, front: Front,
+                 descriptors: Descriptors, patience: float = 10.0) -> None:
+        self.loop, self.front, self.descriptors, self.patience = loop, front, descriptors, patience
+        self.clients: dict[Client, asyncio.Task] = {}
+        self.accepting = False
+        self.sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind((address.host, address.port))
+        self.sock.listen(1024)
+        descriptors.givers.append(self._retire_longest_idle)
+        descriptors.freed = self.resume
+
+    def resume(self) -> None:
+        if not self.accepting and self.sock.fileno() >= 0:
+            self.accepting = True
+            self.loop.add_reader(self.sock, self._accept)
+
+    def pause(self, seconds: float | None = None) -> None:
+        if self.accepting:
+            self.accepting = False
+            self.loop.remove_reader(self.sock)
+        if seconds is not None:
+            self.loop.call_later(seconds, self.resume)
+
+    def _accept(self, most: int = 64) -> None:
+        """Accepts what waits. By hand and not in a task: a cancelled accept could lose a connection, and with
+        it a lookup that counts as taken."""
+        for _ in range(most):
+            if not self.descriptors.take():
+                return self.pause()   # until one is freed
+            try:
+                sock, _ = self.sock.accept()
+            except OSError as error:
+                self.descriptors.used -= 1
+                if not isinstance(error, (BlockingIOError, ConnectionAbortedError, InterruptedError)):
+                    logger.warning("accept: {}", error)   # out of descriptors or memory: it passes
+                    self.pause(0.05)
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            client = Client(self.loop, sock, self.front, self.patience)
+            self.clients[client] = task = self.loop.create_task(client.run())
+            task.add_done_callback(lambda task, client=client: self._ended(client, task))
+
+    def _ended(self, client: Client, task: asyncio.Task) -> None:
+        del self.clients[client]
+        reason = Reason.CLIENT_FAULT if task.cancelled() or task.exception() else task.result()
+        logger.info("{} client lookups={}{}", reason.value, client.answers, client.detail)
+        self.descriptors.give_back()
+
+    def _retire_longest_idle(self) -> bool:
+        idle = [each for each in self.clients if each.idle and each.retired is None]
+        if idle:
+            min(idle, key=lambda each: each.idle_since).retire(Reason.CLIENT_ROOM)
+        return bool(idle)
+
+    def retire_all(self) -> None:
+        """Ends idle connections now and the others after their answer."""
+        for client in list(self.clients):
+            client.retire(Reason.STOPPING)
+
+    def close(self) -> None:
+        """Takes what still waits to be accepted, then refuses: a lookup in there counts as taken."""
+        if self.accepting:
+            self._accept(4096)
+        self.pause()
+        self.sock.close()
--- /dev/null
+++ b/foxspread/net/pool.py
@@ -0,0 +1,145 @@
+"""Sockets: how many there may be, how they are written to, and the kept connections to servers."""
+
+import asyncio
+import socket
+from collections.abc import Callable, Sequence
+
+from loguru import logger
+
+from foxspread.config import Address
+from foxspread.net.reasons import Reason
+
+PARTS_MOST = 512   # of one gathered write; the system takes 1,024
+BUFFER = 16 * 1024
+
+
+class Descriptors:
+    """Bounds the sockets in use, with some kept in reserve for files, discovery and what is closing. Where
+    all are in use, something idle is closed first: `givers` each close one and say so, or cannot."""
+
+    def __init__(self, most: int, reserve: int = 48) -> None:
+        self.most, self.used = max(8, most - reserve), 0
+        self.givers: list[Callable[[], bool]] = []
+        self.freed: Callable[[], None] = lambda: None
+
+    def take(self) -> bool:
+        if self.used >= self.most and not any(give() for give in self.givers):
+            return False
+        if self.used >= self.most:
+            return False   # one is closing, but only its own task may end it: the next call finds it free
+        self.used += 1
+        return True
+
+    def give_back(self) -> None:
+        self.used -= 1
+        self.freed()
+
+
+async def write(loop: asyncio.AbstractEventLoop, sock: socket.socket, parts: Sequence[bytes]) -> None:
+    """All parts, gathered; what one write did not take goes on as the socket takes it."""
+    parts = list(parts)
+    while parts:
+        batch, parts = parts[:PARTS_MOST], parts[PARTS_MOST:]
+        try:
+            sent = sock.sendmsg(batch)
+        except (BlockingIOError, InterruptedError):
+            sent = 0
+        if sent < sum(map(len, batch)):   # a partial write: it may end inside any part
+            await loop.sock_sendall(sock, memoryview(b"".join(batch))[sent:])
+
+
+class Connection:
+    """To a server. Only its user, or the pool while it is idle, closes it: with no loop call pending."""
+
+    def __init__(self, sock: socket.socket, address: Address, descriptors: Descriptors) -> None:
+        self.sock, self.address, self.descriptors = sock, address, descriptors
+        self.idle_since, self.used = 0.0, 0
+        self.buffer = bytearray(BUFFER)
+
+    def close(self, reason: Reason) -> None:
+        self.sock.close()
+        self.descriptors.give_back()
+        logger.info("{} server={} lookups={}", reason.value, self.address, self.used)
+
+    def sound(self) -> bool:
+        """Guards against connections that the server has closed meanwhile: a request written to one would
+        end as a reset, which may have run."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False   # its end, or bytes that nobody asked for
+
+
+class Pool:
+    def __init__(self, loop: asyncio.AbstractEventLoop, descriptors: Descriptors, connect_time: float,
+                 idle_time: float) -> None:
+        self.loop, self.descriptors, self.connect_time = loop, descriptors, connect_time
+        # Well before the server may close it: its close and our request would cross.
+        self.idle_most = 0.7 * idle_time
+        self.idle: dict[Address, list[Connection]] = {}   # the newest last
+        descriptors.givers.append(self.close_oldest)
+
+    def reuse(self, address: Address) -> Connection | None:
+        """The newest idle connection: the old ones may then end, and are the likeliest to be dead."""
+        kept = self.idle.get(address, [])
+        while kept:
+            connection = kept.pop()
+            if self.loop.time() - connection.idle_since > self.idle_most:
+                connection.close(Reason.SERVER_IDLE)
+            elif connection.sound():
+                return connection
+            else:
+                connection.close(Reason.SERVER_CLOSED)
+        return None
+
+    async def connect(self, address: Address) -> Connection | None:
+        """A new connection; None where no descriptor is to be had, OSError or TimeoutError where it fails."""
+        if not self.descriptors.take():
+            return None
+        sock = None
+        try:
+            sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            async with asyncio.timeout(self.connect_time):
+                await self.loop.sock_connect(sock, (address.host, address.port))
+        except BaseException as error:   # also when called off
+            if sock is not None:
+                sock.close()
+            self.descriptors.give_back()
+            reasons = {TimeoutError: Reason.SERVER_SILENT, asyncio.CancelledError: Reason.CALLED_OFF}
+            reason = reasons.get(type(error), Reason.SERVER_REFUSED)
+            logger.info("{} server={} lookups=0", reason.value, address)
+            raise
+        return Connection(sock, address, self.descriptors)
+
+    def keep(self, connection: Connection) -> None:
+        connection.idle_since = self.loop.time()
+        self.idle.setdefault(connection.address, []).append(connection)
+
+    def drop(self, address: Address, reason: Reason) -> None:
+        """All idle ones there: a server that has started anew, or is gone, does not know them any more."""
+        for connection in self.idle.pop(address, []):
+            connection.close(reason)
+
+    def sweep(self) -> None:
+        """Closes what has been idle for too long or was closed by its server."""
+        limit = self.loop.time() - self.idle_most
+        for address, kept in list(self.idle.items()):
+            for connection in list(kept):
+                if connection.idle_since < limit or not connection.sound():
+                    kept.remove(connection)
+                    old = connection.idle_since < limit
+                    connection.close(Reason.SERVER_IDLE if old else Reason.SERVER_CLOSED)
+            if not kept:
+                del self.idle[address]
+
+    def close_oldest(self) -> bool:
+        groups = [kept for kept in self.idle.values() if kept]
+        kept = min(groups, key=lambda each: each[0].idle_since, default=[])
+        if kept:
+            kept.pop(0).close(Reason.SERVER_ROOM)
+        return bool(kept)
--- /dev/null
+++ b/foxspread/net/reasons.py
@@ -0,0 +1,37 @@
+"""Why a connection ended: the codes of the log, one line a connection. docs/oncall.md explains them."""
+
+from enum import Enum
+
+
+class Reason(Enum):
+    # Of clients' connections.
+    CLIENT_CLOSED = "C-CLOSED"       # by the client, between lookups
+    CLIENT_LEFT = "C-LEFT"           # by the client, with its lookup out
+    CLIENT_RESET = "C-RESET"         # it broke
+    CLIENT_SLOW = "C-SLOW"           # did not take its answer, or not send its lookup, in time
+    CLIENT_BAD = "C-BAD"             # what it sent was refused; the status is in the line
+    CLIENT_LAST = "C-LAST"           # one side said that the answer was the last
+    CLIENT_ROOM = "C-ROOM"           # closed while idle, for want of descriptors
+    STOPPING = "C-STOP"              # closed while idle, because the sidecar ends
+    CLIENT_FAULT = "C-FAULT"         # an exception in the sidecar; the line before it tells which
+    # Of connections to servers.
+    SERVER_REFUSED = "S-REFUSED"     # no connection came about
+    SERVER_SILENT = "S-SILENT"       # it never came up
+    SERVER_BROKEN = "S-BROKEN"       # broke before the last byte was written
+    SERVER_RESET = "S-RESET"         # broke or ended after that, before a whole answer
+    SERVER_LATE = "S-LATE"           # the hand-off timed out
+    CALLED_OFF = "S-OFF"             # the hand-off was called off
+    WITHDRAWN = "S-UNSENT"           # the hand-off no longer held once the connection was up
+    SERVER_BAD = "S-BAD"             # its answer was malformed or oversized
+    SERVER_LAST = "S-LAST"           # it said that the answer was the last
+    SERVER_CLOSED = "S-CLOSED"       # by the server, while idle
+    SERVER_IDLE = "S-IDLE"           # idle for too long
+    SERVER_MOVED = "S-MOVED"         # the list no longer shows the server, or shows a new start
+    SERVER_ROOM = "S-ROOM"           # closed while idle, for want of descriptors
+    SERVER_STOP = "S-STOP"           # closed because the sidecar ends
+    # Of connections to discovery.
+    WATCH_REFUSED = "D-REFUSED"      # no connection, or another answer than 200
+    WATCH_SILENT = "D-SILENT"        # no line for too long, or never came up
+    WATCH_ENDED = "D-ENDED"          # by discovery
+    WATCH_BAD = "D-BAD"              # what came was no list
+    WATCH_STOP = "D-STOP"            # the sidecar ends
--- /dev/null
+++ b/foxspread/net/sidecar.py
@@ -0,0 +1,219 @@
+"""Joins the parts: clients' requests go to the facade, its steps are carried out; the clock and the end."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from loguru import logger
+
+from foxspread.config import Address, Config, ListPart
+from foxspread.facade import Answer, CallOff, Facade, Outcome, Send, Step, Subscribe
+from foxspread.model import Readiness
+from foxspread.net import http
+from foxspread.net.discovery import Discovery
+from foxspread.net.hand_off import Ending, HandOff
+from foxspread.net.listener import Front, Listener, Reply
+from foxspread.net.pool import Descriptors, Pool
+from foxspread.net.reasons import Reason
+
+# After SIGTERM clients go on connecting for 0.2 to 0.4 s and use what they have while it is open. What is taken
+# until 0.7 s after it can be answered before the kill.
+STAY, LAST_CALL = 0.5, 0.62
+SPARE = 0.004   # the last moment for an answer, before its client gives up
+
+
+def new_clock() -> Callable[[], float]:
+    """Unix time, as servers' starts are told, that never jumps."""
+    offset = time.time() - time.monotonic()
+    return lambda: time.monotonic() + offset
+
+
+@dataclass
+class Held:
+    """A lookup that was taken and not answered."""
+
+    id: str
+    message: http.Message
+    reply: asyncio.Future[Reply]
+    guard: asyncio.TimerHandle | None = None
+
+
+class Sidecar(Front):
+    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config,
+                 clock: Callable[[], float] | None = None) -> None:
+        self.loop, self.config, self.clock = loop, config, clock or new_clock()
+        self.facade = Facade(self.clock(), config.decisions)
+        self.held: dict[str, Held] = {}
+        self.out: dict[tuple[str, int], asyncio.Task] = {}
+        self.addresses: dict[str, Address] = {}
+        self.started: dict[str, float] = {}
+        self.alarm: asyncio.TimerHandle | None = None
+        self.served, self.stopping = False, False
+        descriptors = Descriptors(min(config.limits.sockets, int(config.limits.memory_mb - 64) * 8))
+        self.pool = Pool(loop, descriptors, config.connect_time, config.idle_time)
+        self.discovery = Discovery(loop, config.discovery, config.known.version, self._listed,
+                                   self._list_failed)
+        self.listener = Listener(loop, config.listen, self, descriptors)
+
+    # Start and end.
+
+    async def run(self, stop: asyncio.Event) -> None:
+        self._listed(replace(self.config.known, whole=True))
+        self.listener.resume()
+        sweeping = self.loop.create_task(self._sweep())
+        logger.info("start name={} listen={} servers={}", self.config.name, self.config.listen,
+                    len(self.addresses))
+        await stop.wait()
+        await self._finish()
+        sweeping.cancel()
+        await asyncio.gather(sweeping, return_exceptions=True)
+
+    async def _finish(self) -> None:
+        self.stopping = True
+        logger.info("stopping lookups={}", len(self.held))
+        await asyncio.sleep(STAY)
+        self.listener.retire_all()   # a request that crosses this comes again on a new connection
+        await asyncio.sleep(LAST_CALL - STAY)
+        self.listener.close()
+        self.listener.retire_all()
+        longest = max((self.facade.abandon_time(each) for each in self.facade.categories), default=0.0)
+        if self.listener.clients:
+            await asyncio.wait(set(self.listener.clients.values()), timeout=longest + 0.05)
+        await self.discovery.stop()
+        for task in list(self.out.values()):
+            task.cancel()
+        await asyncio.gather(*self.out.values(), return_exceptions=True)
+        for address in list(self.pool.idle):
+            self.pool.drop(address, Reason.SERVER_STOP)
+        logger.info("stopped lookups={}", len(self.held))
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(1.0)
+            self.pool.sweep()
+
+    # Clients.
+
+    def taken(self, message: http.Message) -> asyncio.Future[Reply]:
+        reply = self.loop.create_future()
+        path = message.target.partition(b"?")[0]
+        if path == b"/-/ready":
+            self.served = self.served or self.facade.can_serve()
+            reply.set_result(Reply(200 if self.served and not self.stopping else 503))
+            return reply
+        category = message.text(b"x-lane") or http.first_part(message.target)
+        if category not in self.facade.categories or path.startswith(b"/-/"):
+            reply.set_result(Reply(404))
+            return reply
+        id, told = message.text(b"x-txn"), message.text(b"x-remaining")
+        if not id or id in self.held:
+            raise http.BadMessage(400, "X-Txn is missing" if not id else "X-Txn is of a lookup still held")
+        time_left = http.remaining(told) if told else self.facade.abandon_time(category)
+        now = self.clock()
+        time_left -= now - message.began   # it runs from the client's sending
+        held = self.held[id] = Held(id, message, reply)
+        held.guard = self.loop.call_later(max(0.0, time_left - SPARE), self._overdue, id)
+        if not self._decide(self.facade.pick, id, category, max(0.0, time_left), message.text(b"x-org"),
+                            http.parameter(message.target, "user")):
+            self._answer(id, Reply(500))
+        return reply
+
+    def left(self, reply: asyncio.Future[Reply]) -> None:
+        for held in list(self.held.values()):
+            if held.reply is reply:
+                self._forget(held.id)
+                self._decide(self.facade.left, held.id)
+
+    def _answer(self, id: str, reply: Reply) -> None:
+        held = self._forget(id)
+        if held is not None and not held.reply.done():
+            held.reply.set_result(reply)
+
+    def _forget(self, id: str) -> Held | None:
+        held = self.held.pop(id, None)
+        if held is not None and held.guard is not None:
+            held.guard.cancel()
+        return held
+
+    def _overdue(self, id: str) -> None:
+        """Guards a lookup against a fault in the decisions: it is answered before its client gives up."""
+        if id in self.held:
+            logger.warning("lookup {} had no decision in time", id)
+            self._answer(id, Reply(502))
+            self._decide(self.facade.left, id)
+
+    # Decisions.
+
+    def _decide(self, call: Callable[..., list[Step]], *args) -> bool:
+        """Calls the facade and carries out what it returns. One lookup's fault must not stop the others."""
+        try:
+            steps, fine = call(self.clock(), *args), True
+        except Exception:
+            logger.exception("decisions")
+            steps, fine = [], False
+        for step in steps:
+            try:
+                self._carry_out(step)
+            except Exception:
+                logger.exception("{}", step)
+        self._set_alarm()
+        return fine
+
+    def _set_alarm(self) -> None:
+        if self.alarm is not None:
+            self.alarm.cancel()
+        wake = self.facade.wake_at()
+        wait = None if wake is None else max(0.001, wake - self.clock())
+        self.alarm = None if wait is None else self.loop.call_later(wait, self._decide, self.facade.tick)
+
+    def _carry_out(self, step: Step) -> None:
+        match step:
+            case Send():
+                self._send(step)
+            case CallOff(id, number):
+                if (task := self.out.get((id, number))) is not None:
+                    task.cancel()
+            case Answer(id, dismissed, back_in):
+                lines = [b"Retry-After: %.3f\r\n" % back_in] if back_in > 0 else []
+                self._answer(id, Reply(503 if dismissed else 502, lines=lines))
+            case Subscribe():
+                self.discovery.start()
+
+    def _send(self, step: Send) -> None:
+        held, key = self.held[step.lookup], (step.lookup, step.number)
+        hand_off = HandOff(self.loop, self.pool, self.clock, held.message, self.addresses[step.server],
+                           self.clock() + step.time_out, lambda: self.facade.holds(self.clock(), *key))
+        self.out[key] = task = self.loop.create_task(hand_off.run())
+        # Not in the task itself: one that is cancelled before it has run would report nothing.
+        task.add_done_callback(lambda task: self._ended(step, hand_off, task))
+
+    def _ended(self, step: Send, hand_off: HandOff, task: asyncio.Task) -> None:
+        del self.out[step.lookup, step.number]
+        if task.cancelled():
+            ending = Ending(Outcome.CALLED_OFF if hand_off.begun else Outcome.UNSENT)
+        elif task.exception() is not None:
+            logger.opt(exception=task.exception()).error("hand-off of {}", step.lookup)
+            ending = Ending(Outcome.RESET if hand_off.begun else Outcome.UNSENT)
+        else:
+            ending = task.result()
+        if ending.outcome is Outcome.DONE:
+            self._answer(step.lookup, Reply(200, ending.answer.body, ending.answer.passed_on()))
+        self._decide(self.facade.report, step.lookup, step.number, ending.outcome)
+
+    # The list of servers.
+
+    def _listed(self, part: ListPart) -> None:
+        if part.whole:
+            for id in set(self.addresses) - {each.listed.server for each in part.servers}:
+                self.pool.drop(self.addresses[id], Reason.SERVER_MOVED)
+        for each in part.servers:
+            id, old = each.listed.server, self.addresses.get(each.listed.server)
+            if old is not None and (old != each.address or each.listed.started > self.started[id]
+                                    or each.listed.readiness is Readiness.GONE):
+                self.pool.drop(old, Reason.SERVER_MOVED)
+            self.addresses[id], self.started[id] = each.address, each.listed.started
+        self._decide(self.facade.listed, [each.listed for each in part.servers], part.whole)
+
+    def _list_failed(self) -> None:
+        self._decide(self.facade.list_failed)
--- a/foxspread/simhost/codec.py
+++ b/foxspread/simhost/codec.py
@@ -4,14 +4,14 @@
 import math
 from typing import Any
 
-from foxspread.model import Act, Category, Customer, Decision, Effect, ListedServer, Outcome, Readiness
+from foxspread import config
+from foxspread.model import Act, Decision, ListedServer, Outcome, Readiness
 
 OUTCOMES = {
     "done": Outcome.DONE, "err": Outcome.ERROR, "busy": Outcome.FULL, "etimedout": Outcome.TIMED_OUT,
     "econnrefused": Outcome.UNCONNECTED, "econnreset": Outcome.RESET, "ecanceled": Outcome.CALLED_OFF,
     "skipped": Outcome.UNSENT,
 }
-EFFECTS = {"free": Effect.REDOABLE, "guarded": Effect.LABELLED, "single_shot": Effect.IRREVERSIBLE}
 READINESS = {0: Readiness.GONE, 1: Readiness.READY, 2: Readiness.DRAINING}
 
 
@@ -37,24 +37,12 @@
     return need(batch, "time_us", int) / 1e6, need(batch, "groups", list)
 
 
-def seconds(where: dict, key: str, default: float = 0.0) -> float:
-    value = where.get(key + "_us")
-    return value / 1e6 if isinstance(value, (int, float)) and not isinstance(value, bool) else default
-
-
-def number(where: dict, key: str, default: float) -> float:
-    value = where.get(key)
-    return value if isinstance(value, (int, float)) and not isinstance(value, bool) else default
-
-
-def table(where: dict, key: str) -> dict:
-    value = where.get(key)
-    return value if isinstance(value, dict) else {}
-
-
-def rows(where: dict, key: str) -> list[dict]:
-    value = where.get(key)
-    return [row for row in value if isinstance(row, dict)] if isinstance(value, list) else []
+def parts(options: dict, seed: int) -> dict[str, Any]:
+    """The settings as keyword arguments of the balancer."""
+    try:
+        return config.settings(config.Section(options, "options"), seed)
+    except config.ConfigError as error:
+        raise Malformed(str(error)) from None
 
 
 def listed(record: Any) -> ListedServer:
@@ -62,43 +50,11 @@
         raise Malformed("an entry of a list must be an object")
     state = need(record, "readiness", int)
     return ListedServer(need(record, "server", str), record.get("area") or "", record.get("block") or 0,
-                        float(number(record, "power_hint", 1.0)) or 1.0,
-                        READINESS.get(state, Readiness.DRAINING), seconds(record, "born"),
+                        float(record.get("power_hint") or 1.0), READINESS.get(state, Readiness.DRAINING),
+                        (record.get("born_us") or 0) / 1e6,
                         record.get("class_of_host") or "")
 
 
-def category(row: dict) -> Category:
-    expected = seconds(row, "expected_time", 1.0)
-    return Category(need(row, "name", str), expected, seconds(row, "abandon_time", expected),
-                    number(row, "benefit", 1.0), number(row, "late_benefit", 0.0),
-                    EFFECTS.get(row.get("semantics"), Effect.IRREVERSIBLE), row.get("key_scope") or "cell",
-                    seconds(row, "repeat_window"), bool(row.get("stream")))
-
-
-def parts(options: dict, seed: int) -> dict[str, Any]:
-    """The settings as keyword arguments of the balancer."""
-    limits, contract = table(options, "limits"), table(options, "contract")
-    return {
-        "seed": seed,
-        "zone": options.get("az") or "",
-        "sidecars": max(1, int(number(options, "siblings", 1))),
-        "categories": [category(row) for row in rows(options, "categories")],
-        "customers": [Customer(need(row, "name", str), number(row, "share", 0.0),
-                               number(row, "quota_per_s", 0.0)) for row in rows(options, "tenants")],
-        "surplus_benefit": number(options, "surplus_benefit", 1.0),
-        "max_hand_offs": int(number(limits, "max_hand_offs", 1)),
-        "copies": bool(limits.get("parallel_tries")),
-        "calling_off": bool(limits.get("cancelling")),
-        "longest_back_in": seconds(limits, "max_retry_after") if limits.get("retry_after") else 0.0,
-        "tick": seconds(options, "period", 0.005),
-        "keys_remembered": bool(table(options, "specifics").get("warm_keys")),
-        "waste_price": number(table(options, "tariffs"), "waste", 0.0),
-        "asks": options.get("discovery") == "ask",
-        "cold": (number(contract, "cold_from", 1.0), seconds(contract, "cold"),
-                 number(contract, "fall_multiple", 1.0)),
-    }
-
-
 def micros(value: float) -> int:
     return max(1, math.ceil(value * 1e6 - 1e-3))
 
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -2,6 +2,7 @@
 import sys
 import unittest
 
+from foxspread import config
 from foxspread.model import Act, Decision, Effect
 from foxspread.simhost import codec
 
@@ -25,7 +26,8 @@
             self.assertNotIn("Traceback", done.stderr)
 
     def test_unknown_effects_are_taken_as_irreversible(self):
-        self.assertIs(codec.category({"name": "c", "semantics": "new"}).effect, Effect.IRREVERSIBLE)
+        row = config.Section({"name": "c", "semantics": "new"})
+        self.assertIs(config.category(row).effect, Effect.IRREVERSIBLE)
 
     def test_settings_may_be_absent(self):
         self.assertEqual(codec.parts({}, 1)["max_hand_offs"], 1)
