--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -17,8 +17,8 @@
 from foxspread.net.pool import Descriptors, Pool
 from foxspread.net.reasons import Reason
 
-# After SIGTERM clients go on connecting for 0.2 to 0.4 s and use what they have while it is open. What is taken
-# until 0.7 s after it can be answered before the kill.
+# After SIGTERM clients go on connecting for 0.2 to 0.4 s and use what they have while it is open. What is
+# taken until 0.7 s after it can be answered before the kill.
 STAY, LAST_CALL = 0.5, 0.62
 SPARE = 0.004   # the last moment for an answer, before its client gives up
 
