Own lack of sockets no longer blames a server; odd methods and trailers handled

A socket that cannot be had (EMFILE, no port) was reported as unconnected and would mark a sound server; now unsent. Log lines go by write(2), not by sys.stderr, whose lock a hanging thread would hold at the end of the process.

--- a/foxspread/__main__.py
+++ b/foxspread/__main__.py
@@ -7,6 +7,7 @@
 import sys
 
 import uvloop
+from loguru import logger
 
 from foxspread import config
 from foxspread.net import log
@@ -17,6 +18,9 @@
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    # Not asyncio's own, which writes to standard error and would block when that is full.
+    loop.set_exception_handler(lambda loop, found: logger.opt(exception=found.get("exception")).error(
+        "{}", found.get("message")))
     sidecar = Sidecar(loop, told)
     gc.collect()
     gc.freeze()   # what is loaded stays: collections look at what comes and goes only
--- a/foxspread/facade.py
+++ b/foxspread/facade.py
@@ -57,6 +57,10 @@
     def abandon_time(self, category: str) -> float:
         return self.balancer.categories[category].abandon_time
 
+    def knows(self, id: str) -> bool:
+        """Also of a lookup that is over while a hand-off of it is still out."""
+        return id in self.balancer.lookups
+
     def can_serve(self) -> bool:
         return bool(self.balancer.servers.ready)
 
--- a/foxspread/net/http.py
+++ b/foxspread/net/http.py
@@ -82,7 +82,7 @@
             raise BadMessage(400, "no upgrade is offered") from None
         except httptools.HttpParserError as error:
             raise BadMessage(400, str(error)) from None
-        if self.message is not None and not self.in_body:   # an endless line is told by no callback
+        if self.message is not None and not self.in_body:   # no callback tells of an endless line
             self.fed += len(data)
             self.count(0)
 
@@ -95,6 +95,8 @@
         self.message, self.head, self.fed, self.in_body = Message(began=self.now), 0, 0, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.in_body:
+            return   # a trailer: not to be taken for a header
         self.count(len(name) + len(value) + 4)
         self.message.headers.append((name, value))
 
--- a/foxspread/net/log.py
+++ b/foxspread/net/log.py
@@ -1,7 +1,7 @@
 """The log: loguru, written by a thread of its own."""
 
+import os
 import queue
-import sys
 import threading
 
 from loguru import logger
@@ -13,8 +13,8 @@
     """Guards the loop against a full pipe: lines wait for a thread, and those over the bound are dropped and
     counted."""
 
-    def __init__(self, stream, most: int = 10_000) -> None:
-        self.stream, self.lost = stream, 0
+    def __init__(self, descriptor: int, most: int = 10_000) -> None:
+        self.descriptor, self.lost = descriptor, 0
         self.lines: queue.Queue[str | None] = queue.Queue(most)
         self.thread = threading.Thread(target=self._write, daemon=True)
         self.thread.start()
@@ -31,8 +31,10 @@
                 if self.lost:
                     lost, self.lost = self.lost, 0
                     line += f"{lost} lines lost\n"
-                self.stream.write(line)
-                self.stream.flush()
+                # Not by sys.stderr: a thread that hangs in there would break the end of the process.
+                data = line.encode(errors="replace")
+                while data:
+                    data = data[os.write(self.descriptor, data):]
             except OSError:   # nobody reads it any more: the sidecar goes on without
                 pass
 
@@ -45,7 +47,7 @@
 
 
 def start(level: str = "INFO") -> Sink:
-    sink = Sink(sys.stderr)
+    sink = Sink(2)
     logger.remove()
     logger.add(sink, level=level, format=FORMAT, backtrace=False, diagnose=False)
     return sink
--- a/foxspread/net/pool.py
+++ b/foxspread/net/pool.py
@@ -1,6 +1,7 @@
 """Sockets: how many there may be, how they are written to, and the kept connections to servers."""
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable, Sequence
 
@@ -96,23 +97,29 @@
         return None
 
     async def connect(self, address: Address) -> Connection | None:
-        """A new connection; None where no descriptor is to be had, OSError or TimeoutError where it fails."""
+        """A new connection; None where this machine has no room for one, OSError or TimeoutError where the
+        server does not take it."""
         if not self.descriptors.take():
             return None
-        sock = None
         try:
             sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
+        except OSError as error:   # out of descriptors: our own fault, which must not mark the server
+            logger.warning("no socket: {}", error)
+            self.descriptors.give_back()
+            return None
+        try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self.connect_time):
                 await self.loop.sock_connect(sock, (address.host, address.port))
         except BaseException as error:   # also when called off
-            if sock is not None:
-                sock.close()
+            sock.close()
             self.descriptors.give_back()
             reasons = {TimeoutError: Reason.SERVER_SILENT, asyncio.CancelledError: Reason.CALLED_OFF}
             reason = reasons.get(type(error), Reason.SERVER_REFUSED)
             logger.info("{} server={} lookups=0", reason.value, address)
+            if isinstance(error, OSError) and error.errno == errno.EADDRNOTAVAIL:
+                return None   # no port left here
             raise
         return Connection(sock, address, self.descriptors)
 
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -106,8 +106,11 @@
         if category not in self.facade.categories or path.startswith(b"/-/"):
             reply.set_result(Reply(404))
             return reply
+        if message.method not in (b"GET", b"POST"):
+            reply.set_result(Reply(405, lines=[b"Allow: GET, POST\r\n"]))
+            return reply
         id, told = message.text(b"x-txn"), message.text(b"x-remaining")
-        if not id or id in self.held:
+        if not id or self.facade.knows(id):
             raise http.BadMessage(400, "X-Txn is missing" if not id else "X-Txn is of a lookup still held")
         time_left = http.remaining(told) if told else self.facade.abandon_time(category)
         now = self.clock()
