--- a/foxspread/net/listener.py
+++ b/foxspread/net/listener.py
@@ -160,6 +160,7 @@
         self.sock.setblocking(False)
         self.sock.bind((address.host, address.port))
         self.sock.listen(1024)
+        self.address = Address(*self.sock.getsockname()[:2])
         descriptors.givers.append(self._retire_longest_idle)
         descriptors.freed = self.resume
 
--- a/foxspread/net/log.py
+++ b/foxspread/net/log.py
@@ -40,7 +40,7 @@
 
     def close(self, patience: float = 0.3) -> None:
         try:
-            self.lines.put_nowait(None)
+            self.lines.put(None, timeout=patience)
         except queue.Full:
             return
         self.thread.join(patience)
--- a/foxspread/net/pool.py
+++ b/foxspread/net/pool.py
@@ -146,7 +146,6 @@
 
     def close_oldest(self) -> bool:
         groups = [kept for kept in self.idle.values() if kept]
-        kept = min(groups, key=lambda each: each[0].idle_since, default=[])
-        if kept:
-            kept.pop(0).close(Reason.SERVER_ROOM)
-        return bool(kept)
+        if groups:
+            min(groups, key=lambda kept: kept[0].idle_since).pop(0).close(Reason.SERVER_ROOM)
+        return bool(groups)
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -62,7 +62,7 @@
         self._listed(replace(self.config.known, whole=True))
         self.listener.resume()
         sweeping = self.loop.create_task(self._sweep())
-        logger.info("start name={} listen={} servers={}", self.config.name, self.config.listen,
+        logger.info("start name={} listen={} servers={}", self.config.name, self.listener.address,
                     len(self.addresses))
         await stop.wait()
         await self._finish()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,8 +1,20 @@
-"""Short ways to a balancer in a given state."""
+"""Short ways to a balancer in a given state, and to the sockets round it."""
 
+import asyncio
+import functools
+import json
+import socket
+import warnings
+
+import uvloop
+from loguru import logger
+
+from foxspread import config
+from foxspread.config import Address
 from foxspread.logic import Balancer
 from foxspread.model import Act, Category, Effect, ListedServer
 
+logger.remove()
 NAMES = ["s1", "s2", "s3", "s4"]
 
 
@@ -47,3 +59,102 @@
     for name in names:
         marks.of[name].until, marks.of[name].spell = until, 4.0
         marks.marked.add(name)
+
+
+# Sockets.
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+SILENT = None
+LOOKUP = (b"POST /pay?user=u1 HTTP/1.1\r\nHost: b\r\nX-Txn: t1\r\nX-Lane: pay\r\nX-Remaining: 900m\r\n"
+          b"Idempotency-Key: k1\r\nContent-Length: 3\r\n\r\nabc")
+SETTINGS = {"az": "a", "siblings": 1,
+            "limits": {"max_hand_offs": 3, "parallel_tries": True, "cancelling": True},
+            "categories": [{"name": "pay", "expected_time_us": 500_000, "abandon_time_us": 1_500_000,
+                            "semantics": "guarded", "key_scope": "cell", "repeat_window_us": 7_500_000}]}
+
+
+def on_loop(test):
+    """Runs an async test on the loop that the sidecar uses."""
+    @functools.wraps(test)
+    def run(self):
+        with warnings.catch_warnings(), asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            warnings.simplefilter("ignore", ResourceWarning)   # what a test leaves open ends with its loop
+            runner.run(asyncio.wait_for(test(self), 20))
+    return run
+
+
+def entry(address, id="s1", **more):
+    return {"id": id, "addr": str(address), "zone": "a", "cell": 1, "state": "ready"} | more
+
+
+def told(discovery="127.0.0.1:1", listen="127.0.0.1:0", known=(), **more):
+    """The configuration file's content."""
+    return {"name": "n0", "listen": listen, "discovery": str(discovery), "seed": "0f",
+            "limits": {"memory_mb": 192, "sockets": 1024},
+            "known": {"version": 4, "full": True, "servers": known}, "settings": SETTINGS} | more
+
+
+def configured(path, **parts):
+    path.write_text(json.dumps(told(**parts)))
+    return config.read({"EDGE_CONFIG": str(path)})
+
+
+class StandIn:
+    """A server on loopback. Each request on a connection gets the next reply: bytes, b"" to close instead, or
+    SILENT. A reply in a list waits until `go` is set; after one in a tuple it closes."""
+
+    def __init__(self, *replies):
+        self.replies, self.got, self.go, self.connections = replies, [], asyncio.Event(), 0
+        self.asked, self.left = asyncio.Event(), asyncio.Event()
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = Address(*self.server.sockets[0].getsockname())
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            for reply in self.replies:
+                head = await reader.readuntil(b"\r\n\r\n")
+                size = next((int(line[15:]) for line in head.split(b"\r\n")
+                             if line.lower().startswith(b"content-length:")), 0)
+                self.got.append(head + await reader.readexactly(size))
+                self.asked.set()
+                if isinstance(reply, list):
+                    await self.go.wait()
+                    reply = reply[0]
+                if reply is not SILENT:
+                    writer.write(reply[0] if isinstance(reply, tuple) else reply)
+                if isinstance(reply, tuple) or reply == b"":
+                    break
+            else:
+                await reader.read()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        self.left.set()
+        writer.close()
+
+
+def refusing():
+    """An address where nobody listens."""
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return Address(*sock.getsockname())
+
+
+async def ask(address, data=LOOKUP):
+    """Sends it on a connection of its own and reads the answer's head and body."""
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(data)
+    answer = await read_answer(reader)
+    writer.close()
+    return answer
+
+
+async def read_answer(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    size = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
+    return head + await reader.readexactly(size)
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,68 @@
+import pathlib
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from foxspread import config
+from foxspread.config import Address, ConfigError, Section
+from foxspread.model import Effect, Readiness
+from tests.helpers import configured, entry, told
+
+
+class TestConfig(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name, "config.json")
+
+    def test_what_is_told_is_read(self):
+        it = configured(self.path, known=[entry("10.1.0.18:8080", started_ms=1500)])
+        self.assertEqual((it.name, it.listen, it.limits.sockets), ("n0", Address("127.0.0.1", 0), 1024))
+        self.assertEqual(it.known.servers[0].listed.started, 1.5)
+        self.assertEqual(it.known.servers[0].address, Address("10.1.0.18", 8080))
+        self.assertIs(it.decisions["categories"][0].effect, Effect.LABELLED)
+        self.assertEqual((it.decisions["seed"], it.connect_time, it.idle_time), (15, 0.25, 10.0))
+
+    def test_a_variable_goes_before_the_file(self):
+        configured(self.path)
+        it = config.read({"EDGE_CONFIG": str(self.path), "EDGE_LISTEN": "127.0.0.9:81", "EDGE_NAME": "n7"})
+        self.assertEqual((it.listen, it.name), (Address("127.0.0.9", 81), "n7"))
+
+    def test_the_faulty_key_is_named(self):
+        for key, change in (
+                ("listen", {"listen": "127.0.0.1"}), ("discovery", {"discovery": "x:99999"}),
+                ("name", {"name": None}), ("limits.sockets", {"limits": {"sockets": "many"}}),
+                ("limits.memory_mb", {"limits": {"memory_mb": -1}}), ("known.servers", {"known": 3}),
+                ("settings.categories[0].name", {"settings": {"categories": [{}]}}),
+                ("settings.tariffs.waste", {"settings": {"tariffs": {"waste": True}}})):
+            with self.subTest(key), self.assertRaisesRegex(ConfigError, f"'{key}'".replace("[", r"\[")):
+                configured(self.path, **change)
+
+    def test_a_process_with_a_faulty_key_ends_and_names_it(self):
+        configured(self.path)
+        self.path.write_text(self.path.read_text().replace('"discovery"', '"discover"'))
+        done = subprocess.run([sys.executable, "-m", "foxspread"], env={"EDGE_CONFIG": str(self.path)},
+                              capture_output=True, text=True, timeout=60)
+        self.assertEqual(done.returncode, 2)
+        self.assertIn("'discovery' is missing", done.stderr)
+
+    def test_an_unreadable_file_is_told(self):
+        with self.assertRaisesRegex(ConfigError, "EDGE_CONFIG"):
+            config.read({"EDGE_CONFIG": str(self.path)})
+
+    def test_a_bad_entry_of_a_list_is_left_out_and_unknown_fields_are_skipped(self):
+        rows = [entry("10.0.0.1:80", colour="red"), {"id": "s2"}, "s3", entry("nowhere", id="s4"),
+                entry("10.0.0.5:80", id="s5", state="resting")]
+        part = config.list_part(told(known=rows)["known"], "known")
+        self.assertEqual([each.listed.server for each in part.servers], ["s1", "s5"])
+        self.assertIs(part.servers[1].listed.readiness, Readiness.DRAINING)
+        self.assertEqual(len(part.faults), 3)
+        self.assertIn("known.servers[1].state", part.faults[0])
+
+    def test_settings_left_out_get_defaults(self):
+        found = config.settings(Section({"limits": None}), 1)
+        self.assertEqual((found["max_hand_offs"], found["copies"], found["tick"]), (1, False, 0.005))
+
+    def test_an_address_may_be_of_the_longer_kind(self):
+        self.assertEqual(config.address("[::1]:80", "listen"), Address("::1", 80))
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,90 @@
+import unittest
+
+from foxspread.net import http
+from tests.helpers import LOOKUP, OK
+
+
+def read(*pieces, kind=http.RequestReader):
+    reader = kind()
+    for piece in pieces:
+        reader.feed(piece, 5.0)
+    return reader
+
+
+class TestReading(unittest.TestCase):
+    def test_a_request_split_anywhere_is_the_same(self):
+        for at in range(1, len(LOOKUP)):
+            [it] = read(LOOKUP[:at], LOOKUP[at:]).ready
+            self.assertEqual((it.method, it.target, it.body), (b"POST", b"/pay?user=u1", b"abc"))
+            self.assertEqual((it.text(b"x-txn"), it.began), ("t1", 5.0))
+
+    def test_two_in_one_piece(self):
+        self.assertEqual([m.body for m in read(LOOKUP + LOOKUP).ready], [b"abc", b"abc"])
+
+    def test_chunks_are_joined_and_trailers_are_no_headers(self):
+        [message] = read(b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n"
+                         b"X-Txn: forged\r\n\r\n").ready
+        self.assertEqual((bytes(message.body), message.header(b"x-txn")), (b"abc", None))
+
+    def test_what_is_malformed_ambiguous_or_too_large_is_refused(self):
+        post = b"POST /a HTTP/1.1\r\n"
+        for status, *pieces in (
+                (400, b"nonsense\r\n\r\n"), (400, b"GET /a\x00b HTTP/1.1\r\n\r\n"),
+                (400, post + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"),
+                (400, post + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n"),
+                (400, post + b"Content-Length: 1x\r\n\r\n"), (400, post + b"X y: 1\r\n\r\n"),
+                (400, b"GET /a HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"),
+                (413, post + b"Content-Length: 65537\r\n\r\n"),
+                (413, post + b"Transfer-Encoding: chunked\r\n\r\n",
+                 *[b"4000\r\n" + b"x" * 0x4000 + b"\r\n"] * 5),
+                (431, b"GET /" + b"a" * http.HEAD_MOST + b" HTTP/1.1\r\n"),
+                (431, b"GET /a HTTP/1.1\r\n" + b"A: b\r\n" * 4000),
+                (431, b"GET /a HTTP/1.1\r\nX: ", *[b"x" * 1000] * 20)):
+            with self.subTest(pieces[0][:60]), self.assertRaises(http.BadMessage) as caught:
+                read(*pieces)
+            self.assertEqual(caught.exception.status, status)
+
+    def test_the_largest_body_is_taken(self):
+        [message] = read(b"POST /a HTTP/1.1\r\nContent-Length: 65536\r\n\r\n", b"x" * 65536).ready
+        self.assertEqual(len(message.body), 65536)
+
+    def test_an_interim_answer_is_passed_over(self):
+        [message] = read(b"HTTP/1.1 100 Continue\r\n\r\n" + OK, kind=http.AnswerReader).ready
+        self.assertEqual((message.status, message.body, message.keep), (200, b"hi", True))
+
+    def test_an_answer_that_ends_with_its_connection_is_never_whole(self):
+        self.assertFalse(read(b"HTTP/1.1 200 OK\r\n\r\nhi", kind=http.AnswerReader).ready)
+
+    def test_a_wait_for_leave_is_seen(self):
+        self.assertTrue(read(b"POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+                        .wants_continue)
+
+    def test_the_time_left_has_a_unit(self):
+        self.assertEqual((http.remaining("480m"), http.remaining("1500u")), (0.48, 0.0015))
+        for text in ("480", "m", "-1m", "nanm", "infm"):
+            with self.subTest(text), self.assertRaises(http.BadMessage):
+                http.remaining(text)
+
+    def test_a_parameter_is_found_and_decoded(self):
+        self.assertEqual(http.parameter(b"/pay?a=1&user=x%20y", "user"), "x y")
+        self.assertEqual((http.parameter(b"/pay", "user"), http.first_part(b"/pay/x?y")), ("", "pay"))
+
+
+class TestWriting(unittest.TestCase):
+    def test_a_request_goes_on_unchanged_with_what_time_remains(self):
+        [message] = read(LOOKUP).ready
+        sent = b"".join(http.request(message, "h:1", 0.25))
+        [again] = read(sent).ready
+        self.assertEqual((again.method, again.target, again.body), (b"POST", b"/pay?user=u1", b"abc"))
+        names = (b"x-txn", b"idempotency-key", b"x-remaining", b"host")
+        self.assertEqual([again.text(name) for name in names], ["t1", "k1", "250000u", "h:1"])
+
+    def test_what_is_of_one_connection_is_not_passed_on(self):
+        own = b"Connection: X-Mine, close\r\nX-Mine: 1\r\nTE: x\r\n"
+        [message] = read(b"GET /a HTTP/1.1\r\n" + own + b"A: 1\r\n\r\n").ready
+        self.assertEqual(b"".join(message.passed_on()), b"A: 1\r\n")
+
+    def test_an_answer_says_when_it_is_the_last(self):
+        parts = http.answer(200, b"hi", [b"A: 1\r\n"], keep=False)
+        [message] = read(b"".join(parts), kind=http.AnswerReader).ready
+        self.assertEqual((message.body, message.text(b"a"), message.keep), (b"hi", "1", False))
