--- a/foxspread/config.py
+++ b/foxspread/config.py
@@ -199,7 +199,7 @@
     return Config(
         one("name", "EDGE_NAME"), address(one("listen", "EDGE_LISTEN"), "listen"),
         address(one("discovery", "EDGE_DISCOVERY"), "discovery"),
-        Limits(limits.number("memory_mb", 192, 64), int(limits.number("sockets", 1024, 64))),
+        Limits(limits.number("memory_mb", 192, 1), int(limits.number("sockets", 1024, 1))),
         list_part(told.values.get("known") or {}, "known"),
         # A pushed list comes by the same watch as one that must be asked for: on sockets both are asked.
         settings(options, seed(told.values.get("seed", ""))) | {"asks": True},
--- a/foxspread/facade.py
+++ b/foxspread/facade.py
@@ -49,10 +49,7 @@
 class Facade:
     def __init__(self, now: float, settings: dict[str, Any]) -> None:
         self.balancer = Balancer(now, **settings)
-
-    @property
-    def categories(self) -> set[str]:
-        return set(self.balancer.categories)
+        self.categories = frozenset(self.balancer.categories)
 
     def abandon_time(self, category: str) -> float:
         return self.balancer.categories[category].abandon_time
--- a/foxspread/net/pool.py
+++ b/foxspread/net/pool.py
@@ -18,7 +18,7 @@
     """Bounds the sockets in use, with some kept in reserve for files, discovery and what is closing. Where
     all are in use, something idle is closed first: `givers` each close one and say so, or cannot."""
 
-    def __init__(self, most: int, reserve: int = 48) -> None:
+    def __init__(self, most: int, reserve: int = 0) -> None:
         self.most, self.used = max(8, most - reserve), 0
         self.givers: list[Callable[[], bool]] = []
         self.freed: Callable[[], None] = lambda: None
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -20,6 +20,7 @@
 # After SIGTERM clients go on connecting for 0.2 to 0.4 s and use what they have while it is open. What is
 # taken until 0.7 s after it can be answered before the kill.
 STAY, LAST_CALL = 0.5, 0.62
+BASE_MB = 40   # what the process takes with no connection, and something to spare
 SPARE = 0.004   # the last moment for an answer, before its client gives up
 
 
@@ -50,7 +51,9 @@
         self.started: dict[str, float] = {}
         self.alarm: asyncio.TimerHandle | None = None
         self.served, self.stopping = False, False
-        descriptors = Descriptors(min(config.limits.sockets, int(config.limits.memory_mb - 64) * 8))
+        # A connection holds 64 KiB of buffer and body at the usual most, and twice that at the worst.
+        most = min(config.limits.sockets, int(config.limits.memory_mb - BASE_MB) * 8)
+        descriptors = Descriptors(most, reserve=min(48, config.limits.sockets // 3))
         self.pool = Pool(loop, descriptors, config.connect_time, config.idle_time)
         self.discovery = Discovery(loop, config.discovery, config.known.version, self._listed,
                                    self._list_failed)
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,44 @@
+import asyncio
+import json
+import os
+import pathlib
+import re
+import signal
+import sys
+import tempfile
+import unittest
+
+from foxspread.config import address
+from tests.helpers import LOOKUP, OK, StandIn, ask, entry, on_loop, read_answer, told
+
+
+class TestProcess(unittest.TestCase):
+    @on_loop
+    async def test_from_ready_to_the_end(self):
+        async with StandIn([OK], OK) as server:
+            with tempfile.TemporaryDirectory() as folder:
+                path = pathlib.Path(folder, "config.json")
+                path.write_text(json.dumps(told(known=[entry(server.address)])))
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "foxspread", env=os.environ | {"EDGE_CONFIG": str(path)},
+                    stderr=asyncio.subprocess.PIPE)
+                line = await self.line(process, "start name=n0")
+                listen = address(re.search(r"listen=(\S+)", line)[1], "listen")
+            self.assertIn(b" 200 ", await ask(listen, b"GET /-/ready HTTP/1.1\r\n\r\n"))
+            reader, writer = await asyncio.open_connection(listen.host, listen.port)
+            writer.write(LOOKUP)
+            await server.asked.wait()
+            process.send_signal(signal.SIGTERM)
+            await self.line(process, "stopping lookups=1")
+            server.go.set()
+            self.assertIn(b" 200 ", await read_answer(reader))
+            await self.line(process, "C-STOP client lookups=1")
+            await self.line(process, "stopped lookups=0")
+            self.assertEqual(await process.wait(), 0)
+            writer.close()
+
+    async def line(self, process, text):
+        while line := (await process.stderr.readline()).decode():
+            if text in line:
+                return line
+        self.fail(f"no line with: {text}")
