--- a/foxspread/facade.py
+++ b/foxspread/facade.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 from foxspread.logic import Balancer
-from foxspread.model import Act, ListedServer, Outcome
+from foxspread.model import Act, Decision, ListedServer, Outcome
 
-__all__ = ["Answer", "CallOff", "Facade", "Outcome", "Send", "Step", "Subscribe"]
+__all__ = ["Answer", "CallOff", "Facade", "Fault", "Outcome", "Send", "Step", "Subscribe"]
 
 
 @dataclass(frozen=True)
@@ -46,6 +46,14 @@
 Step = Send | CallOff | Answer | Subscribe
 
 
+class Fault(Exception):
+    """The decisions failed. Guards the steps decided before that: they must still be carried out."""
+
+    def __init__(self, steps: list[Step]) -> None:
+        super().__init__("the decisions failed")
+        self.steps = steps
+
+
 class Facade:
     def __init__(self, now: float, settings: dict[str, Any]) -> None:
         self.balancer = Balancer(now, **settings)
@@ -88,19 +96,25 @@
     def tick(self, now: float) -> list[Step]:
         """What is due by time alone; to be called at `wake_at`."""
         steps = []
-        while (decision := self.balancer.next_decision(now)) is not None:
-            match decision.act:
-                case Act.HAND_OFF:   # it is the lookup's last one until the next decision is pulled
-                    number = len(self.balancer.lookups[decision.lookup].sent) - 1
-                    steps.append(Send(decision.lookup, number, decision.server, decision.time_out))
-                case Act.CALL_OFF:
-                    steps.append(CallOff(decision.lookup, decision.number))
-                case Act.SUBSCRIBE:
-                    steps.append(Subscribe())
-                case act:
-                    steps.append(Answer(decision.lookup, act is Act.DISMISS, decision.back_in))
+        try:
+            while (decision := self.balancer.next_decision(now)) is not None:
+                steps.append(self._step(decision))
+        except Exception as error:
+            raise Fault(steps) from error
         return steps
 
+    def _step(self, decision: Decision) -> Step:
+        match decision.act:
+            case Act.HAND_OFF:   # it is the lookup's last one until the next decision is pulled
+                number = len(self.balancer.lookups[decision.lookup].sent) - 1
+                return Send(decision.lookup, number, decision.server, decision.time_out)
+            case Act.CALL_OFF:
+                return CallOff(decision.lookup, decision.number)
+            case Act.SUBSCRIBE:
+                return Subscribe()
+            case act:
+                return Answer(decision.lookup, act is Act.DISMISS, decision.back_in)
+
     def wake_at(self) -> float | None:
         return self.balancer.wake_at()
 
--- a/foxspread/net/hand_off.py
+++ b/foxspread/net/hand_off.py
@@ -36,14 +36,15 @@
             connection = self.pool.reuse(self.address) or await self.pool.connect(self.address)
         except OSError:   # refused, or (as TimeoutError) never up within the connect time
             return Ending(Outcome.UNCONNECTED)
-        # Guards against sends that connecting has made late: a drain told since, an answer from elsewhere.
-        if connection is None or not self.holds():
-            if connection is not None:
-                self.pool.keep(connection)
+        if connection is None:
             return Ending(Outcome.UNSENT)
-        reason = Reason.SERVER_LATE
+        reason, ending = Reason.SERVER_FAULT, Ending(Outcome.UNSENT)
         try:
-            reason, ending = await self._exchange(connection)
+            # Guards against sends that connecting has made late: a drain told since, an answer by a copy.
+            if not self.holds():
+                reason = None
+            else:
+                reason, ending = await self._exchange(connection)
             return ending
         except asyncio.CancelledError:   # a time-out, too, comes as one
             reason = Reason.SERVER_LATE if self.clock() >= self.until else Reason.CALLED_OFF
--- a/foxspread/net/http.py
+++ b/foxspread/net/http.py
@@ -42,7 +42,7 @@
     began: float = 0.0             # when its first byte was read
 
     def header(self, name: bytes) -> bytes | None:
-        return next((value for key, value in self.headers if key.lower() == name), None)
+        return next((value.strip() for key, value in self.headers if key.lower() == name), None)
 
     def text(self, name: bytes) -> str:
         return (self.header(name) or b"").decode("latin-1")
--- a/foxspread/net/listener.py
+++ b/foxspread/net/listener.py
@@ -21,14 +21,23 @@
     lines: list[bytes] = field(default_factory=list)
 
 
+@dataclass
+class Ticket:
+    """Of a request that was taken: its reply to come, and the lookup's id, if it is one."""
+
+    reply: asyncio.Future[Reply]
+    id: str = ""
+
+
 class Front:
     """What the listener needs of the sidecar."""
 
-    def taken(self, message: http.Message) -> asyncio.Future[Reply]:
-        """The future answer; `BadMessage` where the request is none."""
+    def taken(self, message: http.Message) -> Ticket:
+        """`BadMessage` where it is no request that can be answered."""
         raise NotImplementedError
 
-    def left(self, reply: asyncio.Future[Reply]) -> None:
+    def left(self, ticket: Ticket) -> None:
+        """Its client went away before the reply."""
         raise NotImplementedError
 
     def clock(self) -> float:
@@ -43,19 +52,21 @@
         self.loop, self.sock, self.front, self.patience = loop, sock, front, patience
         self.reader, self.buffer = http.RequestReader(), bytearray(BUFFER)
         self.receiving: asyncio.Task | None = None   # the one read that may be pending
-        self.reply: asyncio.Future[Reply] | None = None
+        self.ticket: Ticket | None = None
         self.retired: Reason | None = None
+        self.shut = False   # our side reads no more: the end that it then finds is not the client's
         self.idle_since, self.answers, self.detail = loop.time(), 0, ""
 
     @property
     def idle(self) -> bool:
-        return self.reply is None and self.reader.message is None and not self.reader.ready
+        return self.ticket is None and self.reader.message is None and not self.reader.ready
 
     def retire(self, reason: Reason) -> None:
         """Ends the connection after the lookup that it holds. Guards against losing one that crosses this:
         what has come is still read, and the read after it finds the end; a cancelled read could lose it."""
-        if self.retired is None:
-            self.retired = reason
+        self.retired = self.retired or reason
+        if self.idle and not self.shut:
+            self.shut = True
             try:
                 self.sock.shutdown(socket.SHUT_RD)
             except OSError:
@@ -67,7 +78,7 @@
         except http.BadMessage as error:
             self.detail = f" status={error.status} fault={error}"
             reason = Reason.CLIENT_BAD
-            await self._refuse(error.status)
+            await self._refuse(error)
         except TimeoutError:
             reason = Reason.CLIENT_SLOW
         except OSError:
@@ -76,8 +87,8 @@
             logger.exception("a client's connection")
             reason = Reason.CLIENT_FAULT
         finally:
-            if self.reply is not None:
-                self.front.left(self.reply)
+            if self.ticket is not None:
+                self.front.left(self.ticket)
             if self.receiving is not None:   # closed only once its loop call has ended
                 self.receiving.cancel()
                 await asyncio.gather(self.receiving, return_exceptions=True)
@@ -92,10 +103,10 @@
                 if self.reader.wants_continue:
                     await self._write(CONTINUE)
             message = self.reader.ready.popleft()
-            self.reply = self.front.taken(message)
-            if not await self._client_stays(self.reply):
+            self.ticket = self.front.taken(message)
+            if not await self._client_stays(self.ticket.reply):
                 return Reason.CLIENT_LEFT
-            reply, self.reply = self.reply.result(), None
+            reply, self.ticket = self.ticket.reply.result(), None
             keep = message.keep and self.retired is None
             await self._write(http.answer(reply.status, reply.body, reply.lines, keep))
             self.answers, self.idle_since = self.answers + 1, self.loop.time()
@@ -126,7 +137,7 @@
             await asyncio.wait({receiving, reply}, return_when=asyncio.FIRST_COMPLETED)
         if not reply.done():
             gone = receiving.exception() is not None or receiving.result() == 0
-            if gone and self.retired is None:
+            if gone and not self.shut:
                 return False
             await asyncio.wait({reply})
         return True
@@ -136,11 +147,11 @@
         async with asyncio.timeout(self.patience):
             await write(self.loop, self.sock, parts)
 
-    async def _refuse(self, status: int) -> None:
+    async def _refuse(self, error: http.BadMessage) -> None:
         """Answers what is malformed and ends the connection, reading on for a moment: closing with bytes
         unread would reset it, and the answer could be lost."""
         try:
-            await self._write(http.answer(status, keep=False))
+            await self._write(http.answer(error.status, f"{error}\n".encode(), keep=False))
             self.sock.shutdown(socket.SHUT_WR)
             async with asyncio.timeout(1.0):
                 while self.receiving is None and await self.loop.sock_recv_into(self.sock, self.buffer):
@@ -198,7 +209,10 @@
 
     def _ended(self, client: Client, task: asyncio.Task) -> None:
         del self.clients[client]
-        reason = Reason.CLIENT_FAULT if task.cancelled() or task.exception() else task.result()
+        if task.cancelled():
+            reason = Reason.STOPPING
+        else:
+            reason = Reason.CLIENT_FAULT if task.exception() else task.result()
         logger.info("{} client lookups={}{}", reason.value, client.answers, client.detail)
         self.descriptors.give_back()
 
--- a/foxspread/net/reasons.py
+++ b/foxspread/net/reasons.py
@@ -21,13 +21,13 @@
     SERVER_RESET = "S-RESET"         # broke or ended after that, before a whole answer
     SERVER_LATE = "S-LATE"           # the hand-off timed out
     CALLED_OFF = "S-OFF"             # the hand-off was called off
-    WITHDRAWN = "S-UNSENT"           # the hand-off no longer held once the connection was up
     SERVER_BAD = "S-BAD"             # its answer was malformed or oversized
     SERVER_LAST = "S-LAST"           # it said that the answer was the last
     SERVER_CLOSED = "S-CLOSED"       # by the server, while idle
     SERVER_IDLE = "S-IDLE"           # idle for too long
     SERVER_MOVED = "S-MOVED"         # the list no longer shows the server, or shows a new start
     SERVER_ROOM = "S-ROOM"           # closed while idle, for want of descriptors
+    SERVER_FAULT = "S-FAULT"         # an exception in the sidecar; a line near by tells which
     SERVER_STOP = "S-STOP"           # closed because the sidecar ends
     # Of connections to discovery.
     WATCH_REFUSED = "D-REFUSED"      # no connection, or another answer than 200
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -8,12 +8,12 @@
 from loguru import logger
 
 from foxspread.config import Address, Config, ListPart
-from foxspread.facade import Answer, CallOff, Facade, Outcome, Send, Step, Subscribe
+from foxspread.facade import Answer, CallOff, Facade, Fault, Outcome, Send, Step, Subscribe
 from foxspread.model import Readiness
 from foxspread.net import http
 from foxspread.net.discovery import Discovery
 from foxspread.net.hand_off import Ending, HandOff
-from foxspread.net.listener import Front, Listener, Reply
+from foxspread.net.listener import Front, Listener, Reply, Ticket
 from foxspread.net.pool import Descriptors, Pool
 from foxspread.net.reasons import Reason
 
@@ -31,12 +31,10 @@
 
 
 @dataclass
-class Held:
+class Held(Ticket):
     """A lookup that was taken and not answered."""
 
-    id: str
-    message: http.Message
-    reply: asyncio.Future[Reply]
+    message: http.Message | None = None
     guard: asyncio.TimerHandle | None = None
 
 
@@ -98,38 +96,38 @@
 
     # Clients.
 
-    def taken(self, message: http.Message) -> asyncio.Future[Reply]:
-        reply = self.loop.create_future()
+    def taken(self, message: http.Message) -> Ticket:
         path = message.target.partition(b"?")[0]
+        category = message.text(b"x-lane") or http.first_part(message.target)
         if path == b"/-/ready":
             self.served = self.served or self.facade.can_serve()
-            reply.set_result(Reply(200 if self.served and not self.stopping else 503))
-            return reply
-        category = message.text(b"x-lane") or http.first_part(message.target)
+            return self._at_once(Reply(200 if self.served and not self.stopping else 503))
         if category not in self.facade.categories or path.startswith(b"/-/"):
-            reply.set_result(Reply(404))
-            return reply
+            return self._at_once(Reply(404, b"no such category of lookups\n"))
         if message.method not in (b"GET", b"POST"):
-            reply.set_result(Reply(405, lines=[b"Allow: GET, POST\r\n"]))
-            return reply
+            return self._at_once(Reply(405, lines=[b"Allow: GET, POST\r\n"]))
         id, told = message.text(b"x-txn"), message.text(b"x-remaining")
         if not id or self.facade.knows(id):
             raise http.BadMessage(400, "X-Txn is missing" if not id else "X-Txn is of a lookup still held")
         time_left = http.remaining(told) if told else self.facade.abandon_time(category)
         now = self.clock()
         time_left -= now - message.began   # it runs from the client's sending
-        held = self.held[id] = Held(id, message, reply)
+        held = self.held[id] = Held(self.loop.create_future(), id, message)
         held.guard = self.loop.call_later(max(0.0, time_left - SPARE), self._overdue, id)
         if not self._decide(self.facade.pick, id, category, max(0.0, time_left), message.text(b"x-org"),
                             http.parameter(message.target, "user")):
             self._answer(id, Reply(500))
-        return reply
+            self._decide(self.facade.left, id)
+        return held
+
+    def _at_once(self, reply: Reply) -> Ticket:
+        ticket = Ticket(self.loop.create_future())
+        ticket.reply.set_result(reply)
+        return ticket
 
-    def left(self, reply: asyncio.Future[Reply]) -> None:
-        for held in list(self.held.values()):
-            if held.reply is reply:
-                self._forget(held.id)
-                self._decide(self.facade.left, held.id)
+    def left(self, ticket: Ticket) -> None:
+        if self._forget(ticket.id) is not None:
+            self._decide(self.facade.left, ticket.id)
 
     def _answer(self, id: str, reply: Reply) -> None:
         held = self._forget(id)
@@ -155,22 +153,25 @@
         """Calls the facade and carries out what it returns. One lookup's fault must not stop the others."""
         try:
             steps, fine = call(self.clock(), *args), True
-        except Exception:
+        except Exception as error:
             logger.exception("decisions")
-            steps, fine = [], False
+            steps, fine = error.steps if isinstance(error, Fault) else [], False
         for step in steps:
             try:
                 self._carry_out(step)
             except Exception:
                 logger.exception("{}", step)
-        self._set_alarm()
+                if isinstance(step, Send):   # each gets its report, or it would count as out for ever
+                    self.loop.call_soon(self._decide, self.facade.report, step.lookup, step.number,
+                                        Outcome.UNSENT)
+        self._set_alarm(0.001 if fine else 0.05)   # a fault that stays must not spin
         return fine
 
-    def _set_alarm(self) -> None:
+    def _set_alarm(self, least: float) -> None:
         if self.alarm is not None:
             self.alarm.cancel()
         wake = self.facade.wake_at()
-        wait = None if wake is None else max(0.001, wake - self.clock())
+        wait = None if wake is None else max(least, wake - self.clock())
         self.alarm = None if wait is None else self.loop.call_later(wait, self._decide, self.facade.tick)
 
     def _carry_out(self, step: Step) -> None:
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -1,7 +1,9 @@
 import unittest
 
-from foxspread.facade import Answer, CallOff, Facade, Outcome, Send, Subscribe
-from foxspread.model import Category, Effect, ListedServer, Readiness
+from unittest import mock
+
+from foxspread.facade import Answer, CallOff, Facade, Fault, Outcome, Send, Subscribe
+from foxspread.model import Act, Category, Decision, Effect, ListedServer, Readiness
 
 DRAINS = Readiness.DRAINING
 
@@ -51,6 +53,14 @@
         self.assertEqual([s.lookup for s in steps if isinstance(s, Answer)], ["l1", "l2"])
         self.assertEqual([s.lookup for s in steps if isinstance(s, CallOff)], ["l1", "l2"])
 
+    def test_what_was_decided_before_a_fault_is_still_returned(self):
+        it = facade("s1")
+        decisions = [Decision(Act.SUBSCRIBE), KeyError("x")]
+        with mock.patch.object(it.balancer, "next_decision", side_effect=decisions):
+            with self.assertRaises(Fault) as caught:
+                it.tick(100.0)
+        self.assertEqual(caught.exception.steps, [Subscribe()])
+
     def test_the_list_is_asked_for_and_again_after_a_failure(self):
         it = facade(asks=True)
         self.assertEqual(it.tick(it.wake_at()), [Subscribe()])
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -14,7 +14,7 @@
 from foxspread.net import http, log, pool
 from foxspread.net.discovery import Discovery
 from foxspread.net.hand_off import HandOff
-from foxspread.net.listener import Client, Front, Listener, Reply
+from foxspread.net.listener import Client, Front, Listener, Reply, Ticket
 from foxspread.net.pool import Descriptors, Pool
 from foxspread.net.reasons import Reason
 from foxspread.net.sidecar import Sidecar
@@ -180,10 +180,10 @@
     def taken(self, message):
         self.replies.append(asyncio.get_running_loop().create_future())
         self.came.set()
-        return self.replies[-1]
+        return Ticket(self.replies[-1])
 
-    def left(self, reply):
-        self.gone.append(reply)
+    def left(self, ticket):
+        self.gone.append(ticket.reply)
 
     def clock(self):
         return 0.0
@@ -256,6 +256,19 @@
         self.assertIs(await running, Reason.STOPPING)
         self.assertEqual([(m.status, m.keep) for m in self.answers(theirs)], [(200, False)])
 
+    @on_loop
+    async def test_one_that_is_to_end_still_gets_its_answer_or_is_noticed_to_leave(self):
+        for leaves in (False, True):
+            it, running, theirs = self.client()
+            theirs.send(LOOKUP)
+            await it.front.came.wait()
+            it.retire(Reason.STOPPING)
+            if leaves:
+                theirs.close()
+            else:
+                it.front.replies[0].set_result(Reply(200, b"hi"))
+            self.assertIs(await running, Reason.CLIENT_LEFT if leaves else Reason.STOPPING)
+
     @on_loop
     async def test_a_fault_ends_that_connection_alone(self):
         it, running, theirs = self.client()
@@ -275,7 +288,7 @@
     def done(self):
         reply = asyncio.get_running_loop().create_future()
         reply.set_result(Reply(200, b"hi"))
-        return reply
+        return Ticket(reply)
 
     @on_loop
     async def test_want_of_descriptors_passes(self):
@@ -413,6 +426,13 @@
                 self.assertIn(b" 500 ", await ask(it.listener.address))
             self.assertIn(b" 200 ", await ask(it.listener.address))
 
+    @on_loop
+    async def test_a_step_that_cannot_be_carried_out_is_reported(self):
+        async with StandIn(OK) as server:
+            it = self.sidecar(server)
+            with mock.patch("foxspread.net.sidecar.HandOff", side_effect=KeyError("x")):
+                self.assertIn(b" 503 ", await ask(it.listener.address))   # unsent: it never ran
+
     @on_loop
     async def test_a_lookup_without_decision_is_answered_before_its_client_gives_up(self):
         it = self.sidecar()
