After a pause of the process, reports come first and lookups count as old as the pause

Checked by tests with a clock that stands still: before, a lookup read after a pause was given its whole time again, and answers that had come in the pause lost to the alarms that were due. A connect that timed out in a pause is looked at before it is called unconnected, since one failed connection marks a server.

--- a/foxspread/net/listener.py
+++ b/foxspread/net/listener.py
@@ -40,7 +40,8 @@
         """Its client went away before the reply."""
         raise NotImplementedError
 
-    def clock(self) -> float:
+    def arrival(self) -> float:
+        """When what is read now has come, at the earliest."""
         raise NotImplementedError
 
 
@@ -126,7 +127,7 @@
             raise TimeoutError
         size = self.receiving.result()
         self.receiving = None
-        self.reader.feed(memoryview(self.buffer)[:size], self.front.clock())
+        self.reader.feed(memoryview(self.buffer)[:size], self.front.arrival())
         return size
 
     async def _client_stays(self, reply: asyncio.Future[Reply]) -> bool:
--- a/foxspread/net/pool.py
+++ b/foxspread/net/pool.py
@@ -49,6 +49,14 @@
             await loop.sock_sendall(sock, memoryview(b"".join(batch))[sent:])
 
 
+def connected(sock: socket.socket) -> bool:
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 class Connection:
     """To a server. Only its user, or the pool while it is idle, closes it: with no loop call pending."""
 
@@ -110,8 +118,12 @@
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            async with asyncio.timeout(self.connect_time):
-                await self.loop.sock_connect(sock, (address.host, address.port))
+            try:
+                async with asyncio.timeout(self.connect_time):
+                    await self.loop.sock_connect(sock, (address.host, address.port))
+            except TimeoutError:   # after a pause of this process it may have come up in time, unseen
+                if not connected(sock):
+                    raise
         except BaseException as error:   # also when called off
             sock.close()
             self.descriptors.give_back()
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -24,10 +24,40 @@
 SPARE = 0.004   # the last moment for an answer, before its client gives up
 
 
-def new_clock() -> Callable[[], float]:
-    """Unix time, as servers' starts are told, that never jumps."""
-    offset = time.time() - time.monotonic()
-    return lambda: time.monotonic() + offset
+class Clock:
+    """Unix time, as servers' starts are told, that never jumps; and whether the process stood still.
+
+    Guards against pauses, as of a machine that is short of its one core: what is read after one has waited
+    for as long as it took. A lookup then has less time left than it says, and an answer that has come must be
+    taken before its lookup is given up as overdue, or its server marked."""
+
+    def __init__(self, every: float = 0.02, catch_up: float = 0.01,
+                 monotonic: Callable[[], float] = time.monotonic) -> None:
+        self.every, self.catch_up, self.monotonic = every, catch_up, monotonic
+        self.offset = time.time() - monotonic()
+        self.last = self.behind_from = self.behind_until = self()
+
+    def __call__(self) -> float:
+        return self.monotonic() + self.offset
+
+    def beat(self) -> None:
+        """To be called `every` so often; calls that come late tell of a pause."""
+        now = self()
+        if now - self.last > 3 * self.every:
+            self.behind_from, self.behind_until = self.last, now + self.catch_up
+        self.last = now
+
+    def came(self) -> float:
+        """The earliest moment at which what is read now may have come."""
+        now = self()
+        if now - self.last > 3 * self.every:
+            return self.last
+        return self.behind_from if now < self.behind_until else now
+
+    def behind(self) -> bool:
+        """True until what came in a pause has been read."""
+        now = self()
+        return now - self.last > 3 * self.every or now < self.behind_until
 
 
 @dataclass
@@ -40,9 +70,10 @@
 
 class Sidecar(Front):
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config,
-                 clock: Callable[[], float] | None = None) -> None:
-        self.loop, self.config, self.clock = loop, config, clock or new_clock()
-        self.facade = Facade(self.clock(), config.decisions)
+                 clock: Clock | None = None) -> None:
+        self.loop, self.config, self.clock = loop, config, clock or Clock()
+        self.now = self.clock()   # of the latest decision
+        self.facade = Facade(self.now, config.decisions)
         self.held: dict[str, Held] = {}
         self.out: dict[tuple[str, int], asyncio.Task] = {}
         self.addresses: dict[str, Address] = {}
@@ -62,13 +93,14 @@
     async def run(self, stop: asyncio.Event) -> None:
         self._listed(replace(self.config.known, whole=True))
         self.listener.resume()
-        sweeping = self.loop.create_task(self._sweep())
+        tasks = [self.loop.create_task(each) for each in (self._sweep(), self._beat())]
         logger.info("start name={} listen={} servers={}", self.config.name, self.listener.address,
                     len(self.addresses))
         await stop.wait()
         await self._finish()
-        sweeping.cancel()
-        await asyncio.gather(sweeping, return_exceptions=True)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _finish(self) -> None:
         self.stopping = True
@@ -94,8 +126,16 @@
             await asyncio.sleep(1.0)
             self.pool.sweep()
 
+    async def _beat(self) -> None:
+        while True:
+            self.clock.beat()
+            await asyncio.sleep(self.clock.every)
+
     # Clients.
 
+    def arrival(self) -> float:
+        return self.clock.came()
+
     def taken(self, message: http.Message) -> Ticket:
         path = message.target.partition(b"?")[0]
         category = message.text(b"x-lane") or http.first_part(message.target)
@@ -114,12 +154,15 @@
         time_left -= now - message.began   # it runs from the client's sending
         held = self.held[id] = Held(self.loop.create_future(), id, message)
         held.guard = self.loop.call_later(max(0.0, time_left - SPARE), self._overdue, id)
-        if not self._decide(self.facade.pick, id, category, max(0.0, time_left), message.text(b"x-org"),
+        if not self._decide(self._pick, id, category, max(0.0, time_left), message.text(b"x-org"),
                             http.parameter(message.target, "user")):
             self._answer(id, Reply(500))
             self._decide(self.facade.left, id)
         return held
 
+    def _pick(self, now: float, id: str, *args) -> list[Step]:
+        return self.facade.pick(now, id, *args) if id in self.held else []   # else gone while that was put off
+
     def _at_once(self, reply: Reply) -> Ticket:
         ticket = Ticket(self.loop.create_future())
         ticket.reply.set_result(reply)
@@ -150,9 +193,18 @@
     # Decisions.
 
     def _decide(self, call: Callable[..., list[Step]], *args) -> bool:
-        """Calls the facade and carries out what it returns. One lookup's fault must not stop the others."""
+        """Calls the facade and carries out what it returns."""
+        if self.clock.behind() and call != self.facade.report:   # reports first: they may be in time
+            self.loop.call_later(self.clock.catch_up, self._decide_now, call, *args)
+            return True
+        return self._decide_now(call, *args)
+
+    def _decide_now(self, call: Callable[..., list[Step]], *args) -> bool:
+        """One lookup's fault must not stop the others."""
+        # One that came in a pause is as old as that, and must not find its lookup overdue.
+        self.now = max(self.now, self.clock.came())
         try:
-            steps, fine = call(self.clock(), *args), True
+            steps, fine = call(self.now, *args), True
         except Exception as error:
             logger.exception("decisions")
             steps, fine = error.steps if isinstance(error, Fault) else [], False
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -17,7 +17,7 @@
 from foxspread.net.listener import Client, Front, Listener, Reply, Ticket
 from foxspread.net.pool import Descriptors, Pool
 from foxspread.net.reasons import Reason
-from foxspread.net.sidecar import Sidecar
+from foxspread.net.sidecar import Clock, Sidecar
 from tests.helpers import LOOKUP, OK, SILENT, StandIn, ask, configured, entry, on_loop, read_answer, refusing
 
 
@@ -185,7 +185,7 @@
     def left(self, ticket):
         self.gone.append(ticket.reply)
 
-    def clock(self):
+    def arrival(self):
         return 0.0
 
 
@@ -375,6 +375,28 @@
         await failed.wait()
 
 
+class TestClock(unittest.TestCase):
+    def clock(self, times):
+        it = Clock(monotonic=lambda: times[0])
+        it.offset = 0.0
+        it.last = it.behind_from = it.behind_until = times[0]
+        return it
+
+    def test_without_a_pause_what_is_read_has_just_come(self):
+        it = self.clock(times := [100.0])
+        times[0] = 100.03
+        self.assertEqual((it.came(), it.behind()), (100.03, False))
+
+    def test_after_a_pause_it_may_be_as_old_as_that_also_once_the_beat_has_come(self):
+        it = self.clock(times := [100.0])
+        times[0] = 100.8
+        self.assertEqual((it.came(), it.behind()), (100.0, True))
+        it.beat()
+        self.assertEqual((it.came(), it.behind()), (100.0, True))
+        times[0] = 100.82
+        self.assertEqual((it.came(), it.behind()), (100.82, False))
+
+
 class TestSidecar(unittest.TestCase):
     def sidecar(self, *servers, **parts):
         with tempfile.TemporaryDirectory() as folder:
@@ -452,6 +474,27 @@
                 await asyncio.sleep(0)
                 self.assertIs(report.call_args.args[3], Outcome.UNSENT)
 
+    @on_loop
+    async def test_after_a_pause_an_answer_that_has_come_is_taken_before_its_lookup_is_given_up(self):
+        async with StandIn([OK]) as server:
+            it = self.sidecar(server)
+            asking = asyncio.ensure_future(ask(it.listener.address))
+            await server.asked.wait()
+            now = it.clock()
+            it.clock.last = now   # from here on the process stands still until its lookup is overdue
+            it.clock.monotonic = lambda: now + 0.7 - it.clock.offset
+            self.assertTrue(it.clock.behind())
+            it._decide(it.facade.tick)
+            server.go.set()
+            self.assertIn(b" 200 ", await asking)
+
+    @on_loop
+    async def test_a_lookup_that_waited_out_a_pause_has_less_time_left(self):
+        it = self.sidecar()
+        with mock.patch.object(it, "_decide", return_value=True) as decide:
+            it.taken(read_request(LOOKUP, it.clock() - 0.5))
+        self.assertTrue(0.3 < decide.call_args.args[3] <= 0.4)
+
     @on_loop
     async def test_a_client_that_leaves_frees_its_server(self):
         async with StandIn(SILENT) as server:
