--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -45,6 +45,7 @@
         now = self()
         if now - self.last > 3 * self.every:
             self.behind_from, self.behind_until = self.last, now + self.catch_up
+            logger.warning("stood still for {:.0f} ms", 1e3 * (now - self.last))
         self.last = now
 
     def came(self) -> float:
@@ -161,7 +162,7 @@
         return held
 
     def _pick(self, now: float, id: str, *args) -> list[Step]:
-        return self.facade.pick(now, id, *args) if id in self.held else []   # else gone while that was put off
+        return self.facade.pick(now, id, *args) if id in self.held else []   # left while it was put off
 
     def _at_once(self, reply: Reply) -> Ticket:
         ticket = Ticket(self.loop.create_future())
