--- a/foxspread/net/discovery.py
+++ b/foxspread/net/discovery.py
@@ -89,8 +89,11 @@
         await write(self.loop, sock, http.query(target, str(self.address)))
         reader, buffer = LineReader(), bytearray(BUFFER)
         while True:
-            async with asyncio.timeout(self.silence):
-                size = await self.loop.sock_recv_into(sock, buffer)
+            try:
+                async with asyncio.timeout(self.silence):
+                    size = await self.loop.sock_recv_into(sock, buffer)
+            except ConnectionError:
+                size = 0
             if size == 0:
                 return Reason.WATCH_ENDED
             reader.feed(memoryview(buffer)[:size], 0.0)
--- a/foxspread/net/hand_off.py
+++ b/foxspread/net/hand_off.py
@@ -64,7 +64,7 @@
             await write(self.loop, connection.sock, parts)
         except OSError:   # it broke before the last byte was written: never run
             return Reason.SERVER_BROKEN, Ending(Outcome.UNCONNECTED)
-        reader = http.AnswerReader()
+        reader = connection.reader
         try:
             while not reader.ready:
                 size = await self.loop.sock_recv_into(connection.sock, connection.buffer)
--- a/foxspread/net/pool.py
+++ b/foxspread/net/pool.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from foxspread.config import Address
+from foxspread.net.http import AnswerReader
 from foxspread.net.reasons import Reason
 
 PARTS_MOST = 512   # of one gathered write; the system takes 1,024
@@ -63,7 +64,7 @@
     def __init__(self, sock: socket.socket, address: Address, descriptors: Descriptors) -> None:
         self.sock, self.address, self.descriptors = sock, address, descriptors
         self.idle_since, self.used = 0.0, 0
-        self.buffer = bytearray(BUFFER)
+        self.buffer, self.reader = bytearray(BUFFER), AnswerReader()
 
     def close(self, reason: Reason) -> None:
         self.sock.close()
