--- a/foxspread/config.py
+++ b/foxspread/config.py
@@ -66,6 +66,7 @@
     decisions: dict[str, Any]      # keyword arguments of the balancer
     connect_time: float            # a connection that is not up by then never comes up
     idle_time: float               # servers close what stands idle for longer
+    list_age: float                # a list that was not asked for within this counts as known all the same
 
 
 class Section:
@@ -196,16 +197,18 @@
     except (OSError, ValueError) as error:
         raise ConfigError(f"'EDGE_CONFIG': {path} cannot be read: {error}") from None
 
-    def one(key: str, variable: str) -> str:
-        return environ.get(variable) or told.text(key)
+    def one(key: str) -> tuple[str, str]:
+        """The value, and what to name where it is at fault."""
+        variable = "EDGE_" + key.upper()
+        return (environ[variable], variable) if environ.get(variable) else (told.text(key), key)
 
     limits, options = told.section("limits"), told.section("settings")
+    allowed = options.section("limits")
     return Config(
-        one("name", "EDGE_NAME"), address(one("listen", "EDGE_LISTEN"), "listen"),
-        address(one("discovery", "EDGE_DISCOVERY"), "discovery"),
+        one("name")[0], address(*one("listen")), address(*one("discovery")),
         Limits(limits.number("memory_mb", 192, 1), int(limits.number("sockets", 1024, 1))),
         list_part(told.values.get("known") or {}, "known"),
         # A pushed list comes by the same watch as one that must be asked for: on sockets both are asked.
         settings(options, seed(told.values.get("seed", ""))) | {"asks": True},
-        options.section("limits").seconds("connect_timeout", 0.25),
-        options.section("limits").seconds("conn_idle", 10.0))
+        allowed.seconds("connect_timeout", 0.25), allowed.seconds("conn_idle", 10.0),
+        options.section("contract").seconds("ask_within", 10.0))
--- a/foxspread/net/discovery.py
+++ b/foxspread/net/discovery.py
@@ -21,7 +21,8 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.rest, self.lines = b"", []
+        self.rest = b""
+        self.lines: list[bytes] = []
 
     def on_headers_complete(self) -> None:
         super().on_headers_complete()
@@ -37,12 +38,10 @@
 
 class Discovery:
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, version: int,
-                 listed: Callable[[ListPart], None], failed: Callable[[], None], connect_time: float = 1.0,
-                 silence: float = 4.5) -> None:
+                 listed: Callable[[ListPart], None], failed: Callable[[], None], silence: float,
+                 connect_time: float = 1.0) -> None:
         self.loop, self.address, self.version = loop, address, version
         self.listed, self.failed = listed, failed
-        # While nothing changes an empty line comes every 2 s. What is told counts as told after 6 s, come or
-        # not, so a watch that is silent for longer than two such lines is given up before.
         self.connect_time, self.silence = connect_time, silence
         self.task: asyncio.Task | None = None
 
--- a/foxspread/net/hand_off.py
+++ b/foxspread/net/hand_off.py
@@ -38,7 +38,8 @@
             return Ending(Outcome.UNCONNECTED)
         if connection is None:
             return Ending(Outcome.UNSENT)
-        reason, ending = Reason.SERVER_FAULT, Ending(Outcome.UNSENT)
+        reason: Reason | None = Reason.SERVER_FAULT
+        ending = Ending(Outcome.UNSENT)
         try:
             # Guards against sends that connecting has made late: a drain told since, an answer by a copy.
             if not self.holds():
@@ -76,7 +77,7 @@
         except http.BadMessage:
             return Reason.SERVER_BAD, Ending(Outcome.ERROR)
         answer = reader.ready.popleft()
-        clean = answer.keep and not reader.ready and reader.message is None
+        clean = answer.keep and not reader.ready and not reader.busy
         return None if clean else Reason.SERVER_LAST, Ending(outcome(answer), answer)
 
 
--- a/foxspread/net/http.py
+++ b/foxspread/net/http.py
@@ -51,7 +51,7 @@
         """The head's lines that the other side gets, in parts."""
         named = {part.strip().lower() for key, value in self.headers if key.lower() == b"connection"
                  for part in value.split(b",")}
-        parts = []
+        parts: list[bytes] = []
         for key, value in self.headers:
             if (low := key.lower()) not in OURS and low not in named:
                 parts += (key, b": ", value, b"\r\n")
@@ -64,7 +64,7 @@
     def __init__(self) -> None:
         self.parser = self.new_parser()
         self.ready: deque[Message] = deque()
-        self.message: Message | None = None
+        self.message, self.busy = Message(), False   # what is being read, if anything is
         self.head, self.fed, self.now, self.in_body = 0, 0, 0.0, False
 
     def new_parser(self):
@@ -82,7 +82,7 @@
             raise BadMessage(400, "no upgrade is offered") from None
         except httptools.HttpParserError as error:
             raise BadMessage(400, str(error)) from None
-        if self.message is not None and not self.in_body:   # no callback tells of an endless line
+        if self.busy and not self.in_body:   # no callback tells of an endless line
             self.fed += len(data)
             self.count(0)
 
@@ -92,7 +92,8 @@
             raise BadMessage(431, f"a head of more than {HEAD_MOST} bytes")
 
     def on_message_begin(self) -> None:
-        self.message, self.head, self.fed, self.in_body = Message(began=self.now), 0, 0, False
+        self.message, self.busy, self.in_body = Message(began=self.now), True, False
+        self.head = self.fed = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.in_body:
@@ -116,9 +117,8 @@
             message.body = part
 
     def on_message_complete(self) -> None:
-        message, self.message = self.message, None
-        message.keep = self.parser.should_keep_alive()
-        self.ready.append(message)
+        self.message.keep, self.busy = self.parser.should_keep_alive(), False
+        self.ready.append(self.message)
 
 
 class RequestReader(Reader):
@@ -136,9 +136,8 @@
     @property
     def wants_continue(self) -> bool:
         """True while a client waits for leave to send its body."""
-        message = self.message
-        return (self.in_body and message is not None and not message.body
-                and (message.header(b"expect") or b"").lower() == b"100-continue")
+        return (self.busy and self.in_body and not self.message.body
+                and (self.message.header(b"expect") or b"").lower() == b"100-continue")
 
 
 class AnswerReader(Reader):
@@ -151,7 +150,7 @@
 
     def on_message_complete(self) -> None:
         if self.message.status < 200:   # 100 Continue and the like: the answer is still to come
-            self.message = None
+            self.busy = False
         else:
             super().on_message_complete()
 
--- a/foxspread/net/listener.py
+++ b/foxspread/net/listener.py
@@ -60,7 +60,7 @@
 
     @property
     def idle(self) -> bool:
-        return self.ticket is None and self.reader.message is None and not self.reader.ready
+        return self.ticket is None and not self.reader.busy and not self.reader.ready
 
     def retire(self, reason: Reason) -> None:
         """Ends the connection after the lookup that it holds. Guards against losing one that crosses this:
@@ -121,11 +121,12 @@
 
     async def _receive(self) -> int:
         """How much has come; 0 at the end. A request, once begun, must come whole in time."""
-        patience = None if self.reader.message is None else self.patience
-        done, _ = await asyncio.wait({self._start_receiving()}, timeout=patience)
-        if not done:
+        patience = self.patience if self.reader.busy else None
+        receiving = self._start_receiving()
+        await asyncio.wait({receiving}, timeout=patience)
+        if not receiving.done():
             raise TimeoutError
-        size = self.receiving.result()
+        size = receiving.result()
         self.receiving = None
         self.reader.feed(memoryview(self.buffer)[:size], self.front.arrival())
         return size
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from loguru import logger
 
@@ -19,6 +19,9 @@
 # After SIGTERM clients go on connecting for 0.2 to 0.4 s and use what they have while it is open. What is
 # taken until 0.7 s after it can be answered before the kill.
 STAY, LAST_CALL = 0.5, 0.62
+# While nothing changes, discovery writes an empty line every 2 s. What it has to tell counts as told after
+# 6 s, come or not, so a watch that is silent for longer than two such lines is given up before.
+SILENCE = 4.5
 BASE_MB = 40   # what the process takes with no connection, and something to spare
 SPARE = 0.004   # the last moment for an answer, before its client gives up
 
@@ -64,7 +67,7 @@
 class Held(Ticket):
     """A lookup that was taken and not answered."""
 
-    message: http.Message | None = None
+    message: http.Message = field(default_factory=http.Message)
     guard: asyncio.TimerHandle | None = None
 
 
@@ -85,7 +88,7 @@
         descriptors = Descriptors(most, reserve=min(48, config.limits.sockets // 3))
         self.pool = Pool(loop, descriptors, config.connect_time, config.idle_time)
         self.discovery = Discovery(loop, config.discovery, config.known.version, self._listed,
-                                   self._list_failed)
+                                   self._list_failed, silence=min(SILENCE, config.list_age / 2))
         self.listener = Listener(loop, config.listen, self, descriptors)
 
     # Start and end.
@@ -256,7 +259,7 @@
             ending = Ending(Outcome.RESET if hand_off.begun else Outcome.UNSENT)
         else:
             ending = task.result()
-        if ending.outcome is Outcome.DONE:
+        if ending.outcome is Outcome.DONE and ending.answer is not None:
             self._answer(step.lookup, Reply(200, ending.answer.body, ending.answer.passed_on()))
         self._decide(self.facade.report, step.lookup, step.number, ending.outcome)
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -47,6 +47,11 @@
         self.assertEqual(done.returncode, 2)
         self.assertIn("'discovery' is missing", done.stderr)
 
+    def test_a_faulty_variable_is_named_itself(self):
+        configured(self.path)
+        with self.assertRaisesRegex(ConfigError, "'EDGE_LISTEN' must be HOST:PORT"):
+            config.read({"EDGE_CONFIG": str(self.path), "EDGE_LISTEN": "here"})
+
     def test_an_unreadable_file_is_told(self):
         with self.assertRaisesRegex(ConfigError, "EDGE_CONFIG"):
             config.read({"EDGE_CONFIG": str(self.path)})
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -341,9 +341,9 @@
         return b"".join(b"%x\r\n%b\r\n" % (len(data[at:at + size]), data[at:at + size])
                         for at in range(0, len(data), size))
 
-    def watch(self, address, **more):
+    def watch(self, address, silence=5.0):
         parts, failed = asyncio.Queue(), asyncio.Event()
-        it = Discovery(asyncio.get_running_loop(), address, 41, parts.put_nowait, failed.set, **more)
+        it = Discovery(asyncio.get_running_loop(), address, 41, parts.put_nowait, failed.set, silence)
         it.start()
         return it, parts, failed
 
