What came in a pause is noted first, and decided on once all of it is read

Probe: the process stopped for 0.46 s four times under a little traffic of its own. A report read after a pause was dated to its start and pulled decisions then, so lookups queued since were sent with no time left. Now it is only noted; steps come with the next call.

--- a/foxspread/facade.py
+++ b/foxspread/facade.py
@@ -77,9 +77,14 @@
 
     def report(self, now: float, id: str, number: int, outcome: Outcome) -> list[Step]:
         """A hand-off has ended. The first that is done answers its lookup."""
-        self.balancer.hand_off_ended(now, id, number, outcome, closed=False)
+        self.note(now, id, number, outcome)
         return self.tick(now)
 
+    def note(self, now: float, id: str, number: int, outcome: Outcome) -> list[Step]:
+        """The same, with no steps before the next call: where more has come that is still to be read."""
+        self.balancer.hand_off_ended(now, id, number, outcome, closed=False)
+        return []
+
     def left(self, now: float, id: str) -> list[Step]:
         """The client has gone away."""
         self.balancer.client_left(now, id)
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -197,7 +197,10 @@
 
     def _decide(self, call: Callable[..., list[Step]], *args) -> bool:
         """Calls the facade and carries out what it returns."""
-        if self.clock.behind() and call != self.facade.report:   # reports first: they may be in time
+        if self.clock.behind():   # reports first: they may be in time; what follows from all is decided then
+            if call == self.facade.report:
+                self._decide_now(self.facade.note, *args)
+                call, args = self.facade.tick, ()
             self.loop.call_later(self.clock.catch_up, self._decide_now, call, *args)
             return True
         return self._decide_now(call, *args)
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -33,6 +33,12 @@
         self.assertEqual(it.report(100.1, "l1", 0, Outcome.DONE), [])
         self.assertFalse(it.knows("l1"))
 
+    def test_one_that_is_noted_has_its_steps_with_the_next_call(self):
+        it = facade("s1", "s2")
+        it.pick(100.0, "l1", "c", 1.0)
+        self.assertEqual(it.note(100.1, "l1", 0, Outcome.ERROR), [])
+        self.assertEqual([step.number for step in it.tick(100.2)], [1])
+
     def test_what_may_have_run_is_scrapped_and_what_never_ran_is_dismissed(self):
         for outcome, dismissed in ((Outcome.RESET, False), (Outcome.FULL, True)):
             it = facade("s1", effect=Effect.IRREVERSIBLE, hand_offs=1)
