--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -201,7 +201,7 @@
             if call == self.facade.report:
                 self._decide_now(self.facade.note, *args)
                 call, args = self.facade.tick, ()
-            self.loop.call_later(self.clock.catch_up, self._decide_now, call, *args)
+            self.loop.call_later(self.clock.catch_up + 0.002, self._decide_now, call, *args)
             return True
         return self._decide_now(call, *args)
 
