--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -94,6 +94,7 @@
     # Start and end.
 
     async def run(self, stop: asyncio.Event) -> None:
+        self.clock.last = self.clock()   # however long the start took, it was no pause
         self._listed(replace(self.config.known, whole=True))
         self.listener.resume()
         tasks = [self.loop.create_task(each) for each in (self._sweep(), self._beat())]
