Ready only once its part of the core has paid for the start

The logs show both processes standing still for 1.5 and 1.9 s right after they had said they were ready: the start takes 0.18 s of CPU, 1.8 s of a tenth of a core. Ruled out: the order after pauses (the pauses came before any lookup). With a whole core nothing changes.

--- a/foxspread/config.py
+++ b/foxspread/config.py
@@ -52,6 +52,7 @@
 
 @dataclass(frozen=True)
 class Limits:
+    cores: float
     memory_mb: float
     sockets: int
 
@@ -206,7 +207,8 @@
     allowed = options.section("limits")
     return Config(
         one("name")[0], address(*one("listen")), address(*one("discovery")),
-        Limits(limits.number("memory_mb", 192, 1), int(limits.number("sockets", 1024, 1))),
+        Limits(limits.number("cores", 1.0), limits.number("memory_mb", 192, 1),
+               int(limits.number("sockets", 1024, 1))),
         list_part(told.values.get("known") or {}, "known"),
         # A pushed list comes by the same watch as one that must be asked for: on sockets both are asked.
         settings(options, seed(told.values.get("seed", ""))) | {"asks": True},
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -76,6 +76,7 @@
                  clock: Clock | None = None) -> None:
         self.loop, self.config, self.clock = loop, config, clock or Clock()
         self.now = self.clock()   # of the latest decision
+        self.born = self.now - time.process_time()   # at the latest
         self.facade = Facade(self.now, config.decisions)
         self.held: dict[str, Held] = {}
         self.out: dict[tuple[str, int], asyncio.Task] = {}
@@ -144,7 +145,7 @@
         path = message.target.partition(b"?")[0]
         category = message.text(b"x-lane") or http.first_part(message.target)
         if path == b"/-/ready":
-            self.served = self.served or self.facade.can_serve()
+            self.served = self.served or self.facade.can_serve() and self._start_paid_for()
             return self._at_once(Reply(200 if self.served and not self.stopping else 503))
         if category not in self.facade.categories or path.startswith(b"/-/"):
             return self._at_once(Reply(404, b"no such category of lookups\n"))
@@ -164,6 +165,11 @@
             self._decide(self.facade.left, id)
         return held
 
+    def _start_paid_for(self) -> bool:
+        """Guards against being ready too soon with a small part of a core: a start that took more than its
+        part is held up for it right after, and what is taken in that time is lost."""
+        return time.process_time() <= self.config.limits.cores * (self.clock() - self.born) + 0.02
+
     def _pick(self, now: float, id: str, *args) -> list[Step]:
         return self.facade.pick(now, id, *args) if id in self.held else []   # left while it was put off
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -444,6 +444,14 @@
         it.stopping = True
         self.assertIn(b" 503 ", await ask(it.listener.address, ready))
 
+    @on_loop
+    async def test_it_is_ready_only_once_its_part_of_a_core_has_paid_for_its_start(self):
+        ready = b"GET /-/ready HTTP/1.1\r\n\r\n"
+        for cores, status in ((0.0, 503), (100.0, 200)):
+            async with StandIn() as server:
+                it = self.sidecar(server, limits={"cores": cores})
+                self.assertIn(b" %d " % status, await ask(it.listener.address, ready))
+
     @on_loop
     async def test_what_is_no_lookup_is_refused(self):
         it = self.sidecar()
