Connections are bounded by the memory they were measured to take

Probe: 700 clients at once with bodies of 64 KiB: 144 MB at the peak, 156 KiB a connection, not 128 as assumed; 976 of them would have come near 192 MB. Now 864 at the full limits, 165 MB by that measure.

--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -84,8 +84,8 @@
         self.started: dict[str, float] = {}
         self.alarm: asyncio.TimerHandle | None = None
         self.served, self.stopping = False, False
-        # A connection holds 64 KiB of buffer and body at the usual most, and twice that at the worst.
-        most = min(config.limits.sockets, max(64, int(config.limits.memory_mb - BASE_MB) * 8))
+        # Guards the memory limit: with the largest bodies a connection takes 156 KiB, as measured.
+        most = min(config.limits.sockets, max(64, int(config.limits.memory_mb - BASE_MB) * 6))
         descriptors = Descriptors(most, reserve=min(48, config.limits.sockets // 3))
         self.pool = Pool(loop, descriptors, config.connect_time, config.idle_time)
         self.discovery = Discovery(loop, config.discovery, config.known.version, self._listed,
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -426,6 +426,12 @@
             answer = await ask(it.listener.address)
             self.assertTrue(answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b"\r\n\r\nhi"))
 
+    @on_loop
+    async def test_sockets_are_bounded_by_memory_too(self):
+        for memory, sockets, most in ((192, 1024, 864), (64, 1024, 96), (192, 90, 60)):
+            it = self.sidecar(limits={"memory_mb": memory, "sockets": sockets})
+            self.assertEqual(it.pool.descriptors.most, most)
+
     @on_loop
     async def test_one_that_fails_goes_on_in_its_cell(self):
         fails = b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"
