--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -426,6 +426,17 @@
             answer = await ask(it.listener.address)
             self.assertTrue(answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b"\r\n\r\nhi"))
 
+    @on_loop
+    async def test_servers_that_are_gone_or_say_nothing_cost_no_lookup(self):
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as full, socket.socket() as first:
+            first.connect(full.getsockname())
+            async with StandIn(*[OK] * 4) as server:
+                silent, gone = pool.Address(*full.getsockname()), refusing()
+                it = self.sidecar(mock.Mock(address=silent), mock.Mock(address=gone), server)
+                for number in range(4):
+                    data = LOOKUP.replace(b"t1", b"t%d" % number)
+                    self.assertIn(b" 200 ", await ask(it.listener.address, data))
+
     @on_loop
     async def test_sockets_are_bounded_by_memory_too(self):
         for memory, sockets, most in ((192, 1024, 864), (64, 1024, 96), (192, 90, 60)):
