--- a/foxspread/net/discovery.py
+++ b/foxspread/net/discovery.py
@@ -104,7 +104,5 @@
 
     def _told(self, line: bytes) -> None:
         part = list_part(json.loads(line), "list")
-        for fault in part.faults:
-            logger.warning("discovery: left out: {}", fault)
         self.version = part.version
         self.listed(part)
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -276,6 +276,8 @@
     # The list of servers.
 
     def _listed(self, part: ListPart) -> None:
+        for fault in part.faults:
+            logger.warning("left out of the list: {}", fault)
         if part.whole:
             for id in set(self.addresses) - {each.listed.server for each in part.servers}:
                 self.pool.drop(self.addresses[id], Reason.SERVER_MOVED)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -437,6 +437,13 @@
                     data = LOOKUP.replace(b"t1", b"t%d" % number)
                     self.assertIn(b" 200 ", await ask(it.listener.address, data))
 
+    @on_loop
+    async def test_what_is_left_out_of_a_list_is_logged(self):
+        it = self.sidecar()
+        with mock.patch("foxspread.net.sidecar.logger") as logger:
+            it._listed(sidecar_list({"id": "s9"}))
+        self.assertIn("servers[0]", logger.warning.call_args.args[1])
+
     @on_loop
     async def test_sockets_are_bounded_by_memory_too(self):
         for memory, sockets, most in ((192, 1024, 864), (64, 1024, 96), (192, 90, 60)):
