SIGHUP reads the file again and follows the discovery that it names

Cause: no handler for SIGHUP, so the system's own ended the process (__main__.py, serve). Now the file is read and checked again, without EDGE_DISCOVERY, which would hide what the file says; a faulty file is logged with its key and changes nothing; the watch moves at once and asks the new discovery for the whole list. Until a handler stands, SIGHUP is ignored.

--- a/foxspread/__main__.py
+++ b/foxspread/__main__.py
@@ -22,12 +22,22 @@
     loop.set_exception_handler(lambda loop, found: logger.opt(exception=found.get("exception")).error(
         "{}", found.get("message")))
     sidecar = Sidecar(loop, told)
+    loop.add_signal_handler(signal.SIGHUP, reload, sidecar)
     gc.collect()
     gc.freeze()   # what is loaded stays: collections look at what comes and goes only
     await sidecar.run(stop)
 
 
+def reload(sidecar: Sidecar) -> None:
+    """Guards against a faulty file: what is in force stays so."""
+    try:
+        sidecar.reloaded(config.read_again(os.environ))
+    except config.ConfigError as error:
+        logger.error("not reloaded: {}", error)
+
+
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)   # by itself it ends a process; until there is a reload
     try:
         told = config.read(os.environ)
     except config.ConfigError as error:
--- a/foxspread/config.py
+++ b/foxspread/config.py
@@ -187,6 +187,11 @@
         return zlib.crc32(str(value).encode())
 
 
+def read_again(environ: Mapping[str, str]) -> Config:
+    """At a reload, which is asked for because the file has changed: so the file goes before the variable."""
+    return read({key: value for key, value in environ.items() if key != "EDGE_DISCOVERY"})
+
+
 def read(environ: Mapping[str, str]) -> Config:
     """The whole configuration. What stands in a variable of its own goes before the file."""
     path = environ.get("EDGE_CONFIG")
--- a/foxspread/net/discovery.py
+++ b/foxspread/net/discovery.py
@@ -49,15 +49,24 @@
         if self.task is None:
             self.task = self.loop.create_task(self._watch())
 
+    def move(self, address: Address) -> None:
+        """Follows another discovery from now on. What the old one told may not be what this one counts from:
+        it is asked for all of it, at once."""
+        old, self.task = self.task, None
+        if old is not None:
+            old.cancel()
+        self.address, self.version = address, 0
+        self.start()
+
     async def stop(self) -> None:
         if self.task is not None:
             self.task.cancel()
             await asyncio.gather(self.task, return_exceptions=True)
 
     async def _watch(self) -> None:
-        reason, sock = Reason.WATCH_REFUSED, None
+        reason, sock, address = Reason.WATCH_REFUSED, None, self.address
         try:
-            sock = socket.socket(socket.AF_INET6 if ":" in self.address.host else socket.AF_INET)
+            sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
             sock.setblocking(False)
             reason = await self._follow(sock)
         except TimeoutError:   # silent links look alive for ever
@@ -77,8 +86,9 @@
         finally:
             if sock is not None:
                 sock.close()
-            logger.info("{} discovery={}", reason.value, self.address)
-            self.task = None
+            logger.info("{} discovery={}", reason.value, address)
+            if self.task is asyncio.current_task():   # not one that has taken over by a move
+                self.task = None
         self.failed()
 
     async def _follow(self, sock: socket.socket) -> Reason:
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -107,6 +107,15 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def reloaded(self, config: Config) -> None:
+        """The file has been read again: of what has changed only `discovery` can be taken over by a process
+        that runs; the rest is told to be left for its next start."""
+        left = [key for key in ("name", "listen", "limits", "decisions", "connect_time", "idle_time", "list_age")
+                if getattr(config, key) != getattr(self.config, key)]
+        logger.info("reloaded discovery={} for the next start: {}", config.discovery, ", ".join(left) or "nothing")
+        if not self.stopping:
+            self.discovery.move(config.discovery)
+
     async def _finish(self) -> None:
         self.stopping = True
         logger.info("stopping lookups={}", len(self.held))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -9,7 +9,7 @@
 import unittest
 
 from foxspread.config import address
-from tests.helpers import LOOKUP, OK, StandIn, ask, entry, on_loop, read_answer, told
+from tests.helpers import LOOKUP, OK, SILENT, StandIn, ask, entry, on_loop, read_answer, told
 
 
 class TestProcess(unittest.TestCase):
@@ -37,6 +37,28 @@
             self.assertEqual(await process.wait(), 0)
             writer.close()
 
+    @on_loop
+    async def test_a_reload_follows_the_file_and_a_faulty_one_changes_nothing(self):
+        async with StandIn(SILENT) as old, StandIn(SILENT) as new:
+            with tempfile.TemporaryDirectory() as folder:
+                path = pathlib.Path(folder, "config.json")
+                path.write_text(json.dumps(told(discovery=old.address)))
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "foxspread", stderr=asyncio.subprocess.PIPE,
+                    env=os.environ | {"EDGE_CONFIG": str(path), "EDGE_DISCOVERY": str(old.address)})
+                await old.asked.wait()
+                path.write_text(json.dumps(told(discovery="nowhere")))
+                process.send_signal(signal.SIGHUP)
+                self.assertIn("'discovery' must be HOST:PORT", await self.line(process, "not reloaded"))
+                self.assertFalse(old.left.is_set())
+                path.write_text(json.dumps(told(discovery=new.address)))
+                process.send_signal(signal.SIGHUP)
+                await new.asked.wait()
+            await old.left.wait()
+            self.assertIn(b"?watch=1&from=0 ", new.got[0])
+            process.kill()
+            await process.wait()
+
     async def line(self, process, text):
         while line := (await process.stderr.readline()).decode():
             if text in line:
