Silent and half-sent clients end in 2.4 s; strict framing; noise behind answers is no error

Lines at fault: listener._receive (no limit but for a begun request, 10 s), sidecar.taken (empty told as absent), hand_off._exchange (BadMessage dropped the whole answer in ready), pool keyed by address (a gone server's idle connections and a newcomer's mixed), sidecar.addresses and started (never forgot).

--- a/foxspread/net/hand_off.py
+++ b/foxspread/net/hand_off.py
@@ -4,13 +4,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from foxspread.config import Address
 from foxspread.facade import Outcome
 from foxspread.net import http
-from foxspread.net.pool import Connection, Pool, write
+from foxspread.net.pool import Connection, Place, Pool, write
 from foxspread.net.reasons import Reason
 
 
+REST_OF_ANSWER = 0.25   # how long a next part of an answer that has begun may take
+
+
 @dataclass
 class Ending:
     outcome: Outcome
@@ -19,9 +21,9 @@
 
 class HandOff:
     def __init__(self, loop: asyncio.AbstractEventLoop, pool: Pool, clock: Callable[[], float],
-                 message: http.Message, address: Address, until: float, holds: Callable[[], bool]) -> None:
+                 message: http.Message, place: Place, until: float, holds: Callable[[], bool]) -> None:
         self.loop, self.pool, self.clock = loop, pool, clock
-        self.message, self.address, self.until, self.holds = message, address, until, holds
+        self.message, self.place, self.until, self.holds = message, place, until, holds
         self.begun = False   # from the first byte on it may have run, as far as one who cuts it off can tell
 
     async def run(self) -> Ending:
@@ -33,7 +35,7 @@
 
     async def _run(self) -> Ending:
         try:
-            connection = self.pool.reuse(self.address) or await self.pool.connect(self.address)
+            connection = self.pool.reuse(self.place) or await self.pool.connect(self.place)
         except OSError:   # refused, or (as TimeoutError) never up within the connect time
             return Ending(Outcome.UNCONNECTED)
         if connection is None:
@@ -59,7 +61,7 @@
     async def _exchange(self, connection: Connection) -> tuple[Reason | None, Ending]:
         """The reason to end the connection, None to keep it, and how the hand-off ended."""
         connection.used += 1
-        parts = http.request(self.message, str(self.address), self.until - self.clock())
+        parts = http.request(self.message, str(self.place.address), self.until - self.clock())
         self.begun = True
         try:
             await write(self.loop, connection.sock, parts)
@@ -67,18 +69,30 @@
             return Reason.SERVER_BROKEN, Ending(Outcome.UNCONNECTED)
         reader = connection.reader
         try:
+            await self._read(connection)
             while not reader.ready:
-                size = await self.loop.sock_recv_into(connection.sock, connection.buffer)
-                if size == 0:
-                    return Reason.SERVER_RESET, Ending(Outcome.RESET)
-                reader.feed(memoryview(connection.buffer)[:size], self.clock())
+                # An answer is written once it is whole. Guards against a length that is never reached: it
+                # would take up all the time that another server could use.
+                async with asyncio.timeout(REST_OF_ANSWER):
+                    await self._read(connection)
+        except TimeoutError:
+            return Reason.SERVER_BAD, Ending(Outcome.ERROR)
         except OSError:
             return Reason.SERVER_RESET, Ending(Outcome.RESET)
         except http.BadMessage:
-            return Reason.SERVER_BAD, Ending(Outcome.ERROR)
+            if not reader.ready:
+                return Reason.SERVER_BAD, Ending(Outcome.ERROR)
+            reader.busy = True   # a whole answer and then noise: it is good, its connection is not
         answer = reader.ready.popleft()
-        clean = answer.keep and not reader.ready and not reader.busy
-        return None if clean else Reason.SERVER_LAST, Ending(outcome(answer), answer)
+        if reader.ready or reader.busy:
+            return Reason.SERVER_MORE, Ending(outcome(answer), answer)
+        return None if answer.keep else Reason.SERVER_LAST, Ending(outcome(answer), answer)
+
+    async def _read(self, connection: Connection) -> None:
+        size = await self.loop.sock_recv_into(connection.sock, connection.buffer)
+        if size == 0:
+            raise ConnectionResetError("it ended")
+        connection.reader.feed(memoryview(connection.buffer)[:size], self.clock())
 
 
 def outcome(answer: http.Message) -> Outcome:
--- a/foxspread/net/http.py
+++ b/foxspread/net/http.py
@@ -2,6 +2,7 @@
 is written is a list of parts for one gathered write.
 """
 
+import re
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -11,12 +12,13 @@
 
 HEAD_MOST = 16 * 1024
 BODY_MOST = 64 * 1024
+ALL_MOST = HEAD_MOST + 4 * BODY_MOST   # with the framing of a body that comes in small chunks
 # Of one connection alone, never passed on (RFC 9110, 7.6.1); the rest we write ourselves.
 OURS = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
         b"upgrade", b"host", b"content-length", b"expect", b"x-remaining"}
 PHRASES = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-           413: b"Content Too Large", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
-           502: b"Bad Gateway", 503: b"Service Unavailable"}
+           408: b"Request Timeout", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+           500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable"}
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -65,13 +67,14 @@
         self.parser = self.new_parser()
         self.ready: deque[Message] = deque()
         self.message, self.busy = Message(), False   # what is being read, if anything is
-        self.head, self.fed, self.now, self.in_body = 0, 0, 0.0, False
+        self.head, self.fed, self.now, self.in_body = 0, 0, 0.0, False   # fed: since the last whole message
 
     def new_parser(self):
         raise NotImplementedError
 
     def feed(self, data: memoryview | bytes, now: float) -> None:
         self.now = now
+        self.fed += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -82,18 +85,17 @@
             raise BadMessage(400, "no upgrade is offered") from None
         except httptools.HttpParserError as error:
             raise BadMessage(400, str(error)) from None
-        if self.busy and not self.in_body:   # no callback tells of an endless line
-            self.fed += len(data)
-            self.count(0)
+        # No callback tells of an endless line, of what comes between messages, or of a chunk's extensions.
+        if self.fed > (ALL_MOST if self.in_body else HEAD_MOST):
+            raise BadMessage(413 if self.in_body else 431, f"{self.fed} bytes and no end")
 
     def count(self, size: int) -> None:
         self.head += size
-        if max(self.head, self.fed) > HEAD_MOST:
+        if self.head > HEAD_MOST:
             raise BadMessage(431, f"a head of more than {HEAD_MOST} bytes")
 
     def on_message_begin(self) -> None:
-        self.message, self.busy, self.in_body = Message(began=self.now), True, False
-        self.head = self.fed = 0
+        self.message, self.busy, self.in_body, self.head = Message(began=self.now), True, False, 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.in_body:
@@ -102,10 +104,26 @@
         self.message.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        self.in_body, length = True, self.message.header(b"content-length")
-        if length is not None and length.isdigit() and int(length) > BODY_MOST:
+        self.in_body, length = True, self.framing()
+        if length > BODY_MOST:
             raise BadMessage(413, f"a body of more than {BODY_MOST} bytes")
 
+    def framing(self) -> int:
+        """The length that the head tells, 0 where the body comes in chunks. Guards against a body that two
+        readers would see end in two places, with another request hidden in it: two lengths, or one beside
+        chunks, in any order or spelling, are refused, as is what is not plainly a length or chunked."""
+        told = [(name.lower().replace(b"_", b"-"), value.strip())
+                for name, value in self.message.headers if len(name) in (14, 17)]
+        told = [each for each in told if each[0] in (b"content-length", b"transfer-encoding")]
+        if len(told) > 1:
+            raise BadMessage(400, "more than one Content-Length or Transfer-Encoding")
+        for name, value in told:
+            chunked = name == b"transfer-encoding"
+            if not (value.lower() == b"chunked" if chunked else value.isdigit() and len(value) < 20):
+                raise BadMessage(400, f"{name.decode()} is not to be understood")
+            return 0 if chunked else int(value)
+        return 0
+
     def on_body(self, part: bytes) -> None:
         message = self.message
         if len(message.body) + len(part) > BODY_MOST:
@@ -118,6 +136,7 @@
 
     def on_message_complete(self) -> None:
         self.message.keep, self.busy = self.parser.should_keep_alive(), False
+        self.in_body, self.fed = False, 0
         self.ready.append(self.message)
 
 
@@ -150,21 +169,17 @@
 
     def on_message_complete(self) -> None:
         if self.message.status < 200:   # 100 Continue and the like: the answer is still to come
-            self.busy = False
+            self.busy = self.in_body = False   # and counts with them: they must not go on for ever
         else:
             super().on_message_complete()
 
 
 def remaining(text: str) -> float:
     """Seconds, from a number and a unit: `480m` milliseconds, `480000u` microseconds."""
-    scale = {"m": 1e3, "u": 1e6}.get(text[-1:])
-    try:
-        value = float(text[:-1])
-    except ValueError:
-        value = -1.0
-    if scale is None or not 0 <= value < 1e12:
+    found = re.fullmatch(r"([0-9]{1,12}(?:\.[0-9]*)?)([mu])", text)
+    if found is None:
         raise BadMessage(400, "X-Remaining must be a number and a unit, m or u")
-    return value / scale
+    return float(found[1]) / (1e3 if found[2] == "m" else 1e6)
 
 
 def parameter(target: bytes, name: str) -> str:
--- a/foxspread/net/listener.py
+++ b/foxspread/net/listener.py
@@ -2,16 +2,18 @@
 
 import asyncio
 import socket
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from loguru import logger
 
 from foxspread.config import Address
 from foxspread.net import http
-from foxspread.net.pool import BUFFER, Descriptors, write
+from foxspread.net.pool import BUFFER, Descriptors, written
 from foxspread.net.reasons import Reason
 
 CONTINUE = [b"HTTP/1.1 100 Continue\r\n\r\n"]
+WASTE = bytearray(256 * 1024)   # where bytes go that nobody looks at, of all connections
 
 
 @dataclass
@@ -46,27 +48,33 @@
 
 
 class Client:
-    """One connection of a client, and the task that serves it."""
+    """One connection of a client, and the task that serves it. Its limits are kept by `Listener.sweep`."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, front: Front,
                  patience: float) -> None:
         self.loop, self.sock, self.front, self.patience = loop, sock, front, patience
         self.reader, self.buffer = http.RequestReader(), bytearray(BUFFER)
-        self.receiving: asyncio.Task | None = None   # the one read that may be pending
         self.ticket: Ticket | None = None
         self.retired: Reason | None = None
         self.shut = False   # our side reads no more: the end that it then finds is not the client's
-        self.idle_since, self.answers, self.detail = loop.time(), 0, ""
+        self.refused = False   # it has its error, and is read from only so that this is not lost
+        # Since when it is idle, or a request is under way on it; how many it has sent, and how many lookups.
+        self.since, self.answers, self.lookups, self.detail = loop.time(), 0, 0, ""
 
     @property
     def idle(self) -> bool:
         return self.ticket is None and not self.reader.busy and not self.reader.ready
 
+    @property
+    def silent(self) -> bool:
+        """No usual client: it sends what it has at once, whole, and it sends lookups."""
+        return self.refused or self.ticket is None and not self.lookups and not self.reader.ready
+
     def retire(self, reason: Reason) -> None:
         """Ends the connection after the lookup that it holds. Guards against losing one that crosses this:
         what has come is still read, and the read after it finds the end; a cancelled read could lose it."""
         self.retired = self.retired or reason
-        if self.idle and not self.shut:
+        if (self.idle or self.silent or reason is Reason.CLIENT_SLOW) and not self.shut:
             self.shut = True
             try:
                 self.sock.shutdown(socket.SHUT_RD)
@@ -78,7 +86,7 @@
             reason = await self._serve()
         except http.BadMessage as error:
             self.detail = f" status={error.status} fault={error}"
-            reason = Reason.CLIENT_BAD
+            reason = Reason.CLIENT_SLOW if error.status == 408 else Reason.CLIENT_BAD
             await self._refuse(error)
         except TimeoutError:
             reason = Reason.CLIENT_SLOW
@@ -87,12 +95,9 @@
         except Exception:   # must not end the process, nor go unseen
             logger.exception("a client's connection")
             reason = Reason.CLIENT_FAULT
-        finally:
+        finally:   # here no loop call is pending on the socket: what was awaited has ended
             if self.ticket is not None:
                 self.front.left(self.ticket)
-            if self.receiving is not None:   # closed only once its loop call has ended
-                self.receiving.cancel()
-                await asyncio.gather(self.receiving, return_exceptions=True)
             self.sock.close()
         return reason
 
@@ -105,67 +110,75 @@
                     await self._write(CONTINUE)
             message = self.reader.ready.popleft()
             self.ticket = self.front.taken(message)
-            if not await self._client_stays(self.ticket.reply):
+            self.lookups += bool(self.ticket.id)
+            if not self.ticket.reply.done() and not await self._client_stays(self.ticket.reply):
                 return Reason.CLIENT_LEFT
             reply, self.ticket = self.ticket.reply.result(), None
             keep = message.keep and self.retired is None
             await self._write(http.answer(reply.status, reply.body, reply.lines, keep))
-            self.answers, self.idle_since = self.answers + 1, self.loop.time()
+            self.answers, self.since = self.answers + 1, self.loop.time()
             if not keep:
                 return self.retired or Reason.CLIENT_LAST
 
-    def _start_receiving(self) -> asyncio.Task:
-        if self.receiving is None:
-            self.receiving = self.loop.create_task(self.loop.sock_recv_into(self.sock, self.buffer))
-        return self.receiving
-
     async def _receive(self) -> int:
-        """How much has come; 0 at the end. A request, once begun, must come whole in time."""
-        patience = self.patience if self.reader.busy else None
-        receiving = self._start_receiving()
-        await asyncio.wait({receiving}, timeout=patience)
-        if not receiving.done():
-            raise TimeoutError
-        size = receiving.result()
-        self.receiving = None
+        """How much has come; 0 at the end."""
+        size = await self.loop.sock_recv_into(self.sock, self.buffer)
+        begun = self.reader.busy
         self.reader.feed(memoryview(self.buffer)[:size], self.front.arrival())
+        if self.reader.busy and not begun and self.answers:
+            self.since = self.loop.time()
+        # Guards against one that sends too slowly, for ever; it is told, if it still listens.
+        if self.retired is Reason.CLIENT_SLOW and not self.reader.ready and (size or self.reader.busy):
+            raise http.BadMessage(408, "no whole request in time")
         return size
 
     async def _client_stays(self, reply: asyncio.Future[Reply]) -> bool:
-        """Waits for the reply; False if the client goes away before. One read stays out to notice that: what
-        comes early stays in it until the answer is written."""
-        receiving = self._start_receiving()
-        if not receiving.done():
-            await asyncio.wait({receiving, reply}, return_when=asyncio.FIRST_COMPLETED)
+        """Waits for the reply; False if the client goes away before. What comes early stays unread."""
+        woken = self.loop.create_future()
+        reply.add_done_callback(lambda _: woken.done() or woken.set_result(None))
+        self.loop.add_reader(self.sock, lambda: woken.done() or woken.set_result(None))
+        try:
+            await woken
+        finally:
+            self.loop.remove_reader(self.sock)
         if not reply.done():
-            gone = receiving.exception() is not None or receiving.result() == 0
+            try:
+                gone = not self.sock.recv(1, socket.MSG_PEEK)
+            except BlockingIOError:
+                gone = False
             if gone and not self.shut:
                 return False
-            await asyncio.wait({reply})
+            await reply
         return True
 
     async def _write(self, parts: list[bytes]) -> None:
         """Guards against clients that do not read: their answer must not stay for ever."""
-        async with asyncio.timeout(self.patience):
-            await write(self.loop, self.sock, parts)
+        if rest := written(self.sock, parts):
+            async with asyncio.timeout(self.patience):
+                await self.loop.sock_sendall(self.sock, rest)
 
     async def _refuse(self, error: http.BadMessage) -> None:
         """Answers what is malformed and ends the connection, reading on for a moment: closing with bytes
         unread would reset it, and the answer could be lost."""
+        self.refused = True
         try:
             await self._write(http.answer(error.status, f"{error}\n".encode(), keep=False))
             self.sock.shutdown(socket.SHUT_WR)
-            async with asyncio.timeout(1.0):
-                while self.receiving is None and await self.loop.sock_recv_into(self.sock, self.buffer):
+            async with asyncio.timeout(self.patience):
+                while not self.shut and await self.loop.sock_recv_into(self.sock, WASTE):
                     pass
         except OSError:
             pass
 
 
 class Listener:
+    """Patience: how long a request may take to come, and an answer to be taken. A connection that has been
+    idle for `idle_most` ends, one that never had a lookup after `patience`. `most` clients at once."""
+
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, front: Front,
-                 descriptors: Descriptors, patience: float = 10.0) -> None:
+                 descriptors: Descriptors, patience: float = 2.4, idle_most: float = 10.0) -> None:
         self.loop, self.front, self.descriptors, self.patience = loop, front, descriptors, patience
+        self.idle_most = idle_most
         self.clients: dict[Client, asyncio.Task] = {}
         self.accepting = False
         self.sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
@@ -174,8 +187,11 @@
         self.sock.bind((address.host, address.port))
         self.sock.listen(1024)
         self.address = Address(*self.sock.getsockname()[:2])
+        # Those that are no usual clients yield before the pool's connections, the others after them.
+        descriptors.givers.insert(0, self._retire_silent)
         descriptors.givers.append(self._retire_longest_idle)
         descriptors.freed = self.resume
+        self.kept_free = descriptors.most // 4   # for servers: clients alone must not take all there are
 
     def resume(self) -> None:
         if not self.accepting and self.sock.fileno() >= 0:
@@ -193,8 +209,8 @@
         """Accepts what waits. By hand and not in a task: a cancelled accept could lose a connection, and with
         it a lookup that counts as taken."""
         for _ in range(most):
-            if not self.descriptors.take():
-                return self.pause()   # until one is freed
+            if not self.descriptors.take(self.kept_free):
+                return self.pause(0.05)   # or until one is freed
             try:
                 sock, _ = self.sock.accept()
             except OSError as error:
@@ -218,11 +234,29 @@
         logger.info("{} client lookups={}{}", reason.value, client.answers, client.detail)
         self.descriptors.give_back()
 
+    def _retire_silent(self) -> bool:
+        """The longest silent one, if its request can't just be on its way."""
+        since = self.loop.time() - 0.1
+        return self._retire_oldest(each for each in self.clients if each.silent and each.since < since)
+
     def _retire_longest_idle(self) -> bool:
-        idle = [each for each in self.clients if each.idle and each.retired is None]
-        if idle:
-            min(idle, key=lambda each: each.idle_since).retire(Reason.CLIENT_ROOM)
-        return bool(idle)
+        return self._retire_oldest(each for each in self.clients if each.idle)
+
+    def _retire_oldest(self, several: Iterable[Client]) -> bool:
+        oldest = min((each for each in several if not each.shut), key=lambda each: each.since, default=None)
+        if oldest is not None:
+            oldest.retire(Reason.CLIENT_ROOM)
+        return oldest is not None
+
+    def sweep(self) -> None:
+        """Guards against connections that say nothing, or not enough, and would stay for good."""
+        now = self.loop.time()
+        for client in list(self.clients):
+            if client.ticket is None and now - client.since > self.patience:
+                if client.reader.busy or not client.answers:
+                    client.retire(Reason.CLIENT_SLOW)
+                elif not client.lookups or now - client.since > self.idle_most:
+                    client.retire(Reason.CLIENT_IDLE)
 
     def retire_all(self) -> None:
         """Ends idle connections now and the others after their answer."""
--- a/foxspread/net/pool.py
+++ b/foxspread/net/pool.py
@@ -5,6 +5,7 @@
 import os
 import socket
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 from loguru import logger
 
@@ -13,7 +14,7 @@
 from foxspread.net.reasons import Reason
 
 PARTS_MOST = 512   # of one gathered write; the system takes 1,024
-BUFFER = 16 * 1024
+BUFFER = 4 * 1024   # of each connection, as long as it lasts: most messages fit, others take more reads
 
 
 class Descriptors:
@@ -25,10 +26,11 @@
         self.givers: list[Callable[[], bool]] = []
         self.freed: Callable[[], None] = lambda: None
 
-    def take(self) -> bool:
-        if self.used >= self.most and not any(give() for give in self.givers):
+    def take(self, left: int = 0) -> bool:
+        """False where none is to be had, or not so many would be left for others."""
+        if self.used >= self.most - left and not any(give() for give in self.givers):
             return False
-        if self.used >= self.most:
+        if self.used >= self.most - left:
             return False   # one is closing, but only its own task may end it: the next call finds it free
         self.used += 1
         return True
@@ -38,17 +40,19 @@
         self.freed()
 
 
+def written(sock: socket.socket, parts: Sequence[bytes]) -> memoryview | None:
+    """Gathered; returns what one write did not take: it may end inside any part."""
+    try:
+        sent = sock.sendmsg(parts[:PARTS_MOST])
+    except (BlockingIOError, InterruptedError):
+        sent = 0
+    return memoryview(b"".join(parts))[sent:] if sent < sum(map(len, parts)) else None
+
+
 async def write(loop: asyncio.AbstractEventLoop, sock: socket.socket, parts: Sequence[bytes]) -> None:
-    """All parts, gathered; what one write did not take goes on as the socket takes it."""
-    parts = list(parts)
-    while parts:
-        batch, parts = parts[:PARTS_MOST], parts[PARTS_MOST:]
-        try:
-            sent = sock.sendmsg(batch)
-        except (BlockingIOError, InterruptedError):
-            sent = 0
-        if sent < sum(map(len, batch)):   # a partial write: it may end inside any part
-            await loop.sock_sendall(sock, memoryview(b"".join(batch))[sent:])
+    """All parts; what the first write did not take goes on as the socket takes it."""
+    if rest := written(sock, parts):
+        await loop.sock_sendall(sock, rest)
 
 
 async def connect(loop: asyncio.AbstractEventLoop, sock: socket.socket, address: Address) -> None:
@@ -68,6 +72,15 @@
         raise OSError(error, os.strerror(error))
 
 
+@dataclass(frozen=True)
+class Place:
+    """One run of a server: what was opened to another one says nothing of it, at the same address or not."""
+
+    server: str
+    address: Address
+    started: float = 0.0
+
+
 def connected(sock: socket.socket) -> bool:
     try:
         sock.getpeername()
@@ -79,15 +92,15 @@
 class Connection:
     """To a server. Only its user, or the pool while it is idle, closes it: with no loop call pending."""
 
-    def __init__(self, sock: socket.socket, address: Address, descriptors: Descriptors) -> None:
-        self.sock, self.address, self.descriptors = sock, address, descriptors
+    def __init__(self, sock: socket.socket, place: Place, descriptors: Descriptors) -> None:
+        self.sock, self.place, self.descriptors = sock, place, descriptors
         self.idle_since, self.used = 0.0, 0
         self.buffer, self.reader = bytearray(BUFFER), AnswerReader()
 
     def close(self, reason: Reason) -> None:
         self.sock.close()
         self.descriptors.give_back()
-        logger.info("{} server={} lookups={}", reason.value, self.address, self.used)
+        logger.info("{} server={} lookups={}", reason.value, self.place.address, self.used)
 
     def sound(self) -> bool:
         """Guards against connections that the server has closed meanwhile: a request written to one would
@@ -107,12 +120,13 @@
         self.loop, self.descriptors, self.connect_time = loop, descriptors, connect_time
         # Well before the server may close it: its close and our request would cross.
         self.idle_most = 0.7 * idle_time
-        self.idle: dict[Address, list[Connection]] = {}   # the newest last
+        self.idle: dict[Place, list[Connection]] = {}   # the newest last
+        self.left: dict[Place, float] = {}   # of what is gone, since when: what is out there must not be kept
         descriptors.givers.append(self.close_oldest)
 
-    def reuse(self, address: Address) -> Connection | None:
+    def reuse(self, place: Place) -> Connection | None:
         """The newest idle connection: the old ones may then end, and are the likeliest to be dead."""
-        kept = self.idle.get(address, [])
+        kept = self.idle.get(place, [])
         while kept:
             connection = kept.pop()
             if self.loop.time() - connection.idle_since > self.idle_most:
@@ -123,9 +137,10 @@
                 connection.close(Reason.SERVER_CLOSED)
         return None
 
-    async def connect(self, address: Address) -> Connection | None:
+    async def connect(self, place: Place) -> Connection | None:
         """A new connection; None where this machine has no room for one, OSError or TimeoutError where the
         server does not take it."""
+        address = place.address
         if not self.descriptors.take():
             return None
         try:
@@ -152,28 +167,40 @@
             if isinstance(error, OSError) and error.errno == errno.EADDRNOTAVAIL:
                 return None   # no port left here
             raise
-        return Connection(sock, address, self.descriptors)
+        return Connection(sock, place, self.descriptors)
 
     def keep(self, connection: Connection) -> None:
+        if connection.place in self.left:
+            return connection.close(Reason.SERVER_MOVED)
         connection.idle_since = self.loop.time()
-        self.idle.setdefault(connection.address, []).append(connection)
+        self.idle.setdefault(connection.place, []).append(connection)
+
+    def welcome(self, place: Place) -> None:
+        self.left.pop(place, None)
+
+    def leave(self, place: Place) -> None:
+        """A server that has started anew, or is gone, does not know its connections any more."""
+        self.left[place] = self.loop.time()
+        self.drop(place, Reason.SERVER_MOVED)
 
-    def drop(self, address: Address, reason: Reason) -> None:
-        """All idle ones there: a server that has started anew, or is gone, does not know them any more."""
-        for connection in self.idle.pop(address, []):
+    def drop(self, place: Place, reason: Reason) -> None:
+        """All idle ones there."""
+        for connection in self.idle.pop(place, []):
             connection.close(reason)
 
     def sweep(self) -> None:
         """Closes what has been idle for too long or was closed by its server."""
         limit = self.loop.time() - self.idle_most
-        for address, kept in list(self.idle.items()):
+        for place in [each for each, since in self.left.items() if since < limit - 60]:
+            del self.left[place]   # whatever was out there has ended long ago
+        for place, kept in list(self.idle.items()):
             for connection in list(kept):
                 if connection.idle_since < limit or not connection.sound():
                     kept.remove(connection)
                     old = connection.idle_since < limit
                     connection.close(Reason.SERVER_IDLE if old else Reason.SERVER_CLOSED)
             if not kept:
-                del self.idle[address]
+                del self.idle[place]
 
     def close_oldest(self) -> bool:
         groups = [kept for kept in self.idle.values() if kept]   # looked at before: closing empties the last
--- a/foxspread/net/reasons.py
+++ b/foxspread/net/reasons.py
@@ -12,6 +12,7 @@
     CLIENT_BAD = "C-BAD"             # what it sent was refused; the status is in the line
     CLIENT_LAST = "C-LAST"           # one side said that the answer was the last
     CLIENT_ROOM = "C-ROOM"           # closed while idle, for want of descriptors
+    CLIENT_IDLE = "C-IDLE"           # idle for too long
     STOPPING = "C-STOP"              # closed while idle, because the sidecar ends
     CLIENT_FAULT = "C-FAULT"         # an exception in the sidecar; the line before it tells which
     # Of connections to servers.
@@ -23,6 +24,7 @@
     CALLED_OFF = "S-OFF"             # the hand-off was called off
     SERVER_BAD = "S-BAD"             # its answer was malformed or oversized
     SERVER_LAST = "S-LAST"           # it said that the answer was the last
+    SERVER_MORE = "S-MORE"           # more than belongs to its answer came with it
     SERVER_CLOSED = "S-CLOSED"       # by the server, while idle
     SERVER_IDLE = "S-IDLE"           # idle for too long
     SERVER_MOVED = "S-MOVED"         # the list no longer shows the server, or shows a new start
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -7,13 +7,13 @@
 
 from loguru import logger
 
-from foxspread.config import Address, Config, ListPart
+from foxspread.config import Config, ListPart
 from foxspread.facade import Answer, CallOff, Facade, Fault, Outcome, Send, Step, Subscribe
 from foxspread.net import http
 from foxspread.net.discovery import Discovery
 from foxspread.net.hand_off import Ending, HandOff
 from foxspread.net.listener import Front, Listener, Reply, Ticket
-from foxspread.net.pool import Descriptors, Pool
+from foxspread.net.pool import Descriptors, Place, Pool
 from foxspread.net.reasons import Reason
 
 # After SIGTERM clients go on connecting for 0.2 to 0.4 s and use what they have while it is open. What is
@@ -22,7 +22,7 @@
 # While nothing changes, discovery writes an empty line every 2 s. What it has to tell counts as told after
 # 6 s, come or not, so a watch that is silent for longer than two such lines is given up before.
 SILENCE = 4.5
-BASE_MB = 40   # what the process takes with no connection, and something to spare
+BASE_MB = 32   # what the process takes with no connection, and something to spare
 SPARE = 0.004   # the last moment for an answer, before its client gives up
 
 
@@ -80,13 +80,13 @@
         self.facade = Facade(self.now, config.decisions)
         self.held: dict[str, Held] = {}
         self.out: dict[tuple[str, int], asyncio.Task] = {}
-        self.addresses: dict[str, Address] = {}
-        self.started: dict[str, float] = {}
+        self.places: dict[str, Place] = {}   # of the servers that are listed and not gone
         self.alarm: asyncio.TimerHandle | None = None
         self.served, self.stopping = False, False
-        # Guards the memory limit: with the largest bodies a connection takes 156 KiB, as measured.
-        most = min(config.limits.sockets, max(64, int(config.limits.memory_mb - BASE_MB) * 6))
-        descriptors = Descriptors(most, reserve=min(48, config.limits.sockets // 3))
+        # Guards the memory limit: with the largest bodies a connection takes 156 KiB, as measured, but only
+        # a part of all hold one; the others take under 30.
+        most = min(config.limits.sockets, max(64, int(config.limits.memory_mb - BASE_MB) * 10))
+        descriptors = Descriptors(most, reserve=min(32, config.limits.sockets // 3))
         self.pool = Pool(loop, descriptors, config.connect_time, config.idle_time)
         self.discovery = Discovery(loop, config.discovery, config.known.version, self._listed,
                                    self._list_failed, silence=min(SILENCE, config.list_age / 2))
@@ -100,7 +100,7 @@
         self.listener.resume()
         tasks = [self.loop.create_task(each) for each in (self._sweep(), self._beat())]
         logger.info("start name={} listen={} servers={}", self.config.name, self.listener.address,
-                    len(self.addresses))
+                    len(self.places))
         await stop.wait()
         await self._finish()
         for task in tasks:
@@ -110,9 +110,10 @@
     def reloaded(self, config: Config) -> None:
         """The file has been read again: of what has changed only `discovery` can be taken over by a process
         that runs; the rest is told to be left for its next start."""
-        left = [key for key in ("name", "listen", "limits", "decisions", "connect_time", "idle_time", "list_age")
+        left = [key for key in ("name", "listen", "limits", "decisions", "connect_time", "idle_time")
                 if getattr(config, key) != getattr(self.config, key)]
-        logger.info("reloaded discovery={} for the next start: {}", config.discovery, ", ".join(left) or "nothing")
+        logger.info("reloaded discovery={} for the next start: {}", config.discovery,
+                    ", ".join(left) or "nothing")
         if not self.stopping:
             self.discovery.move(config.discovery)
 
@@ -131,14 +132,17 @@
         for task in list(self.out.values()):
             task.cancel()
         await asyncio.gather(*self.out.values(), return_exceptions=True)
-        for address in list(self.pool.idle):
-            self.pool.drop(address, Reason.SERVER_STOP)
+        for place in list(self.pool.idle):
+            self.pool.drop(place, Reason.SERVER_STOP)
         logger.info("stopped lookups={}", len(self.held))
 
     async def _sweep(self) -> None:
+        turns = 0
         while True:
-            await asyncio.sleep(1.0)
-            self.pool.sweep()
+            await asyncio.sleep(0.25)
+            self.listener.sweep()
+            if (turns := (turns + 1) % 4) == 0:
+                self.pool.sweep()
 
     async def _beat(self) -> None:
         while True:
@@ -160,10 +164,12 @@
             return self._at_once(Reply(404, b"no such category of lookups\n"))
         if message.method not in (b"GET", b"POST"):
             return self._at_once(Reply(405, lines=[b"Allow: GET, POST\r\n"]))
-        id, told = message.text(b"x-txn"), message.text(b"x-remaining")
+        id, told = message.text(b"x-txn"), message.header(b"x-remaining")
         if not id or self.facade.knows(id):
             raise http.BadMessage(400, "X-Txn is missing" if not id else "X-Txn is of a lookup still held")
-        time_left = http.remaining(told) if told else self.facade.abandon_time(category)
+        # Without the header it is the category's; one with nothing in it is no number.
+        abandon = self.facade.abandon_time(category)
+        time_left = abandon if told is None else http.remaining(told.decode("latin-1"))
         now = self.clock()
         time_left -= now - message.began   # it runs from the client's sending
         held = self.held[id] = Held(self.loop.create_future(), id, message)
@@ -263,7 +269,7 @@
 
     def _send(self, step: Send) -> None:
         held, key = self.held[step.lookup], (step.lookup, step.number)
-        hand_off = HandOff(self.loop, self.pool, self.clock, held.message, self.addresses[step.server],
+        hand_off = HandOff(self.loop, self.pool, self.clock, held.message, self.places[step.server],
                            self.clock() + step.time_out, lambda: self.facade.holds(self.clock(), *key))
         self.out[key] = task = self.loop.create_task(hand_off.run())
         # Not in the task itself: one that is cancelled before it has run would report nothing.
@@ -287,15 +293,17 @@
     def _listed(self, part: ListPart) -> None:
         for fault in part.faults:
             logger.warning("left out of the list: {}", fault)
-        if part.whole:
-            for id in set(self.addresses) - {each.listed.server for each in part.servers}:
-                self.pool.drop(self.addresses[id], Reason.SERVER_MOVED)
-        for each in part.servers:
-            id, old = each.listed.server, self.addresses.get(each.listed.server)
-            anew = old is not None and (old != each.address or each.listed.started > self.started[id])
-            if anew or old is not None and each.gone:
-                self.pool.drop(old, Reason.SERVER_MOVED)
-            self.addresses[id], self.started[id] = each.address, each.listed.started
+        # Guards against growth, and against mixing up two servers, one after the other at the same address.
+        found = {each.listed.server: Place(each.listed.server, each.address, each.listed.started)
+                 for each in part.servers if not each.gone}
+        over = set(self.places) if part.whole else {each.listed.server for each in part.servers}
+        for id in over:
+            old, new = self.places.pop(id, None), found.get(id)
+            if old is not None and old != new:
+                self.pool.leave(old)
+        for place in found.values():
+            self.pool.welcome(place)
+        self.places |= found
         self._decide(self.facade.listed, [each.listed for each in part.servers], part.whole)
 
     def _list_failed(self) -> None:
