Marks: dead servers at once, slow ones sooner, trials sooner; gone servers forgotten; sheds

All that is kept by server id is forgotten once the server is gone and no lookup of it is out. An id taken in the last 4 to 8 s is not taken again.

--- a/foxspread/facade.py
+++ b/foxspread/facade.py
@@ -12,7 +12,7 @@
 __all__ = ["Answer", "CallOff", "Facade", "Fault", "Outcome", "Send", "Step", "Subscribe"]
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Send:
     """Hand the lookup to the server. Just before the first byte `Facade.holds` must agree; else it is unsent.
     Each `Send` gets exactly one `Facade.report`."""
@@ -23,13 +23,13 @@
     time_out: float
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class CallOff:
     lookup: str
     number: int
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Answer:
     """The lookup's final answer, where no server gave one."""
 
@@ -38,7 +38,7 @@
     back_in: float = 0.0           # 0: no advice
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Subscribe:
     """Ask for the list of servers and its changes; `list_failed` if that fails or ends."""
 
--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -7,6 +7,7 @@
 import math
 import zlib
 from collections.abc import Callable, Iterable, Iterator
+from dataclasses import replace
 
 from foxspread.model import (Act, Category, Customer, Decision, Effect, HandOff, ListedServer, Lookup, Mark,
                              Outcome, Readiness)
@@ -30,9 +31,9 @@
         self.asked = Decaying(10.0)                        # lookups taken
 
     def update(self, now: float, entries: Iterable[ListedServer], whole: bool) -> list[str]:
-        """Takes a list or its changes; returns the servers that are new or have started anew."""
+        """Takes a list, what it leaves out being gone, or changes; returns who is new or has started anew."""
         before, fresh = self.known, []
-        self.known = {} if whole else dict(before)
+        self.known = {s: replace(e, readiness=Readiness.GONE) if whole else e for s, e in before.items()}
         for entry in entries:
             old = before.get(entry.server)
             if old is None or entry.started > old.started:
@@ -51,15 +52,10 @@
         return fresh
 
     def warmth(self, now: float, server: str) -> float:
-        """The share of its capacity that a server has at least, by the time since its start."""
-        started = self.known[server].started
-        if started <= 0 or self.cold_time <= 0 or now - started >= self.cold_time:
-            return 1.0
-        return self.cold_from + (1 - self.cold_from) * max(0.0, now - started) / self.cold_time
+        return self.known[server].warmth(now, self.cold_from, self.cold_time)
 
     def allowance(self, now: float, server: str) -> float:
-        """Hand-offs a second that this sidecar may give a cold server. Each sidecar sends its share of what
-        it sends a warm server on average; all together then send the share of what a warm server gets."""
+        """Hand-offs a second for a cold server: a share of what this sidecar, as all do, sends a warm one."""
         for zones in ([self.known[server].zone], self.zones):
             if (size := sum(self.warm_size[zone] for zone in zones)) > 0:
                 usual = sum(self.sends[zone].read(now) for zone in zones) / size
@@ -114,20 +110,16 @@
             self._trial_ended(now, server, mark, failure)
         if self.down(server) or trial or failure is None:
             return
-        for sums in (mark.verdicts, self.verdicts):
-            sums.add(now, float(failure))
-        mark.streak = mark.streak + weight if failure else 0
-        if not failure:
-            return
-        mark.fails.append(now)
-        while mark.fails[0] < now - self.fail_timeout:
-            mark.fails.popleft()
-        # Quiet sidecars: a server that only ever fails is met too rarely to fill the window, so failures in a
-        # row count however long ago they were.
-        if max(len(mark.fails), mark.streak) >= self.max_fails and self._worse_than_rest(now, mark):
+        self.verdicts.add(now, float(failure))
+        many = mark.note(now, failure, weight, self.fail_timeout) >= self.max_fails
+        # A dead server must not pass for one of many that fail: several failed connections are its own doing.
+        if many and (weight > 1 and mark.streak >= 2 * self.max_fails or self._worse_than_rest(now, mark)):
+            # A busy sidecar can afford trials sooner: those of all servers may take one lookup of fifty.
+            seldom = 500.0 * (1 + len(self.marked)) / max(1.0, self.verdicts.count.read(now))
+            spell = max(self.spell / 8, min(self.spell, seldom))
             # Flapping: a server that fails again soon after its trials stays away for longer each time.
             again = now - mark.readmitted < 3 * self.fail_timeout
-            mark.spell = min(mark.spell * 2, 4 * self.spell) if again else self.spell
+            mark.spell = min(mark.spell * 2, 4 * spell) if again else spell
             mark.until, mark.passes = now + mark.spell, 0
             self.marked.add(server)
 
@@ -153,8 +145,8 @@
 
     def __init__(self, zone: str, chance: Chance, spill: float = 1.4, well_over: float = 1.5,
                  skip: float = 1.25, few: int = 2) -> None:
-        self.zone, self.chance, self.spill, self.well_over = zone, chance, spill, well_over
-        self.skip, self.few = skip, few
+        self.zone, self.chance, self.spill, self.few = zone, chance, spill, few
+        self.well_over, self.skip = well_over, skip
         self.share, self.weight = 1.0, {}   # of the own zone; by zone, in what it does not take
         self.cursor: dict[str, int] = {}
         self.due: dict[str, list[str]] = {}   # by zone: whose turn it is, the longest first
@@ -162,8 +154,7 @@
 
     def weigh(self, groups: dict[str, list[str]], healthy: dict[str, float], slowness: dict[str, float],
               elsewhere: float) -> None:
-        """How much goes to the own zone: 1.4 x its healthy fraction, less while it is slower than the rest.
-        A quiet sidecar's counts in flight are 0 or 1; over time they go as the times, which stand in."""
+        """How much goes to the own zone: 1.4 x its healthy fraction, less while slower than the rest."""
         self.weight = {z: max(0.01, healthy[z]) / slowness[z] ** 2 for z in groups}
         if self.zone in groups:
             ratio = elsewhere / slowness[self.zone] if len(groups) > 1 else 1.0
@@ -222,11 +213,10 @@
                       for c in categories}             # of a hand-off, and of its square
         self.done = {"": (Decaying(span), now)}   # by server, "" for all; and since when
         self.slow = {"": Mean(3.0, 0.2)}          # by server and zone; "": for all, by the expected time
-        self.turn: dict[str, float] = {}          # part of a turn by kind
-        self.heard: dict[str, int] = {}           # answers by kind
+        self.turn, self.heard = {}, {}            # by kind: part of a turn, and answers
 
     def met(self, now: float, server: str, zone: str) -> None:
-        self.done[server], self.slow[server] = (Decaying(self.span), now), Mean(12.0)
+        self.done[server], self.slow[server] = (Decaying(self.span), now), Mean(12.0, most=12.0)
         self.slow.setdefault(zone, Mean(8.0))
 
     def ended(self, now: float, hand_off: HandOff, category: Category) -> None:
@@ -256,8 +246,7 @@
             self.turn = {each: turn / top for each, turn in self.turn.items()}
 
     def room(self, now: float, name: str = "") -> float:
-        """How many may be in flight: rate x the time they may take. The rate is over all time: what each
-        sidecar could have by itself, seen while busy, together would overrun."""
+        """How many may be in flight: the rate (over all time, lest all overrun) x the time they may take."""
         done, since = self.done[name]
         rate = (done.read(now) + 1) / (self.span * (1.05 - math.exp((since - now) / self.span)))
         return rate * self.time_bound
@@ -278,8 +267,7 @@
         return self.times[category.name][0].read(now)
 
     def overdue(self, now: float, category: Category) -> float:
-        """The time after which a hand-off is out well beyond what is usual. What is long is mostly just long,
-        and done twice it is waste: the dearer that is, the surer we must be."""
+        """When a hand-off is out well beyond what is usual: the dearer waste is, the surer we must be."""
         mean, square = (each.read(now) for each in self.times[category.name])
         deviation = math.sqrt(max(0.0, square - mean * mean))
         caution = 2 + 10 * self.waste_price if category.late_benefit > 0 else 3
@@ -303,8 +291,7 @@
         return not ran or lookup.category.effect is Effect.REDOABLE
 
     def lets(self, now: float, lookup: Lookup, server: str) -> bool:
-        """May it go to this server? Nothing to a draining or gone one, repeats only where they are dropped,
-        and a cold one only within this sidecar's part of its budget."""
+        """May it go there? To a ready one, repeats where they are dropped, and within a cold one's budget."""
         return self.suits(lookup, server) and self.servers.has_budget(now, server)
 
     def suits(self, lookup: Lookup, server: str) -> bool:
@@ -348,6 +335,7 @@
         self.alarms: list[tuple[float, str]] = []
         self.out: dict[str, dict[tuple[str, int], HandOff]] = {}   # by server with any, the oldest first
         self.answered: dict[str, float] = {}       # when a server last answered anything
+        self.gone, self.longest = {}, max((c.abandon_time for c in categories), default=0.0)   # since when
         self.worth = Mean(10.0, 0.0)
         # The list service does not grow with the sidecars: first calls are spread, later ones back off.
         self.spread, self.ask_again = min(5.0, 0.04 * sidecars), 0.5
@@ -380,11 +368,12 @@
         del self.out[server][(id, number)]
         if not self.out[server]:
             del self.out[server]
+        twice = 2 * self.measures.usual(now, lookup.category) / self.servers.warmth(now, server)
         self.measures.ended(now, hand_off, lookup.category)
         if outcome in (Outcome.DONE, Outcome.ERROR):   # a hung server can still say that it is full
             self.answered[server] = now
-        # A slow server whose lookups are called off in time never times out: overdue counts as a time-out.
-        overdue = outcome is Outcome.CALLED_OFF and now > hand_off.overdue
+        # Slow servers, whose lookups are called off, never time out: overdue, or twice the usual, is as much.
+        overdue = outcome is Outcome.CALLED_OFF and now > min(hand_off.overdue, hand_off.sent + twice)
         # A failed connection is the server's own: in a lost zone, three for each would use up all hand-offs.
         weight = self.marks.max_fails if outcome is Outcome.UNCONNECTED else 1
         self.marks.record(now, server, overdue or outcome.failure, hand_off.trial, weight)
@@ -396,7 +385,8 @@
         for server in self.servers.update(now, entries, whole):
             self.marks.met(server)
             self.measures.met(now, server, self.servers.known[server].zone)
-        self.view_until, self.ask_again = now, 0.5
+        gone = (s for s, entry in self.servers.known.items() if entry.readiness is Readiness.GONE)
+        self.gone, self.view_until, self.ask_again = {s: self.gone.get(s, now) for s in gone}, now, 0.5
 
     def list_call_failed(self, now: float) -> None:
         self.ask_at = now + self.ask_again * (0.5 + self.chance.draw())
@@ -482,8 +472,9 @@
                 yield Decision(Act.CALL_OFF, lookup.id, number=number)
 
     def _choose(self, now: float, lookup: Lookup) -> str | None:
-        # Carried over: a further hand-off only if the time left exceeds the time it should take.
-        short = lookup.sent and lookup.useful_until - now <= self.measures.usual(now, lookup.category)
+        # Carried over: only if the time left exceeds what it should take; a first one needs half of it all.
+        most = math.inf if lookup.sent else lookup.category.expected_time / 2
+        short = lookup.useful_until - now <= min(most, self.measures.usual(now, lookup.category))
         if short or self._too_late(now, lookup) or not self.gate.open(now, lookup) \
                 or (lookup.out() and not self._given_up_on(now, lookup)):
             return None
@@ -515,6 +506,7 @@
 
     def _look(self, now: float) -> None:
         """Which servers and zones count as healthy; kept until a mark or the list changes, or a moment."""
+        self._forget(now)
         groups, ready, marked = self.servers.zones, self.servers.ready, self.marks.marked
         # Panic is of the whole fleet: judged by zone, a zone's lone hung server would get all its lookups.
         panic = self.marks.in_panic(ready)
@@ -531,6 +523,15 @@
         self.rotation.weigh(groups, self.healthy, slowness, elsewhere)
         self.view_until = now + 0.25
 
+    def _forget(self, now: float) -> None:
+        """Guards against growth where servers are ever new: of one that no lookup has met nothing stays."""
+        over = [s for s, since in self.gone.items() if s not in self.out and now > since + self.longest]
+        self.marks.marked.difference_update(over)
+        for by_id in (self.gone, self.servers.known, self.servers.tokens, self.marks.of, self.measures.done,
+                      self.measures.slow, self.rotation.turns, self.answered):
+            for server in over:
+                by_id.pop(server, None)
+
     def _draw(self, lookup: Lookup, label: str) -> float:
         """By chance; where servers remember keys, the same for the same key at all sidecars."""
         return zlib.crc32(f"{lookup.key}:{label}".encode()) / 2**32 if lookup.key else self.chance.draw()
--- a/foxspread/model.py
+++ b/foxspread/model.py
@@ -67,6 +67,12 @@
     started: float = 0.0           # 0: long ago
     kind: str = ""                 # machines of one kind are taken to be alike until they show otherwise
 
+    def warmth(self, now: float, cold_from: float, cold_time: float) -> float:
+        """The share of its capacity that it has at least, by the time since its start (contract)."""
+        if self.started <= 0 or cold_time <= 0 or now - self.started >= cold_time:
+            return 1.0
+        return cold_from + (1 - cold_from) * max(0.0, now - self.started) / cold_time
+
 
 @dataclass(frozen=True)
 class Customer:
@@ -75,7 +81,7 @@
     quota: float = 0.0             # lookups a second over all sidecars
 
 
-@dataclass
+@dataclass(slots=True)
 class HandOff:
     server: str
     zone: str
@@ -87,7 +93,7 @@
     called_off: bool = False
 
 
-@dataclass
+@dataclass(slots=True)
 class Lookup:
     id: str
     category: Category
@@ -128,6 +134,18 @@
     trial_out: bool = False
     readmitted: float = -math.inf
 
+    def note(self, now: float, failure: bool, weight: int, window: float) -> int:
+        """Returns how many failures count: those within the window, or in a row however long ago they were.
+        Quiet sidecars meet a server that only ever fails too rarely to fill the window."""
+        self.verdicts.add(now, float(failure))
+        self.streak = self.streak + weight if failure else 0
+        if not failure:
+            return 0
+        self.fails.append(now)
+        while self.fails[0] < now - window:
+            self.fails.popleft()
+        return max(len(self.fails), self.streak)
+
 
 class Act(Enum):
     HAND_OFF = "hand off"
@@ -137,7 +155,7 @@
     SUBSCRIBE = "subscribe"
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Decision:
     act: Act
     lookup: str = ""
--- a/foxspread/net/http.py
+++ b/foxspread/net/http.py
@@ -20,6 +20,7 @@
            408: b"Request Timeout", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
            500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable"}
 
+REMAINING = re.compile(r"([0-9]{1,12}(?:\.[0-9]*)?)([mu])")
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -100,7 +101,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.in_body:
             return   # a trailer: not to be taken for a header
-        self.count(len(name) + len(value) + 4)
+        self.head += len(name) + len(value) + 4
+        if self.head > HEAD_MOST:
+            self.count(0)
         self.message.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -176,7 +179,7 @@
 
 def remaining(text: str) -> float:
     """Seconds, from a number and a unit: `480m` milliseconds, `480000u` microseconds."""
-    found = re.fullmatch(r"([0-9]{1,12}(?:\.[0-9]*)?)([mu])", text)
+    found = REMAINING.fullmatch(text)
     if found is None:
         raise BadMessage(400, "X-Remaining must be a number and a unit, m or u")
     return float(found[1]) / (1e3 if found[2] == "m" else 1e6)
--- a/foxspread/net/listener.py
+++ b/foxspread/net/listener.py
@@ -57,6 +57,7 @@
         self.ticket: Ticket | None = None
         self.retired: Reason | None = None
         self.shut = False   # our side reads no more: the end that it then finds is not the client's
+        self.gone = False   # the client, with its lookup out
         self.refused = False   # it has its error, and is read from only so that this is not lost
         # Since when it is idle, or a request is under way on it; how many it has sent, and how many lookups.
         self.since, self.answers, self.lookups, self.detail = loop.time(), 0, 0, ""
@@ -134,22 +135,26 @@
 
     async def _client_stays(self, reply: asyncio.Future[Reply]) -> bool:
         """Waits for the reply; False if the client goes away before. What comes early stays unread."""
-        woken = self.loop.create_future()
-        reply.add_done_callback(lambda _: woken.done() or woken.set_result(None))
-        self.loop.add_reader(self.sock, lambda: woken.done() or woken.set_result(None))
         try:
-            await woken
-        finally:
-            self.loop.remove_reader(self.sock)
-        if not reply.done():
-            try:
-                gone = not self.sock.recv(1, socket.MSG_PEEK)
-            except BlockingIOError:
-                gone = False
-            if gone and not self.shut:
-                return False
             await reply
-        return True
+        except asyncio.CancelledError:
+            if not self.gone:
+                raise
+        return not self.gone
+
+    def look(self) -> None:
+        """Has the client of a lookup that is out gone away? Looked for now and then: to watch each connection
+        for each lookup takes more of the core."""
+        if self.ticket is None or self.shut or self.ticket.reply.done():
+            return
+        try:
+            self.gone = not self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.gone = True
+        if self.gone:
+            self.ticket.reply.cancel()
 
     async def _write(self, parts: list[bytes]) -> None:
         """Guards against clients that do not read: their answer must not stay for ever."""
@@ -248,6 +253,10 @@
             oldest.retire(Reason.CLIENT_ROOM)
         return oldest is not None
 
+    def look(self) -> None:
+        for client in list(self.clients):
+            client.look()
+
     def sweep(self) -> None:
         """Guards against connections that say nothing, or not enough, and would stay for good."""
         now = self.loop.time()
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -1,6 +1,7 @@
 """Joins the parts: clients' requests go to the facade, its steps are carried out; the clock and the end."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -15,6 +16,7 @@
 from foxspread.net.listener import Front, Listener, Reply, Ticket
 from foxspread.net.pool import Descriptors, Place, Pool
 from foxspread.net.reasons import Reason
+from foxspread.sums import Chance
 
 # After SIGTERM clients go on connecting for 0.2 to 0.4 s and use what they have while it is open. What is
 # taken until 0.7 s after it can be answered before the kill.
@@ -23,6 +25,7 @@
 # 6 s, come or not, so a watch that is silent for longer than two such lines is given up before.
 SILENCE = 4.5
 BASE_MB = 32   # what the process takes with no connection, and something to spare
+ID_SPELL = 16   # sweeps, of a quarter of a second: an id is known for one to two spells
 SPARE = 0.004   # the last moment for an answer, before its client gives up
 
 
@@ -63,6 +66,27 @@
         return now - self.last > 3 * self.every or now < self.behind_until
 
 
+class Shed:
+    """Guards against more lookups than this process has a core for. The loop then comes round ever later: all
+    lookups would wait, and be given up on when their time is up. A share, by chance, is dismissed unread
+    instead: it grows while two rounds in a row come late, and falls while they come in time."""
+
+    def __init__(self, every: float, late: float = 0.025) -> None:
+        self.every, self.late = every, late
+        self.share, self.last, self.before, self.chance = 0.0, math.inf, False, Chance(0)
+
+    def beat(self, now: float) -> None:
+        late = now - self.last > self.every + self.late
+        if late and self.before:
+            self.share = min(0.9, self.share + 0.1)
+        elif not late:
+            self.share = max(0.0, self.share - 0.02)
+        self.last, self.before = now, late
+
+    def now(self) -> bool:
+        return self.share > 0 and self.chance.draw() < self.share
+
+
 @dataclass
 class Held(Ticket):
     """A lookup that was taken and not answered."""
@@ -79,9 +103,12 @@
         self.born = self.now - time.process_time()   # at the latest
         self.facade = Facade(self.now, config.decisions)
         self.held: dict[str, Held] = {}
+        self.taken_lately: tuple[set[str], set[str]] = set(), set()   # ids: now, and in the spell before
         self.out: dict[tuple[str, int], asyncio.Task] = {}
         self.places: dict[str, Place] = {}   # of the servers that are listed and not gone
         self.alarm: asyncio.TimerHandle | None = None
+        self.alarm_at = 0.0
+        self.shed = Shed(self.clock.every)
         self.served, self.stopping = False, False
         # Guards the memory limit: with the largest bodies a connection takes 156 KiB, as measured, but only
         # a part of all hold one; the others take under 30.
@@ -141,12 +168,17 @@
         while True:
             await asyncio.sleep(0.25)
             self.listener.sweep()
-            if (turns := (turns + 1) % 4) == 0:
+            turns += 1
+            if turns % 4 == 0:
                 self.pool.sweep()
+            if turns % ID_SPELL == 0:
+                self.taken_lately = set(), self.taken_lately[0]
 
     async def _beat(self) -> None:
         while True:
             self.clock.beat()
+            self.shed.beat(self.loop.time())
+            self.listener.look()
             await asyncio.sleep(self.clock.every)
 
     # Clients.
@@ -165,13 +197,18 @@
         if message.method not in (b"GET", b"POST"):
             return self._at_once(Reply(405, lines=[b"Allow: GET, POST\r\n"]))
         id, told = message.text(b"x-txn"), message.header(b"x-remaining")
-        if not id or self.facade.knows(id):
-            raise http.BadMessage(400, "X-Txn is missing" if not id else "X-Txn is of a lookup still held")
+        if self.shed.now():
+            return self._at_once(Reply(503))
+        # Guards the lookup whose id this is: one that is sent again under it could run twice. It is new with
+        # every lookup, also with a client's retry.
+        if not id or self.facade.knows(id) or any(id in ids for ids in self.taken_lately):
+            raise http.BadMessage(400, "X-Txn was taken before" if id else "X-Txn is missing")
         # Without the header it is the category's; one with nothing in it is no number.
         abandon = self.facade.abandon_time(category)
         time_left = abandon if told is None else http.remaining(told.decode("latin-1"))
         now = self.clock()
         time_left -= now - message.began   # it runs from the client's sending
+        self.taken_lately[0].add(id)
         held = self.held[id] = Held(self.loop.create_future(), id, message)
         held.guard = self.loop.call_later(max(0.0, time_left - SPARE), self._overdue, id)
         if not self._decide(self._pick, id, category, max(0.0, time_left), message.text(b"x-org"),
@@ -248,11 +285,19 @@
         return fine
 
     def _set_alarm(self, least: float) -> None:
+        if (wake := self.facade.wake_at()) is None:
+            return
         if self.alarm is not None:
+            if self.alarm_at <= wake:
+                return   # it rings first, and then sets the next
             self.alarm.cancel()
-        wake = self.facade.wake_at()
-        wait = None if wake is None else max(least, wake - self.clock())
-        self.alarm = None if wait is None else self.loop.call_later(wait, self._decide, self.facade.tick)
+        now = self.clock()
+        self.alarm_at = max(now + least, wake)
+        self.alarm = self.loop.call_later(self.alarm_at - now, self._ring)
+
+    def _ring(self) -> None:
+        self.alarm = None
+        self._decide(self.facade.tick)
 
     def _carry_out(self, step: Step) -> None:
         match step:
@@ -268,7 +313,10 @@
                 self.discovery.start()
 
     def _send(self, step: Send) -> None:
-        held, key = self.held[step.lookup], (step.lookup, step.number)
+        held, key = self.held.get(step.lookup), (step.lookup, step.number)
+        if held is None or step.server not in self.places:   # it left, or that went, while a pause put it off
+            self.loop.call_soon(self._decide, self.facade.report, *key, Outcome.UNSENT)
+            return
         hand_off = HandOff(self.loop, self.pool, self.clock, held.message, self.places[step.server],
                            self.clock() + step.time_out, lambda: self.facade.holds(self.clock(), *key))
         self.out[key] = task = self.loop.create_task(hand_off.run())
--- a/foxspread/sums.py
+++ b/foxspread/sums.py
@@ -32,17 +32,21 @@
 
 
 class Mean:
-    """The mean of what was added lately; `usual` where that is little."""
+    """The mean of what was added lately, of `most` values at the most; `usual` where that is little."""
 
-    def __init__(self, span: float, usual: float = 1.0) -> None:
-        self.total, self.count, self.usual = Decaying(span), Decaying(span), usual
+    def __init__(self, span: float, usual: float = 1.0, most: float = math.inf) -> None:
+        self.total, self.count, self.usual, self.most = Decaying(span), Decaying(span), usual, most
 
     def add(self, now: float, value: float) -> None:
         self.total.add(now, value)
         self.count.add(now)
+        if self.count.value > self.most:   # where much comes, what is old yields sooner
+            self.total.value *= self.most / self.count.value
+            self.count.value = self.most
 
     def read(self, now: float, usual: float | None = None) -> float:
-        return Mean.over(now, [self], self.usual if usual is None else usual)
+        usual = self.usual if usual is None else usual
+        return (self.total.read(now) + usual) / (self.count.read(now) + 1.0)
 
     @staticmethod
     def over(now: float, several: list["Mean"], usual: float) -> float:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -1,8 +1,9 @@
 import unittest
 
 from foxspread.logic import Marks, Measures, Rotation, ServerList
-from foxspread.model import Act, Category, Customer, Effect, HandOff, Lookup, Mark, Outcome, Readiness
-from foxspread.sums import Chance, Decaying
+from foxspread.model import (Act, Category, Customer, Effect, HandOff, ListedServer, Lookup, Mark, Outcome,
+                             Readiness)
+from foxspread.sums import Chance, Decaying, Mean
 from tests.helpers import NAMES, acts, balancer, mark_down, pull, sent_to, servers, take
 
 FAIL, OK = True, False
@@ -44,6 +45,22 @@
             it.record(float(now), "s1", now % 12 == 0, trial=False)
         self.assertFalse(it.down("s1"))
 
+    def test_a_dead_server_is_marked_also_while_lookups_fail_everywhere(self):
+        it = marks()
+        for step in range(200):
+            it.record(100 + step / 20, NAMES[step % 4], step // 4 % 2 == 0, trial=False)
+        for _ in range(2):   # one alone may be a moment's: with much traffic there are some of those
+            self.assertFalse(it.marked)
+            it.record(110.0, "s1", FAIL, trial=False, weight=3)
+        self.assertEqual(it.marked, {"s1"})
+
+    def test_the_busier_the_sooner_are_trials_due(self):
+        for lookups, spell in ((1, 4.0), (400, 1.25), (4000, 0.5)):
+            it = marks()
+            it.verdicts.count.add(100.0, lookups - 1)
+            it.record(100.0, "s1", FAIL, trial=False, weight=3)
+            self.assertAlmostEqual(it.of["s1"].until, 100.0 + spell)
+
     def test_failures_spread_alike_over_the_fleet_mark_nobody(self):
         it = marks()
         for step in range(200):
@@ -241,6 +258,12 @@
         self.assertEqual(it.room_in_all(100.0, 1.0, 0.1, 0.3), 0)
         self.assertGreater(it.room_in_all(100.0, 1.0, 0.1, 0.15), 0)
 
+    def test_where_much_comes_what_is_old_yields(self):
+        it = Mean(12.0, most=12.0)
+        for value in [1.0] * 100 + [4.0] * 24:
+            it.add(100.0, value)
+        self.assertGreater(it.read(100.0), 3.0)
+
     def test_a_slow_server_gets_a_smaller_part_of_its_turn(self):
         it = measures()
         for _ in range(10):
@@ -320,6 +343,32 @@
         it.hand_off_ended(100.9, "x", 0, Outcome.CALLED_OFF, False)
         self.assertEqual(it.marks.of["s1"].streak, 1)
 
+    def test_what_waited_and_is_called_off_after_twice_the_usual_time_counts_too(self):
+        it = balancer()
+        it.lookup_taken(100.0, "r", "c", 3.0)
+        [hand_off] = sent_to(pull(it, 100.0))
+        it.hand_off_ended(100.55, "r", 0, Outcome.CALLED_OFF, closed=False)
+        self.assertEqual(it.marks.of[hand_off].streak, 1)
+
+    def test_a_lookup_with_less_time_left_than_it_needs_is_dismissed_unsent(self):
+        self.assertEqual([acts(take(balancer(), 100.0, "r", left=left)) for left in (0.2, 0.4)],
+                         [[Act.DISMISS], [Act.HAND_OFF]])
+
+    def test_nothing_is_kept_of_a_server_that_is_gone_once_its_lookups_are(self):
+        for whole in (True, False):
+            it = balancer()
+            [server] = sent_to(take(it, 100.0, "r"))
+            rest = [s for s in servers() if s.server != server]
+            gone = [ListedServer(server, "a", readiness=Readiness.GONE)]
+            it.servers_listed(100.5, rest if whole else gone, whole)
+            for now, kept in ((102.9, True), (104.0, True), (104.5, False)):
+                if now == 104.5:
+                    it.hand_off_ended(104.4, "r", 0, Outcome.RESET, closed=False)
+                pull(it, now)
+                by_id = (it.servers.known, it.servers.tokens, it.marks.of, it.measures.done, it.measures.slow)
+                self.assertEqual([server in each for each in by_id], [kept] * 5)
+            self.assertFalse(it.gone)
+
     def test_a_cold_server_is_given_longer_before_it_seems_hung(self):
         it = balancer([*servers(["s1"]), *servers(["s2"], started=100.0)])
         lookup = it.lookups.setdefault("x", Lookup("x", it.categories["c"], 101.0, 103.0, 1.0))
