The queue is looked at when room may have come free; log lines are gathered; gc seldom

Now the queue is looked at when a hand-off ends, the list changes or 20 ms have passed. A test of the module fails without it.

--- a/foxspread/__main__.py
+++ b/foxspread/__main__.py
@@ -24,7 +24,8 @@
     sidecar = Sidecar(loop, told)
     loop.add_signal_handler(signal.SIGHUP, reload, sidecar)
     gc.collect()
-    gc.freeze()   # what is loaded stays: collections look at what comes and goes only
+    gc.freeze()   # what is loaded stays: collections look at what comes and goes only,
+    gc.set_threshold(10_000, 20, 20)   # and seldom: little of it is in cycles
     await sidecar.run(stop)
 
 
--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -332,6 +332,7 @@
         self.gate = Gate(self.servers, max_hand_offs, copies)
         self.lookups: dict[str, Lookup] = {}
         self.waiting: dict[str, Lookup] = {}     # to be looked at by the next decisions
+        self.queue: dict[str, Lookup] = {}       # without room, to be looked at when some may have come free
         self.alarms: list[tuple[float, str]] = []
         self.out: dict[str, dict[tuple[str, int], HandOff]] = {}   # by server with any, the oldest first
         self.answered: dict[str, float] = {}       # when a server last answered anything
@@ -342,11 +343,9 @@
         self.ask_at = now + chance.draw() * self.spread if asks else math.inf
         self.least = max(1, round(4 / sidecars))   # all floors together must not crowd a server
         self.marks, self.rotation = Marks(), Rotation(zone, chance, few=min(2, self.least))
-        self.next_look = self.view_until = now
+        self.next_look = self.view_until = now   # next_look: at the queue
         self.plan: Iterator[Decision] | None = None
 
-    # Inputs: each only brings what is known up to date.
-
     def lookup_taken(self, now: float, id: str, category: str, time_left: float, customer: str = "",
                      key: str = "") -> None:
         kind = self.categories[category]
@@ -379,14 +378,15 @@
         self.marks.record(now, server, overdue or outcome.failure, hand_off.trial, weight)
         self.view_until = now if self.marks.down(server) or hand_off.trial else self.view_until
         lookup.over |= closed or outcome is Outcome.DONE
-        self.waiting[id] = lookup   # to go on, or to call off its other copy
+        self.waiting[id], self.next_look = lookup, now   # to go on, or to call off its other copy
 
     def servers_listed(self, now: float, entries: Iterable[ListedServer], whole: bool) -> None:
         for server in self.servers.update(now, entries, whole):
             self.marks.met(server)
             self.measures.met(now, server, self.servers.known[server].zone)
         gone = (s for s, entry in self.servers.known.items() if entry.readiness is Readiness.GONE)
-        self.gone, self.view_until, self.ask_again = {s: self.gone.get(s, now) for s in gone}, now, 0.5
+        self.gone, self.ask_again = {s: self.gone.get(s, now) for s in gone}, 0.5
+        self.view_until = self.next_look = now
 
     def list_call_failed(self, now: float) -> None:
         self.ask_at = now + self.ask_again * (0.5 + self.chance.draw())
@@ -401,8 +401,6 @@
             self.lookups[id].over = True
             self.waiting[id] = self.lookups[id]   # to call off what is still out
 
-    # Decisions.
-
     def next_decision(self, now: float) -> Decision | None:
         self.plan = self.plan or self._decisions(now)
         decision = next(self.plan, None)
@@ -410,7 +408,7 @@
         return decision
 
     def wake_at(self) -> float | None:
-        times = [self.ask_at] * (self.ask_at < math.inf) + [self.next_look] * bool(self.waiting)
+        times = [self.ask_at] * (self.ask_at < math.inf) + [self.next_look] * bool(self.waiting or self.queue)
         return min(times + [at for at, _ in self.alarms[:1]], default=None)
 
     def _decisions(self, now: float) -> Iterator[Decision]:
@@ -423,14 +421,15 @@
             lookup = self.lookups.get(heapq.heappop(self.alarms)[1])
             if lookup is not None and not lookup.over:
                 self.waiting[lookup.id] = lookup
-        waiting = sorted(self.waiting.values(), key=lambda each: (-each.worth, each.expected_at))
-        self.waiting, self.next_look, queued = {}, now + 4 * self.tick, 0
-        for lookup in waiting:
+        if now >= self.next_look:   # not for each lookup that comes: in a burst that would take all of a core
+            self.waiting, self.queue, self.next_look = self.queue | self.waiting, {}, now + 4 * self.tick
+        waiting, self.waiting = self.waiting.values(), {}
+        for lookup in sorted(waiting, key=lambda each: (-each.worth, each.expected_at)):   # most worth first
             if lookup.over:
                 yield from self._close(lookup)
             if lookup.over or lookup.streaming:
                 continue
-            server = self._choose(now, lookup) if not queued or lookup.sent else None   # the most worth first
+            server = self._choose(now, lookup) if not self.queue or lookup.sent else None
             if server is not None:
                 yield self._hand_off(now, lookup, server)
             elif lookup.out() and not self._too_late(now, lookup):
@@ -438,9 +437,8 @@
                     yield from self._call_off(lookup)
                 else:   # looked at again after the usual time
                     heapq.heappush(self.alarms, (now + self.measures.usual(now, lookup.category), lookup.id))
-            elif not lookup.out() and self._worth_waiting(now, lookup, queued):
-                queued += 1
-                self.waiting[lookup.id] = lookup
+            elif not lookup.out() and self._worth_waiting(now, lookup, len(self.queue)):
+                self.queue[lookup.id] = lookup
             else:
                 yield from self._give_up(now, lookup)
 
@@ -541,7 +539,7 @@
 
     def _in_flight(self) -> int:
         """Over all servers; what hangs at silent ones takes no room from the rest."""
-        return sum(len(sent) for server, sent in self.out.items() if server not in self.hushed)
+        return sum(map(len, self.out.values())) - sum(map(self._held, self.hushed))
 
     def _silent(self, now: float, server: str) -> bool:
         """Guards against hung servers before their time-outs are counted, above all on a quiet sidecar: with
--- a/foxspread/net/log.py
+++ b/foxspread/net/log.py
@@ -3,6 +3,7 @@
 import os
 import queue
 import threading
+import time
 
 from loguru import logger
 
@@ -11,10 +12,10 @@
 
 class Sink:
     """Guards the loop against a full pipe: lines wait for a thread, and those over the bound are dropped and
-    counted."""
+    counted. They are gathered for a moment, since each waking of the thread takes the core from the loop."""
 
-    def __init__(self, descriptor: int, most: int = 10_000) -> None:
-        self.descriptor, self.lost = descriptor, 0
+    def __init__(self, descriptor: int, most: int = 10_000, gather: float = 0.02) -> None:
+        self.descriptor, self.lost, self.gather = descriptor, 0, gather
         self.lines: queue.Queue[str | None] = queue.Queue(most)
         self.thread = threading.Thread(target=self._write, daemon=True)
         self.thread.start()
@@ -27,16 +28,21 @@
 
     def _write(self) -> None:
         while (line := self.lines.get()) is not None:
+            time.sleep(self.gather)
+            batch = [line]
+            while batch[-1] is not None and len(batch) < 200 and not self.lines.empty():
+                batch.append(self.lines.get())
+            lost, self.lost = self.lost, 0
+            told = [f"{lost} lines lost\n"] if lost else []
+            # Not by sys.stderr: a thread that hangs in there would break the end of the process.
+            data = "".join([each for each in batch if each is not None] + told).encode(errors="replace")
             try:
-                if self.lost:
-                    lost, self.lost = self.lost, 0
-                    line += f"{lost} lines lost\n"
-                # Not by sys.stderr: a thread that hangs in there would break the end of the process.
-                data = line.encode(errors="replace")
                 while data:
                     data = data[os.write(self.descriptor, data):]
             except OSError:   # nobody reads it any more: the sidecar goes on without
                 pass
+            if batch[-1] is None:
+                return
 
     def close(self, patience: float = 0.3) -> None:
         try:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -1,4 +1,5 @@
 import unittest
+from unittest import mock
 
 from foxspread.logic import Marks, Measures, Rotation, ServerList
 from foxspread.model import (Act, Category, Customer, Effect, HandOff, ListedServer, Lookup, Mark, Outcome,
@@ -393,6 +394,18 @@
             take(it, 100.0, f"x{step}")
         self.assertIn(Act.DISMISS, acts(take(it, 100.0, "last")) + [d for d in acts(pull(it, 100.02))])
 
+    def test_those_in_the_queue_are_not_looked_at_for_each_lookup_that_comes(self):
+        it = balancer()
+        take(it, 100.0, *[f"r{n}" for n in range(40)])
+        self.assertTrue(it.queue)
+        with mock.patch.object(it, "_worth_waiting", return_value=True) as looked:
+            take(it, 100.001, "new")
+            self.assertEqual([call.args[1].id for call in looked.call_args_list], ["new"])
+            id = next(i for i, each in it.lookups.items() if each.sent)
+            it.hand_off_ended(100.002, id, 0, Outcome.DONE, closed=False)
+            self.assertTrue(sent_to(pull(it, 100.002)))
+            self.assertGreater(looked.call_count, 2)
+
     def test_what_is_over_a_share_is_worth_less(self):
         it = balancer(customers=[Customer("big", 0.5, 1.0), Customer("small", 0.5, 50.0)])
         for step in range(40):
