Where clients crowd, the longest idle connection makes way for each that comes

A trace of clients' connections showed one lookup on each, then 2.5 s of silence: the application had used up the third of the descriptors that it may hold. Ruled out: servers, core, decisions, lost reads. Now each that comes beyond a quarter ends the longest idle one.

--- a/foxspread/net/listener.py
+++ b/foxspread/net/listener.py
@@ -197,6 +197,7 @@
         descriptors.givers.append(self._retire_longest_idle)
         descriptors.freed = self.resume
         self.kept_free = descriptors.most // 4   # for servers: clients alone must not take all there are
+        self.crowd = descriptors.most // 4       # usual clients, from which on those that are idle make way
 
     def resume(self) -> None:
         if not self.accepting and self.sock.fileno() >= 0:
@@ -229,6 +230,7 @@
             client = Client(self.loop, sock, self.front, self.patience)
             self.clients[client] = task = self.loop.create_task(client.run())
             task.add_done_callback(lambda task, client=client: self._ended(client, task))
+            self._make_way()
 
     def _ended(self, client: Client, task: asyncio.Task) -> None:
         del self.clients[client]
@@ -239,6 +241,14 @@
         logger.info("{} client lookups={}{}", reason.value, client.answers, client.detail)
         self.descriptors.give_back()
 
+    def _make_way(self) -> None:
+        """Guards against clients that ask once on each connection and keep it: the application may hold only so
+        many, far fewer than we can, and has none left for its next lookups while those stay idle."""
+        usual = [each for each in self.clients if each.lookups and not each.shut]
+        if len(usual) > self.crowd:
+            since = self.loop.time() - 0.1
+            self._retire_oldest(each for each in usual if each.idle and each.since < since)
+
     def _retire_silent(self) -> bool:
         """The longest silent one, if its request can't just be on its way."""
         since = self.loop.time() - 0.1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -390,6 +390,19 @@
         it.sweep()
         self.assertEqual(await held[4][0].read(), b"")
 
+    @on_loop
+    async def test_where_clients_crowd_the_longest_idle_makes_way_for_each_that_comes(self):
+        it = self.listener(most=16)
+        held = [await asyncio.open_connection(it.address.host, it.address.port) for _ in range(5)]
+        while len(it.clients) < 5:
+            await asyncio.sleep(0)
+        for at, client in enumerate(it.clients):
+            client.lookups, client.since = 1, client.since - 1.0 - (at == 3)
+        self.assertIn(b" 200 ", await ask(it.address))
+        self.assertEqual(await held[3][0].read(), b"")
+        self.assertEqual(sum(each.shut for each in it.clients), 0)
+        it.close()
+
     @on_loop
     async def test_silent_ones_yield_before_servers_and_usual_clients(self):
         it = self.listener(most=8)
