--- a/foxspread/net/listener.py
+++ b/foxspread/net/listener.py
@@ -242,8 +242,8 @@
         self.descriptors.give_back()
 
     def _make_way(self) -> None:
-        """Guards against clients that ask once on each connection and keep it: the application may hold only so
-        many, far fewer than we can, and has none left for its next lookups while those stay idle."""
+        """Guards against clients that ask once on each connection and keep it: the application may hold far
+        fewer than we can, and has none left for its next lookups while those stay idle."""
         usual = [each for each in self.clients if each.lookups and not each.shut]
         if len(usual) > self.crowd:
             since = self.loop.time() - 0.1
