--- a/foxspread/net/discovery.py
+++ b/foxspread/net/discovery.py
@@ -37,7 +37,7 @@
 
 
 class Discovery:
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, version: int,
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, version: int | None,
                  listed: Callable[[ListPart], None], failed: Callable[[], None], silence: float,
                  connect_time: float = 1.0) -> None:
         self.loop, self.address, self.version = loop, address, version
@@ -55,7 +55,7 @@
         old, self.task = self.task, None
         if old is not None:
             old.cancel()
-        self.address, self.version = address, 0
+        self.address, self.version = address, None
         self.start()
 
     async def stop(self) -> None:
@@ -77,7 +77,7 @@
             logger.warning("discovery: {}", error)
             refused = isinstance(error, http.BadMessage) and error.status >= 500
             reason = Reason.WATCH_REFUSED if refused else Reason.WATCH_BAD
-            self.version = self.version if refused else 0   # what was missed is told whole
+            self.version = self.version if refused else None   # what was missed is told whole
         except asyncio.CancelledError:
             reason = Reason.WATCH_STOP
             raise
@@ -94,7 +94,8 @@
     async def _follow(self, sock: socket.socket) -> Reason:
         async with asyncio.timeout(self.connect_time):
             await connect(self.loop, sock, self.address)
-        target = f"/api/targets?watch=1&from={self.version}"
+        # Without a version to count from, the whole list comes first; with 0 only what changed since then.
+        target = "/api/targets?watch=1" + (f"&from={self.version}" if self.version is not None else "")
         await write(self.loop, sock, http.query(target, str(self.address)))
         reader, buffer = LineReader(), bytearray(BUFFER)
         while True:
