The lab: scenarios, virtual time, ledgers, the rule check and experiments

Need: every later subsystem wants clients, servers, discovery and a network that misbehave on demand, and figures that anyone can make from a clone.

Product code is unchanged.

Found while building: a stand-in that notes labels when it begins a lookup, not when it takes it, lets a repeat sent in time run twice; it notes them on arrival now.

--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,9 @@
 .PHONY: build test lint run
 build: .venv/built
 
-.venv/built: requirements.txt
-	python3 -m venv .venv
-	.venv/bin/pip -q install -r requirements.txt ruff==0.6.9
+.venv/built: requirements.txt pyproject.toml
+	test -d .venv || python3 -m venv .venv
+	.venv/bin/pip -q install -e '.[dev]'
 	touch .venv/built
 
 test: build
--- /dev/null
+++ b/foxspread/cli/main.py
@@ -0,0 +1,47 @@
+"""`foxspread NOUN ...`. Thin: every command calls a function that a test can call.
+
+Exit codes, the same for all commands: 0 fine; 1 rules were broken, or what was asked for failed; 2 the call
+or a file is at fault, and the text names where.
+"""
+
+import sys
+
+import click
+
+from foxspread.cli.lab import lab
+
+VERSION = "0.2.0"
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(VERSION, prog_name="foxspread")
+def foxspread() -> None:
+    """A sidecar balancer for service-to-service calls, and the tools round it.
+
+    \b
+    foxspread serve                        one sidecar, told by EDGE_CONFIG
+    foxspread lab run scenarios/calm.toml  what a scenario does to lookups
+    """
+
+
+@foxspread.command()
+def serve() -> None:
+    """Run one sidecar in the foreground, as `python -m foxspread` does.
+
+    \b
+    EDGE_CONFIG=deploy/example.json foxspread serve
+    """
+    from foxspread.__main__ import main as sidecar
+
+    sys.exit(sidecar())
+
+
+foxspread.add_command(lab)
+
+
+def main() -> None:
+    foxspread()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/foxspread/lab/broken.py
@@ -0,0 +1,23 @@
+"""Starts a real sidecar with one defect or a baseline's decisions: `python -m foxspread.lab.broken NAME`. For
+the lab's own runs on sockets; the product never imports it."""
+
+import sys
+
+from foxspread import __main__ as start
+from foxspread.lab import policies
+from foxspread.lab.mutants import MUTANTS
+from foxspread.net import sidecar
+
+
+def main(name: str) -> int:
+    if name.startswith("mutant:"):
+        mutant = MUTANTS[name.removeprefix("mutant:")]
+        sidecar.Facade = mutant.make
+        mutant.sockets()
+    else:
+        sidecar.Facade = policies.maker(name)
+    return start.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1]))
--- /dev/null
+++ b/foxspread/lab/mutants.py
@@ -0,0 +1,253 @@
+"""Broken sidecars, each by one defect, to prove that the rule check sees what it is there for. The product
+never imports this. `apply` breaks the decisions of a facade; `host` is the broken host on virtual time;
+`sockets` breaks the real sidecar's classes in the process that calls it (`python -m foxspread.lab.broken
+NAME`).
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from foxspread.facade import Facade, Outcome
+from foxspread.lab import virtual
+from foxspread.logic import Gate
+from foxspread.model import Effect, Lookup, Readiness
+
+
+@dataclass(frozen=True)
+class Mutant:
+    rule: str  # that it breaks, and is caught by
+    about: str
+    apply: Callable[[Facade], None] = lambda facade: None
+    host: type[virtual.Sidecar] = virtual.Sidecar
+    sockets: Callable[[], None] = lambda: None
+
+    def make(self, now: float, settings: dict[str, Any]) -> Facade:
+        facade = Facade(now, settings)
+        self.apply(facade)
+        return facade
+
+
+def _gate(**changes: Callable) -> Callable[[Facade], None]:
+    """A gate with methods replaced; each gets the gate that it replaces first."""
+
+    def apply(facade: Facade) -> None:
+        gate = facade.balancer.gate
+        for name, call in changes.items():
+            setattr(gate, name, lambda *args, call=call, gate=gate: call(gate, *args))
+
+    return apply
+
+
+def _never_ran(lookup: Lookup) -> Lookup:
+    """The lookup as a program sees it that takes a broken connection for one that never carried it."""
+    sent = [
+        replace(each, outcome=Outcome.UNCONNECTED) if each.outcome is Outcome.RESET else each
+        for each in lookup.sent
+    ]
+    return replace(lookup, sent=sent)
+
+
+def _forgets_resets(facade: Facade) -> None:
+    gate = facade.balancer.gate
+    gate.open = lambda now, lookup: Gate.open(gate, now, _never_ran(lookup))
+    gate.suits = lambda lookup, server: Gate.suits(gate, _never_ran(lookup), server)
+
+
+def _no_window(gate: Gate, now: float, lookup: Lookup) -> bool:
+    endless = replace(lookup.category, repeat_window=1e9)
+    return Gate.open(gate, now, replace(lookup, category=endless))
+
+
+def _no_group(gate: Gate, lookup: Lookup, server: str) -> bool:
+    return server in gate.servers.ready
+
+
+def _deaf_to_drains(facade: Facade) -> None:
+    listed = facade.balancer.servers_listed
+
+    def servers_listed(now, entries, whole):
+        listed(now, [replace(each, readiness=Readiness.READY) for each in entries], False)
+
+    facade.balancer.servers_listed = servers_listed
+
+
+def _cold_first(facade: Facade) -> None:
+    it = facade.balancer
+    it.servers.has_budget = lambda now, server: True
+    choose = it._choose
+
+    def _choose(now, lookup):
+        cold = [s for s in sorted(it.servers.cold) if not lookup.sent and it.servers.warmth(now, s) < 0.5]
+        return min(cold, key=it._held) if cold and it.gate.open(now, lookup) else choose(now, lookup)
+
+    it._choose = _choose
+
+
+def _copies(facade: Facade) -> None:
+    it = facade.balancer
+    it.gate.copies = True
+    it._given_up_on = lambda now, lookup: now > lookup.out()[-1].sent + 0.05
+
+    def overdue(now, category):
+        return 0.05
+
+    it.measures.overdue = overdue
+
+
+def _no_bound(facade: Facade) -> None:
+    facade.balancer.gate.max_hand_offs = 1000
+    facade.balancer._given_up_on = lambda now, lookup: True
+
+
+class AnswersTwice(virtual.Sidecar):
+    def answer(self, lookup: str, status: int, body: str = "", back_in: float = 0.0) -> None:
+        held = self.held.get(lookup)
+        super().answer(lookup, status, body, back_in)
+        if held is not None and status == 200:
+            self.engine.clock.after(0.001, held.answered, lookup, status, body, back_in)
+
+
+class AnswersLate(virtual.Sidecar):
+    """Answers that are no good news are kept back until the client has given up."""
+
+    def answer(self, lookup: str, status: int, body: str = "", back_in: float = 0.0) -> None:
+        if status == 200:
+            return super().answer(lookup, status, body, back_in)
+        if (held := self.held.pop(lookup, None)) is not None:
+            self.engine.clock.after(held.want.patience + 0.2, held.answered, lookup, status, body, back_in)
+
+
+class NeverAnswers(virtual.Sidecar):
+    def answer(self, lookup: str, status: int, body: str = "", back_in: float = 0.0) -> None:
+        if status == 200:
+            super().answer(lookup, status, body, back_in)
+
+
+class StrangersAnswer(virtual.Sidecar):
+    before = ""
+
+    def answer(self, lookup: str, status: int, body: str = "", back_in: float = 0.0) -> None:
+        self.before, body = body or self.before, self.before or body
+        super().answer(lookup, status, body, back_in)
+
+
+class SendsAfterAnswer(virtual.Sidecar):
+    def ended(self, attempt: virtual.Attempt, outcome: Outcome, body: str = "") -> None:
+        super().ended(attempt, outcome, body)
+        if outcome is Outcome.DONE and attempt.want.kind.effect == "redoable" and attempt.number == 0:
+            again = virtual.Attempt(self, attempt.lookup, 99, attempt.server, attempt.want, begun=True)
+            again.connection = attempt.connection
+            self.out[attempt.lookup, 99] = again
+            self.engine.clock.after(0.2, self.engine.deliver, again)
+
+
+def _real() -> Any:
+    from foxspread.net import sidecar
+
+    return sidecar
+
+
+def _real_answers_twice() -> None:
+    from foxspread.net import listener
+
+    write = listener.Client._write
+
+    async def _write(self, parts):
+        await write(self, parts)
+        if b" 200 " in parts[0]:
+            await write(self, parts)
+
+    listener.Client._write = _write
+
+
+def _real_answer(change: Callable) -> Callable[[], None]:
+    """`change(sidecar, answer, id, reply)` in the place of `Sidecar._answer`."""
+
+    def apply() -> None:
+        it = _real().Sidecar
+        answer = it._answer
+        it._answer = lambda self, id, reply: change(self, lambda *args: answer(self, *args), id, reply)
+        it._overdue = lambda self, id: None
+
+    return apply
+
+
+def _late(self, answer, id, reply) -> None:
+    if reply.status == 200:
+        return answer(id, reply)
+    self.loop.call_later(4.0, answer, id, reply)
+
+
+def _never(self, answer, id, reply) -> None:
+    if reply.status == 200:
+        answer(id, reply)
+
+
+def _stranger(self, answer, id, reply) -> None:
+    if reply.status == 200:
+        before = getattr(self, "before", None)
+        self.before = bytes(reply.body)
+        reply = replace(reply, body=before or reply.body)
+    answer(id, reply)
+
+
+def _real_sends_after_answer() -> None:
+    module = _real()
+    it = module.Sidecar
+    ended = it._ended
+
+    def _ended(self, step, hand_off, task):
+        done = not task.cancelled() and task.exception() is None and task.result().outcome is Outcome.DONE
+        ended(self, step, hand_off, task)
+        if (
+            done
+            and step.number == 0
+            and self.facade.balancer.categories[hand_off.message.text(b"x-lane")].effect is Effect.REDOABLE
+        ):
+            again = module.HandOff(
+                self.loop,
+                self.pool,
+                self.clock,
+                hand_off.message,
+                hand_off.place,
+                self.clock() + 2.0,
+                lambda: True,
+            )
+
+            def send():
+                self.extra = getattr(self, "extra", set()) | {self.loop.create_task(again.run())}
+
+            self.loop.call_later(0.3, send)
+
+    it._ended = _ended
+
+
+_dismisses = _gate(may_dismiss=lambda gate, lookup: True)
+
+MUTANTS = {
+    "sends_twice_after_reset": Mutant("no_effect_twice", "no resets", _forgets_resets),
+    "repeats_outside_group": Mutant("no_effect_twice", "repeats anywhere", _gate(suits=_no_group)),
+    "repeats_after_window": Mutant("no_effect_twice", "repeats what is forgotten", _gate(open=_no_window)),
+    "dismisses_what_ran": Mutant("no_effect_twice", "calls harmless what may have run", _dismisses),
+    "sends_to_drained": Mutant("drains_kept", "takes draining servers for ready ones", _deaf_to_drains),
+    "bursts_cold": Mutant("cold_not_pushed", "sends newcomers everything", _cold_first),
+    "copies_without_leave": Mutant("limits", "sends copies where none are allowed", _copies),
+    "too_many_hand_offs": Mutant("limits", "tries for ever", _no_bound),
+    "answers_twice": Mutant("one_answer", "answers twice", host=AnswersTwice, sockets=_real_answers_twice),
+    "answers_late": Mutant(
+        "one_answer", "keeps bad news back", host=AnswersLate, sockets=_real_answer(_late)
+    ),
+    "never_answers": Mutant(
+        "one_answer", "gives up in silence", host=NeverAnswers, sockets=_real_answer(_never)
+    ),
+    "strangers_answer": Mutant(
+        "one_answer",
+        "passes on another lookup's answer",
+        host=StrangersAnswer,
+        sockets=_real_answer(_stranger),
+    ),
+    "sends_after_answer": Mutant(
+        "one_answer", "goes on after the answer", host=SendsAfterAnswer, sockets=_real_sends_after_answer
+    ),
+}
--- /dev/null
+++ b/foxspread/lab/scenario.py
@@ -0,0 +1,341 @@
+"""The scenario file (TOML): one description of a fleet, its clients, list source, network and faults, for
+both engines. The one place where it is read, checked and given defaults; every fault found names the key and
+the value. Times are seconds, rates lookups a second over all instances, work seconds of one core of speed 1.
+"""
+
+import math
+import pathlib
+import tomllib
+from typing import Any
+
+import msgspec
+
+EFFECTS = ("redoable", "labelled", "irreversible")
+SCOPES = ("cell", "zone", "all")
+SHAPES = ("steady", "wave", "burst", "ramp")
+# What may befall, by name; `docs/operators/lab.md` says what each does. The lab, tests and docs share the
+# names.
+FAULTS = (
+    "slow",
+    "hang",
+    "hang_after_read",
+    "fast_errors",
+    "reset_after_read",
+    "reset_mid_answer",
+    "refuse",
+    "crash_cold",
+    "vanish",
+    "release",
+    "zone_cut",
+    "list_stale",
+    "list_outage",
+    "neighbour",
+    "lookups_that_fail_everywhere",
+    "cold_flood",
+)
+OF_SERVERS = frozenset(FAULTS) - {
+    "zone_cut",
+    "list_stale",
+    "list_outage",
+    "lookups_that_fail_everywhere",
+    "cold_flood",
+}
+
+
+class ScenarioError(Exception):
+    """A scenario can't be used; the text names the key and the value."""
+
+
+class Strict(msgspec.Struct, forbid_unknown_fields=True):
+    """A section: a key that is not known is refused, for it is most likely a known one misspelt."""
+
+
+class Group(Strict):
+    """Servers that are alike."""
+
+    name: str
+    count: int
+    zones: list[str] = []  # where they stand, in turn; empty: all zones
+    cell_size: int = 4  # servers of a zone that share their memory of labels
+    cores: int = 1
+    speed: float = 1.0  # of one core
+    slots: int = 8  # lookups in work at once
+    queue: int = 16  # lookups waiting; what comes on top is turned away
+    thrash_from: float = 0.0  # more than so many a core in slot and queue...
+    thrash_after: float = 1.5  # ... for so long turn it slower...
+    thrash_factor: float = 1.0  # ... by this (1: never), until it has been empty
+    cold_from: float = 0.13  # of its capacity, just started; then a straight line
+    cold_time: float = 20.0
+
+
+class Kind(Strict):
+    """A category of lookups."""
+
+    name: str
+    share: float = 1.0
+    work: float = 0.05
+    spread: float = 0.4  # of the work: standard deviation by mean, log-normal
+    wait: float = 0.0  # on others, after the work
+    expected_time: float = 0.5
+    abandon_time: float = 1.5
+    benefit: float = 1.0
+    late_benefit: float = 0.0
+    effect: str = "redoable"
+    scope: str = "cell"
+    repeat_window: float = 7.5
+
+
+class Tenant(Strict):
+    name: str
+    share: float = 1.0  # of the lookups that come
+    of_service: float = 0.0  # the share of the service that it may count on
+    quota: float = 0.0
+
+
+class Clients(Strict):
+    rate: float = 100.0
+    shape: str = "steady"
+    swing: float = 0.3  # wave: up and down by this part
+    period: float = 20.0  # of a wave
+    at: float = 10.0  # burst and ramp: from when...
+    lasts: float = 10.0  # ... for how long (a ramp takes this long to its top, and stays)...
+    multiple: float = 2.0  # ... to how many times the rate
+    uneven: float = 0.0  # 0: instances get equal parts; towards 1: the first ones ever more
+    keys: int = 1000
+    zipf: float = 0.8
+    retries: int = 0
+    backoff: float = 0.1  # doubles with each, with jitter
+    honour: float = 1.0  # share of clients that honour a return time
+    patience: tuple[float, float] = (1.0, 1.0)  # from, to: part of the category's abandon time
+    leave: float = 0.0  # share that goes away early, unannounced
+    tenants: list[Tenant] = []
+
+
+class Rules(Strict):
+    drain_grace: float = 0.4
+    fall_multiple: float = 4.0
+    fall_after: float = 2.0
+    max_hand_offs: int = 5
+    copies: bool = True
+    calling_off: bool = True
+    slack: float = 0.05  # what every time limit is longer by, where ledgers are judged
+
+
+class Network(Strict):
+    zones: list[str] = msgspec.field(default_factory=lambda: ["east", "west"])
+    same_zone: float = 0.0002  # one way
+    cross_zone: float = 0.001
+    jitter: float = 0.2  # more, by up to this part
+    connect_timeout: float = 0.25
+    idle_timeout: float = 10.0
+
+
+class Source(Strict):
+    """The service that tells the list of servers."""
+
+    delay: float = 0.3  # from a change to its telling
+    spread: float = 0.1  # more, by instance
+    capacity: float = 100.0  # calls a second, answered in turn
+    timeout: float = 3.0  # a call that would wait longer fails
+
+
+class Fault(Strict):
+    what: str
+    at: float
+    lasts: float = 10.0
+    servers: list[str] = []  # by id; else
+    zone: str = ""  # those of a zone; else
+    part: float = 0.0  # this part of all, at least one
+    factor: float = 5.0  # slow: so many times slower; neighbour: the part of the machine it takes
+    share: float = 1.0  # of the lookups that it strikes
+    ran: float = 1.0  # reset_after_read: share that has run by then
+    back: float = 5.0  # crash_cold, vanish: after it ends, so long until the server is back
+    notice: float = 1.0  # release: from draining to the end; the others: until listed as gone
+    at_a_time: float = 0.2  # release: part of the fleet
+    count: int = 4  # cold_flood: servers that come
+    every: float = 0.0  # comes again every so often...
+    times: int = 1  # ... so many times in all
+
+
+class Scenario(Strict):
+    name: str
+    groups: list[Group]
+    categories: list[Kind]
+    seconds: float = 30.0
+    instances: int = 3
+    about: str = ""
+    clients: Clients = msgspec.field(default_factory=Clients)
+    rules: Rules = msgspec.field(default_factory=Rules)
+    network: Network = msgspec.field(default_factory=Network)
+    source: Source = msgspec.field(default_factory=Source)
+    faults: list[Fault] = []
+    max_rows: int = 20_000_000  # a run that writes more ends with an error: every loop is bounded
+
+    @property
+    def capacity(self) -> float:
+        """Lookups a second that the whole fleet does, warm and undisturbed."""
+        mean = sum(kind.share * kind.work for kind in self.categories) / sum(k.share for k in self.categories)
+        return sum(g.count * g.cores * g.speed for g in self.groups) / mean
+
+
+def load(path: str | pathlib.Path, changes: dict[str, Any] | None = None) -> Scenario:
+    """The scenario in a file, with fields replaced: `changes` are by path, as `clients.rate` or
+    `groups.0.count`."""
+    try:
+        values = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise ScenarioError(f"{path} cannot be read: {error}") from None
+    except tomllib.TOMLDecodeError as error:
+        raise ScenarioError(f"{path} is no TOML: {error}") from None
+    for key, value in (changes or {}).items():
+        put(values, key, value)
+    return parse(values)
+
+
+def put(values: Any, key: str, value: Any) -> None:
+    """Replaces one field by its path; names the part of the path that leads nowhere."""
+    *path, last = key.split(".")
+    for part in path:
+        try:
+            values = values[int(part)] if isinstance(values, list) else values.setdefault(part, {})
+        except (ValueError, IndexError, AttributeError):
+            raise ScenarioError(f"'{key}': there is no '{part}' to change") from None
+    try:
+        values[int(last) if isinstance(values, list) else last] = value
+    except (ValueError, IndexError, TypeError):
+        raise ScenarioError(f"'{key}': there is no '{last}' to change") from None
+
+
+def parse(values: dict[str, Any]) -> Scenario:
+    try:
+        found = msgspec.convert(values, Scenario)
+    except msgspec.ValidationError as error:
+        text, _, where = str(error).partition(" - at `")
+        raise ScenarioError(f"'{where.rstrip('`').removeprefix('$.') or 'scenario'}': {text}") from None
+    _check(found)
+    return found
+
+
+def encoded(scenario: Scenario) -> bytes:
+    return msgspec.json.encode(scenario)
+
+
+def decoded(data: bytes) -> Scenario:
+    return msgspec.json.decode(data, type=Scenario)
+
+
+def _need(fine: bool, key: str, value: Any, what: str) -> None:
+    if not fine:
+        raise ScenarioError(f"'{key}' must be {what}, not {value!r}")
+
+
+def _numbers(section: Any, path: str) -> None:
+    """No number anywhere may be negative, infinite or none."""
+    for name in section.__struct_fields__:
+        value, key = getattr(section, name), f"{path}.{name}" if path else name
+        if isinstance(value, (int, float)) and not isinstance(value, bool):
+            _need(math.isfinite(value) and value >= 0, key, value, "a number from 0 on")
+        elif isinstance(value, msgspec.Struct):
+            _numbers(value, key)
+        elif isinstance(value, list):
+            for at, each in enumerate(value):
+                if isinstance(each, msgspec.Struct):
+                    _numbers(each, f"{key}.{at}")
+
+
+def _check(it: Scenario) -> None:
+    _numbers(it, "")
+    _need(0 < it.seconds <= 3600, "seconds", it.seconds, "from above 0 to 3600")
+    _need(1 <= it.instances <= 10_000, "instances", it.instances, "from 1 to 10000")
+    _need(bool(it.groups), "groups", it.groups, "at least one group")
+    _need(bool(it.categories), "categories", it.categories, "at least one category")
+    zones = it.network.zones
+    _need(bool(zones) and len(set(zones)) == len(zones), "network.zones", zones, "a list of different names")
+    for several, key in (
+        (it.groups, "groups"),
+        (it.categories, "categories"),
+        (it.clients.tenants, "clients.tenants"),
+    ):
+        names = [each.name for each in several]
+        for at, name in enumerate(names):
+            _need(bool(name) and name not in names[:at], f"{key}.{at}.name", name, "a name that no other has")
+    for at, group in enumerate(it.groups):
+        key = f"groups.{at}"
+        _need(1 <= group.count <= 20_000, f"{key}.count", group.count, "from 1 to 20000")
+        _need(group.cores >= 1, f"{key}.cores", group.cores, "at least 1")
+        _need(group.speed > 0, f"{key}.speed", group.speed, "above 0")
+        _need(group.slots >= 1, f"{key}.slots", group.slots, "at least 1")
+        _need(group.cell_size >= 1, f"{key}.cell_size", group.cell_size, "at least 1")
+        _need(0 < group.cold_from <= 1, f"{key}.cold_from", group.cold_from, "above 0 and at most 1")
+        _need(group.thrash_factor >= 1, f"{key}.thrash_factor", group.thrash_factor, "at least 1")
+        for zone in group.zones:
+            _need(zone in zones, f"{key}.zones", zone, f"one of {', '.join(zones)}")
+    for at, kind in enumerate(it.categories):
+        key = f"categories.{at}"
+        _need(kind.effect in EFFECTS, f"{key}.effect", kind.effect, f"one of {', '.join(EFFECTS)}")
+        _need(kind.scope in SCOPES, f"{key}.scope", kind.scope, f"one of {', '.join(SCOPES)}")
+        _need(kind.work > 0, f"{key}.work", kind.work, "above 0")
+        _need(
+            0 < kind.expected_time <= kind.abandon_time,
+            f"{key}.expected_time",
+            kind.expected_time,
+            f"above 0 and at most the abandon time ({kind.abandon_time:g})",
+        )
+    _need(sum(kind.share for kind in it.categories) > 0, "categories", 0, "of shares above 0 together")
+    clients = it.clients
+    _need(clients.shape in SHAPES, "clients.shape", clients.shape, f"one of {', '.join(SHAPES)}")
+    _need(
+        clients.rate * it.seconds <= 5_000_000, "clients.rate", clients.rate, "at most 5000000 lookups in all"
+    )
+    _need(clients.swing <= 1, "clients.swing", clients.swing, "at most 1")
+    _need(clients.uneven < 1, "clients.uneven", clients.uneven, "under 1")
+    _need(clients.keys >= 1, "clients.keys", clients.keys, "at least 1")
+    _need(clients.retries <= 10, "clients.retries", clients.retries, "at most 10")
+    _need(
+        len(clients.patience) == 2 and 0 < clients.patience[0] <= clients.patience[1] <= 1,
+        "clients.patience",
+        clients.patience,
+        "two parts, rising, above 0 and at most 1",
+    )
+    _need(it.rules.max_hand_offs >= 1, "rules.max_hand_offs", it.rules.max_hand_offs, "at least 1")
+    _need(it.source.capacity > 0, "source.capacity", it.source.capacity, "above 0")
+    ids = set(server_ids(it))
+    for at, fault in enumerate(it.faults):
+        key = f"faults.{at}"
+        _need(fault.what in FAULTS, f"{key}.what", fault.what, f"one of {', '.join(FAULTS)}")
+        _need(fault.at <= it.seconds, f"{key}.at", fault.at, f"within the {it.seconds:g} s of the run")
+        _need(
+            fault.share <= 1 and fault.ran <= 1,
+            f"{key}.share",
+            (fault.share, fault.ran),
+            "at most 1, as `ran`",
+        )
+        _need(
+            fault.times <= 1 or fault.every >= fault.lasts,
+            f"{key}.every",
+            fault.every,
+            f"at least as long as it lasts ({fault.lasts:g})",
+        )
+        _need(1 <= fault.times <= 1000, f"{key}.times", fault.times, "from 1 to 1000")
+        _need(fault.what != "slow" or fault.factor >= 1, f"{key}.factor", fault.factor, "at least 1")
+        _need(fault.what != "neighbour" or fault.factor < 1, f"{key}.factor", fault.factor, "a part under 1")
+        _need(not fault.zone or fault.zone in zones, f"{key}.zone", fault.zone, f"one of {', '.join(zones)}")
+        _need(
+            fault.what != "zone_cut" or bool(fault.zone),
+            f"{key}.zone",
+            fault.zone,
+            "the zone that is cut off",
+        )
+        for server in fault.servers:
+            _need(server in ids, f"{key}.servers", server, "the id of a server, as s-000")
+        if fault.what in OF_SERVERS:
+            _need(
+                bool(fault.servers or fault.zone) or 0 < fault.part <= 1,
+                f"{key}.part",
+                fault.part,
+                "above 0 and at most 1, where neither servers nor a zone are named",
+            )
+
+
+def server_ids(it: Scenario) -> list[str]:
+    return [f"s-{number:03d}" for number in range(sum(group.count for group in it.groups))]
--- /dev/null
+++ b/tests/lab/helpers.py
@@ -0,0 +1,60 @@
+"""Short ways to a scenario, a server and a ledger."""
+
+import json
+import random
+
+from foxspread.lab import scenario
+from foxspread.lab.ledger import Ledger, Row
+from foxspread.lab.scenario import Group, Kind, Rules
+from foxspread.lab.world import Job, Memory, Server
+
+TRAP = "scenarios/trap.toml"
+KIND = Kind("c", work=0.1)
+
+
+def small(**changes):
+    """A scenario of two seconds with four servers; `changes` by path, with __ for the dots."""
+    plain = {
+        "name": "small",
+        "seconds": 2.0,
+        "instances": 1,
+        "groups": [{"name": "g", "count": 4}],
+        "categories": [{"name": "c", "work": 0.02, "effect": "labelled"}],
+        "clients": {"rate": 50.0},
+    }
+    for key, value in changes.items():
+        scenario.put(plain, key.replace("__", "."), value)
+    return scenario.parse(plain)
+
+
+def server(cold=False, now=0.0, memory=None, rules=None, id="s", zone="a", cell=0, **group):
+    ledger = Ledger()
+    return Server(
+        id,
+        Group("g", 1, **group),
+        zone,
+        cell,
+        now,
+        cold,
+        rules or Rules(),
+        memory or Memory(),
+        ledger,
+        random.Random(1),
+    )
+
+
+def job(name="w0.0", work=0.1, kind=KIND, label="w0"):
+    return Job(name, "i0", kind, label, work)
+
+
+def what(rows, *names):
+    return [row for row in rows if row.what in names]
+
+
+def rows(*several):
+    """Rows from short tuples: seconds, what, and named fields."""
+    return [Row(round(at * 1e6), kind, **more) for at, kind, more in several]
+
+
+def plain(it):
+    return json.loads(scenario.encoded(it))
