--- a/foxspread/cli/lab.py
+++ b/foxspread/cli/lab.py
@@ -12,7 +12,7 @@
 
 from foxspread.lab import experiments, ledger, mutants, policies, report, rules, scenario
 from foxspread.lab.experiments import ExperimentError, Played
-from foxspread.lab.scenario import Scenario, ScenarioError
+from foxspread.lab.scenario import Scenario, ScenarioError, SocketsError
 
 FILE = click.Path(exists=True, dir_okay=False)
 
@@ -114,7 +114,7 @@
     """What can't be done is said in a line, without a traceback."""
     try:
         return call()
-    except (ExperimentError, ScenarioError, ledger.LedgerError) as error:
+    except (ExperimentError, ScenarioError, SocketsError, ledger.LedgerError) as error:
         raise click.ClickException(str(error)) from None
 
 
@@ -333,6 +333,28 @@
     sys.exit(1 if found else 0)
 
 
+@lab.command()
+@click.argument("path", type=FILE)
+@SEEDS
+@FIRST
+@SET
+@JSON
+def agree(path: str, seeds: int, first: int, changes: tuple[str, ...], as_json: bool) -> None:
+    """Play the same seeds in virtual time and on sockets; exit code 1 where they lie over 0.03 apart."""
+    it = loaded(path, changes)
+    with Bar(it.name) as progress:
+        found = told(lambda: experiments.agree(it, seeds_of(seeds, first), progress))
+    if as_json:
+        click.echo(msgspec.json.encode(found))
+    else:
+        rows = [["", "virtual", "sockets"], ["done_share", f"{found.virtual:.4f}", f"{found.sockets:.4f}"]]
+        rows += [[key, f"{one:.4f}", f"{other:.4f}"] for key, (one, other) in found.differs.items()]
+        show_table(rows, f"{it.name}: {'agree' if found.agree else 'differ'}, {found.broken} rules broken")
+        for note in found.notes:
+            click.echo(note)
+    sys.exit(0 if found.agree and not found.broken else 1)
+
+
 @lab.command(name="mutants")
 @click.option("--engine", default="virtual", show_default=True, type=click.Choice(["virtual", "sockets"]))
 @click.option("--trap", "path", default="scenarios/trap.toml", show_default=True, type=FILE)
--- a/foxspread/lab/experiments.py
+++ b/foxspread/lab/experiments.py
@@ -90,7 +90,9 @@
     found, broken = figures.work_out(rows, it), rules.judge(rows, it)
     found.numbers["rules_broken"] = float(len(broken))
     if result.decision_time:
-        found.numbers["decision_us"] = 1e6 * result.decision_time / max(1.0, found.numbers["lookups"])
+        # Virtual: CPU in decisions alone. Sockets: all CPU of the sidecars' processes, their start with it.
+        key = "decision_us" if result.engine == "virtual" else "sidecar_us"
+        found.numbers[key] = 1e6 * result.decision_time / max(1.0, found.numbers["lookups"])
     if ledger is not None:
         with open(ledger, "wb") as file:
             result.ledger.save(file)
@@ -367,3 +369,56 @@
                 break
             it = shorter
     return it
+
+
+# Do the two engines agree?
+
+
+class Agreement(msgspec.Struct):
+    scenario: str
+    seeds: list[int]
+    virtual: float  # done share, mean over seeds
+    sockets: float
+    agree: bool  # within `apart` of each other
+    differs: dict[str, tuple[float, float]]  # virtual and sockets: what may tell why
+    broken: int  # rules broken on either
+    notes: list[str]
+
+
+def agree(
+    it: Scenario, seeds: Sequence[int], progress: Progress | None = None, apart: float = 0.03
+) -> Agreement:
+    """The same scenario and seeds on both engines. Where they differ, the figures that may tell why are
+    given."""
+    real = run(it, seeds, engine="sockets", jobs=1, progress=progress)
+    simulated = run(it, seeds, jobs=1)
+    return agreement(it, simulated, real, apart)
+
+
+def agreement(it: Scenario, simulated: Sequence[Played], real: Sequence[Played], apart: float) -> Agreement:
+    def mean(played: Sequence[Played], key: str) -> float:
+        return figures.interval([each.numbers.get(key, math.nan) for each in played])[0]
+
+    keys = (
+        "dismissed",
+        "scrapped",
+        "left",
+        "hand_offs",
+        "turned_away",
+        "p50",
+        "p99",
+        "tries",
+        "repeats_dropped",
+    )
+    pairs = {key: (mean(simulated, key), mean(real, key)) for key in keys}
+    one, other = mean(simulated, "done_share"), mean(real, "done_share")
+    return Agreement(
+        it.name,
+        [each.seed for each in real],
+        one,
+        other,
+        abs(one - other) <= apart,
+        pairs,
+        sum(each.broken for each in [*simulated, *real]),
+        [f"seed {each.seed}: {note}" for each in real for note in each.notes],
+    )
--- a/foxspread/lab/scenario.py
+++ b/foxspread/lab/scenario.py
@@ -46,6 +46,10 @@
     """A scenario can't be used; the text names the key and the value."""
 
 
+class SocketsError(Exception):
+    """A run on sockets could not be carried out; the text says which process and why."""
+
+
 class Strict(msgspec.Struct, forbid_unknown_fields=True):
     """A section: a key that is not known is refused, for it is most likely a known one misspelt."""
 
--- /dev/null
+++ b/foxspread/lab/sockets.py
@@ -0,0 +1,313 @@
+"""The engine on real sockets: the same scenario against real sidecar processes on loopback, with the
+stand-ins of `stand_ins` in this process. Real time: a run takes as long as its scenario and a little more;
+every loop is bounded.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import random
+import re
+import resource
+import signal
+import sys
+import tempfile
+import time
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+import uvloop
+
+from foxspread.lab import demand, setup, stand_ins
+from foxspread.lab.ledger import Ledger
+from foxspread.lab.roster import Entry, Roster
+from foxspread.lab.scenario import Scenario, ScenarioError, SocketsError
+from foxspread.lab.stand_ins import Clients, Listener, ServerEnd, SourceTalk
+from foxspread.lab.timeline import Hands, Timeline
+from foxspread.lab.virtual import Result
+from foxspread.lab.world import Fleet, Server
+
+MOST_INSTANCES, MOST_SERVERS = 64, 400  # processes, and descriptors of this one
+READY_WITHIN, END_WITHIN = 30.0, 8.0
+LATE = 0.025  # a beat of this process that is later by so much
+
+
+class World(Hands):
+    def __init__(self, scenario: Scenario, seed: int, policy: str) -> None:
+        if scenario.instances > MOST_INSTANCES:
+            raise ScenarioError(
+                f"'instances' must be at most {MOST_INSTANCES} on sockets, not {scenario.instances}"
+            )
+        if (count := sum(group.count for group in scenario.groups)) > MOST_SERVERS:
+            raise ScenarioError(f"'groups' must hold at most {MOST_SERVERS} servers on sockets, not {count}")
+        self.scenario, self.seed, self.policy = scenario, seed, policy
+        self.loop = asyncio.get_running_loop()
+        self.ledger = Ledger(scenario.max_rows)
+        self.begun, self.epoch = self.loop.time(), time.time()
+        self.playing = False  # until then it is the start of the run: no time passes
+        self.chance = random.Random(zlib.crc32(b"network:%d" % seed))
+        self.client_chance = random.Random(zlib.crc32(b"clients:%d" % seed))
+        self.fleet = Fleet(scenario, self.ledger, seed)
+        self.roster = Roster(self.fleet, scenario.source.capacity, scenario.source.timeout)
+        self.timeline = Timeline(scenario, self.fleet, self, seed)
+        self.cut_zones: set[str] = set()
+        self.asked: dict[str, tuple[demand.Want, str]] = {}
+        self.source_talks: dict[SourceTalk, None] = {}
+        zones = scenario.network.zones
+        self.ends = {id: ServerEnd(self, run, zones) for id, run in self.fleet.servers.items()}
+        self.sources = [
+            Listener(self.loop, lambda number=number: SourceTalk(self, number))
+            for number in range(scenario.instances)
+        ]
+        for source in self.sources:
+            source.set("open")
+        self.clients: list[Clients] = []
+        self.processes: list[asyncio.subprocess.Process] = []
+        self.notes: list[str] = []
+        self.beats = self.late_beats = 0
+
+    # Time.
+
+    def now(self) -> float:
+        return self.loop.time() - self.begun if self.playing else 0.0
+
+    def micros(self) -> int:
+        return round(self.now() * 1e6)
+
+    def later(self, seconds: float, call: Callable[..., None], *args: Any) -> None:
+        self.loop.call_later(seconds, call, *args)
+
+    # Network.
+
+    def way(self, one: str, other: str) -> float:
+        network = self.scenario.network
+        base = network.same_zone if one == other else network.cross_zone
+        return base * (1 + network.jitter * self.chance.random())
+
+    def passes(self, one: str, other: str) -> bool:
+        return one == other or not (one in self.cut_zones or other in self.cut_zones)
+
+    # What the timeline does.
+
+    def changed(self, server: Server) -> None:
+        end = self.ends[server.id]
+        if end.run is server:
+            end.wake()
+
+    def reset(self, server: Server) -> None:
+        end = self.ends[server.id]
+        if end.run is server:
+            end.reset()
+
+    def listening(self, server: Server, how: str) -> None:
+        if self.ends[server.id].run is server:
+            self.ends[server.id].show()
+
+    def started(self, server: Server) -> None:
+        if server.id in self.ends:
+            self.ends[server.id].again(server)
+        else:
+            self.ends[server.id] = ServerEnd(self, server, self.scenario.network.zones)
+
+    def fell(self, server: Server) -> None:
+        self.loop.call_later(1.0, self.timeline.tell_gone, server)
+
+    def zone_cut(self, zone: str, cut: bool) -> None:
+        (self.cut_zones.add if cut else self.cut_zones.discard)(zone)
+        for end in self.ends.values():
+            end.show()
+
+    # The list source.
+
+    def list_stale(self, stale: float) -> None:
+        self.roster.stale = stale
+
+    def list_down(self, down: bool) -> None:
+        self.roster.down = down
+        for source in self.sources:
+            source.set("refused" if down else "open")
+        for talk in list(self.source_talks) if down else ():
+            talk.transport.abort()
+
+    def list_changed(self, server: Server, state: str) -> None:
+        delay = self.scenario.source.delay + self.roster.stale
+        self.loop.call_later(delay, self._source_knows, server, state)
+
+    def _source_knows(self, server: Server, state: str) -> None:
+        if self.roster.learn(server, state):
+            for talk in list(self.source_talks):
+                spread = self.scenario.source.spread * self.chance.random()
+                self.loop.call_later(spread, talk.tell, server, state)
+
+    def entries(self, instance: int, several: list[Entry]) -> list[dict[str, Any]]:
+        zone = setup.instance_zone(self.scenario, instance)
+        return [
+            setup.entry(
+                server, state, f"{stand_ins.LOOPBACK}:{self.ends[server.id].ports[zone].port}", self.epoch
+            )
+            for server, state in several
+        ]
+
+    def line(self, instance: int, several: list[Entry], whole: bool) -> bytes:
+        """What is told, and that it was: an instance told a whole list is told that all others are gone."""
+        name = setup.instance_name(instance)
+        if whole:
+            named = {server.id for server, _ in several}
+            for id in sorted(set(self.ends) - named):
+                self.ledger.write(self.micros(), "told", id, "", name, 0.0, "gone")
+        for server, state in several:
+            self.ledger.write(self.micros(), "told", server.id, "", name, server.started, state)
+        return stand_ins.told_line(self.roster.version, self.entries(instance, several), whole)
+
+    # Clients.
+
+    def again(self, want: demand.Want, advised: float) -> None:
+        wait = demand.comes_back(self.scenario, want, advised, self.client_chance.random())
+        if wait is not None:
+            want.tries += 1
+            self.loop.call_later(wait, self.clients[want.instance].ask, want)
+
+    async def ask_all(self) -> None:
+        for want in demand.plan(self.scenario, self.seed):
+            wait = want.at - self.now()
+            if wait > 0:
+                await asyncio.sleep(wait)
+            self.clients[want.instance].ask(want)
+
+    async def beat(self) -> None:
+        """How late this process itself is: stand-ins that are late say nothing of the sidecars."""
+        while True:
+            due = self.loop.time() + 0.02
+            await asyncio.sleep(0.02)
+            self.beats += 1
+            self.late_beats += self.loop.time() - due > LATE
+
+    # Sidecars.
+
+    async def start_sidecars(self, folder: pathlib.Path) -> None:
+        found = [self.start_sidecar(folder, number) for number in range(self.scenario.instances)]
+        ports = await asyncio.gather(*found)
+        self.clients = [Clients(self, number, port) for number, port in enumerate(ports)]
+
+    async def start_sidecar(self, folder: pathlib.Path, number: int) -> int:
+        """Starts it, waits until it is ready, and returns its port."""
+        known = stand_ins.told_line(self.roster.version, self.entries(number, self.roster.whole()), True)
+        name, path, log = setup.instance_name(number), folder / f"{number}.json", folder / f"{number}.log"
+        path.write_text(
+            json.dumps(
+                {
+                    "name": name,
+                    "listen": f"{stand_ins.LOOPBACK}:0",
+                    "discovery": f"{stand_ins.LOOPBACK}:{self.sources[number].port}",
+                    "seed": f"{setup.seed_of(number, self.seed):x}",
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                    "known": json.loads(known),
+                    "settings": setup.settings(self.scenario, number),
+                }
+            )
+        )
+        module = ["foxspread"] if self.policy == "foxspread" else ["foxspread.lab.broken", self.policy]
+        environ = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
+        with log.open("wb") as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *module,
+                env=environ | {"EDGE_CONFIG": str(path)},
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+        self.processes.append(process)
+        async with asyncio.timeout(READY_WITHIN):
+            while (found := re.search(rb"listen=\S+:(\d+)", log.read_bytes())) is None:
+                if process.returncode is not None:
+                    raise SocketsError(f"{name} ended with {process.returncode}: {log.read_text()[-300:]}")
+                await asyncio.sleep(0.02)
+            port = int(found[1])
+            while not await self.is_ready(port):
+                await asyncio.sleep(0.02)
+        return port
+
+    async def is_ready(self, port: int) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(stand_ins.LOOPBACK, port)
+        except OSError:
+            return False
+        try:
+            writer.write(b"GET /-/ready HTTP/1.1\r\nConnection: close\r\n\r\n")
+            return b" 200 " in await reader.readline()
+        except OSError:
+            return False
+        finally:
+            writer.close()
+
+    async def stop_sidecars(self) -> None:
+        """By the handles of the processes that were started here, and no others."""
+        for process in self.processes:
+            if process.returncode is None:
+                process.send_signal(signal.SIGTERM)
+        for number, process in enumerate(self.processes):
+            try:
+                await asyncio.wait_for(process.wait(), END_WITHIN)
+            except TimeoutError:
+                self.notes.append(f"i{number} did not end within {END_WITHIN:g} s and was killed")
+                process.kill()
+                await process.wait()
+            if process.returncode not in (0, -signal.SIGKILL):
+                self.notes.append(f"i{number} ended with {process.returncode}")
+
+    async def play(self) -> Result:
+        clock = time.perf_counter()
+        before = resource.getrusage(resource.RUSAGE_CHILDREN)
+        with tempfile.TemporaryDirectory(prefix="foxspread-lab-") as folder:
+            beat = None
+            try:
+                await self.start_sidecars(pathlib.Path(folder))
+                # The run begins when all are ready; what was told at their start counts as told then.
+                self.begun, self.playing = self.loop.time(), True
+                for number in range(self.scenario.instances):
+                    self.line(number, self.roster.whole(), True)
+                beat = self.loop.create_task(self.beat())
+                self.timeline.start()
+                await self.ask_all()
+                await self.drained()
+            finally:
+                if beat is not None:
+                    beat.cancel()
+                await self.stop_sidecars()
+                for each in [*self.ends.values(), *self.sources, *self.clients]:
+                    each.close()
+        if self.late_beats > 0.01 * self.beats:
+            self.notes.append(
+                f"the stand-ins ran late {self.late_beats} times in {self.beats}: figures may be off"
+            )
+        after = resource.getrusage(resource.RUSAGE_CHILDREN)
+        used = after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime
+        return Result(self.scenario, self.seed, self.ledger, "sockets", [], used, len(self.ledger.rows),
+                      time.perf_counter() - clock, self.notes)  # fmt: skip
+
+    async def drained(self) -> None:
+        """Until all that was asked has its end, retries too; bounded by how long clients can take for
+        them."""
+        longest = max(kind.abandon_time for kind in self.scenario.categories) + self.scenario.rules.slack
+        end = self.loop.time() + (longest + 2.0) * (1 + self.scenario.clients.retries)
+        quiet = 0
+        while quiet < 10 and self.loop.time() < end:
+            await asyncio.sleep(0.05)
+            quiet = 0 if any(each.open for each in self.clients) else quiet + 1
+
+
+def run(scenario: Scenario, seed: int, policy: str = "foxspread") -> Result:
+    """One run; SocketsError where a sidecar does not start. What processes say of themselves is not
+    judged."""
+
+    async def play() -> Result:
+        return await World(scenario, seed, policy).play()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner, contextlib.suppress(KeyboardInterrupt):
+        return runner.run(play())
+    raise SocketsError("interrupted")
--- /dev/null
+++ b/foxspread/lab/stand_ins.py
@@ -0,0 +1,481 @@
+"""Scripted peers on loopback sockets for the engine on real sockets: servers, the list source and clients.
+They decide nothing: a server does what `world.Server` says, the list source tells what `roster.Roster` holds,
+clients ask what `demand` planned. Ports are chosen by the system.
+"""
+
+import asyncio
+import json
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from foxspread.lab.demand import Want
+from foxspread.lab.ledger import Ledger
+from foxspread.lab.world import Job, Server
+from foxspread.net import http
+
+LOOPBACK = "127.0.0.1"
+
+
+class Listener:
+    """A listening socket that can be made to refuse, or to say nothing: new connections then never come
+    up."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, make: Callable[[], asyncio.Protocol]) -> None:
+        self.loop, self.make, self.mode = loop, make, "closed"
+        self.sock = self._bound(0)
+        self.port = self.sock.getsockname()[1]
+        self.fillers: list[socket.socket] = []
+        self.tasks: set[asyncio.Task] = set()
+
+    def _bound(self, port: int) -> socket.socket:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind((LOOPBACK, port))
+        return sock
+
+    def set(self, mode: str) -> None:
+        """`open`, `refused` or `silent`."""
+        if mode == self.mode:
+            return
+        if self.mode in ("open", "silent"):
+            self.loop.remove_reader(self.sock)
+        if mode == "refused":
+            # A port that is bound and not listened at refuses, and no one else can be given it meanwhile.
+            self.close()
+            self.sock = self._bound(self.port)
+        elif mode == "open":
+            self.sock.listen(1024)
+            for filler in self.fillers:
+                filler.close()
+            self.fillers.clear()
+            self.loop.add_reader(self.sock, self._accept)
+        else:
+            # With its queue of one full, the system answers no further connection.
+            self.sock.listen(0)
+            for _ in range(2):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex((LOOPBACK, self.port))
+                self.fillers.append(filler)
+        self.mode = mode
+
+    def _accept(self) -> None:
+        for _ in range(64):
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            task = self.loop.create_task(self._serve(sock))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _serve(self, sock: socket.socket) -> None:
+        await self.loop.connect_accepted_socket(self.make, sock)
+
+    def close(self) -> None:
+        if self.mode == "open":
+            self.loop.remove_reader(self.sock)
+        self.sock.close()
+        for filler in self.fillers:
+            filler.close()
+        self.fillers.clear()
+        self.mode = "closed"
+
+
+class Talk(asyncio.Protocol):
+    """One connection on which whole messages come in."""
+
+    reader_class: type[http.Reader] = http.RequestReader
+
+    def __init__(self) -> None:
+        self.reader = self.reader_class()
+        self.transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.reader.feed(data, 0.0)
+        except http.BadMessage:
+            self.transport.abort()
+            return
+        while self.reader.ready:
+            self.message(self.reader.ready.popleft())
+
+    def message(self, message: http.Message) -> None:
+        raise NotImplementedError
+
+
+class ServerTalk(Talk):
+    """A connection to a stand-in server, as seen from one zone."""
+
+    def __init__(self, end: "ServerEnd", zone: str) -> None:
+        super().__init__()
+        self.end, self.zone = end, zone
+        self.run = end.run
+        self.job: Job | None = None
+        self.first, self.lost_something = True, False
+
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        self.end.talks[self] = None
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.end.talks.pop(self, None)
+        if self.job is not None and self.end.passes(self.zone):
+            self.run.cut(self.end.world.now(), self.job)
+            self.end.wake()
+
+    def message(self, message: http.Message) -> None:
+        delay = self.end.world.way(self.zone, self.run.zone)
+        if self.first:  # a new connection costs the way there and back once more
+            self.first, delay = False, 3 * delay
+        self.end.world.loop.call_later(delay, self._arrives, message)
+
+    def _arrives(self, message: http.Message) -> None:
+        run, world = self.run, self.end.world
+        if run.silent or not self.end.passes(self.zone):
+            self.lost_something = True
+            return
+        if not run.up or self.transport.is_closing():
+            return
+        lookup = message.text(b"x-txn")
+        want, instance = world.asked.get(lookup, (None, ""))
+        if want is None:
+            self.send(400, b"nobody asked for this\n")
+            return
+        self.job = Job(lookup, instance, want.kind, want.id, want.work, want.bad)
+        self.end.by_job[self.job] = self
+        self.end.worked(run.arrive(world.now(), self.job))
+
+    def later(self, call: Callable[..., None], *args: Any) -> None:
+        """What goes back takes the way back."""
+        self.job = None
+        self.end.world.loop.call_later(self.end.world.way(self.zone, self.run.zone), self._back, call, *args)
+
+    def _back(self, call: Callable[..., None], *args: Any) -> None:
+        if self.run.silent or not self.end.passes(self.zone):
+            self.lost_something = True
+        elif not self.transport.is_closing():
+            call(*args)
+
+    def send(self, status: int, body: bytes, lines: tuple[bytes, ...] = ()) -> None:
+        self.transport.write(b"".join(http.answer(status, body, lines)))
+
+    def half(self, body: bytes) -> None:
+        whole = b"".join(http.answer(200, body))
+        self.transport.write(whole[: -max(1, len(body) // 2)])
+        self.transport.close()
+
+
+class ServerEnd:
+    """All that is listened on for one server id, over its runs: a port for each zone that looks at it."""
+
+    def __init__(self, world: Any, run: Server, zones: list[str]) -> None:
+        self.world, self.run = world, run
+        self.talks: dict[ServerTalk, None] = {}
+        self.by_job: dict[Job, ServerTalk] = {}
+        self.alarm: asyncio.TimerHandle | None = None
+        self.ports = {zone: Listener(world.loop, lambda zone=zone: ServerTalk(self, zone)) for zone in zones}
+        self.show()
+
+    def passes(self, zone: str) -> bool:
+        return self.world.passes(zone, self.run.zone)
+
+    def show(self) -> None:
+        """Brings the ports to what the run and the network are like."""
+        run = self.run
+        for zone, listener in self.ports.items():
+            if run.silent or not self.passes(zone):
+                listener.set("silent")
+            else:
+                listener.set("open" if run.up and not run.refusing else "refused")
+        for talk in list(self.talks):
+            if talk.lost_something and not talk.run.silent and self.passes(talk.zone):
+                talk.transport.abort()
+
+    def again(self, run: Server) -> None:
+        self.reset()
+        self.run = run
+        self.show()
+
+    def reset(self) -> None:
+        for talk in list(self.talks):
+            self.by_job.pop(talk.job, None)
+            talk.job = None
+            talk.transport.abort()
+
+    def worked(self, out: list[tuple[Job, str]]) -> None:
+        for job, ending in out:
+            talk = self.by_job.pop(job, None)
+            if ending == "fell":
+                self.show()
+                self.reset()
+                self.world.fell(self.run)
+                continue
+            if talk is None or talk.job is not job:
+                continue
+            match ending:
+                case "done":
+                    talk.later(talk.send, 200, job.token.encode())
+                case "turned":
+                    talk.later(talk.send, 503, b"", (b"X-Turned-Away: 1\r\n",))
+                case "error":
+                    talk.later(talk.send, 500, b"")
+                case "mid":
+                    talk.later(talk.half, b"half an answer")
+                case _:
+                    talk.later(talk.transport.abort)
+        self.wake()
+
+    def wake(self) -> None:
+        if self.alarm is not None:
+            self.alarm.cancel()
+            self.alarm = None
+        at = self.run.wake_at()
+        if at < 1e9:
+            self.alarm = self.world.loop.call_later(max(0.0, at - self.world.now()), self._ring)
+
+    def _ring(self) -> None:
+        self.alarm = None
+        self.worked(self.run.advance(self.world.now()))
+
+    def close(self) -> None:
+        if self.alarm is not None:
+            self.alarm.cancel()
+        for listener in self.ports.values():
+            listener.close()
+        for talk in list(self.talks):
+            talk.job = None
+            talk.transport.abort()
+
+
+class SourceTalk(Talk):
+    """A connection of one instance to the list source."""
+
+    def __init__(self, world: Any, instance: int) -> None:
+        super().__init__()
+        self.world, self.instance = world, instance
+        self.watching = False
+
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        self.world.source_talks[self] = None
+        if self.world.roster.down:
+            transport.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.world.source_talks.pop(self, None)
+
+    def message(self, message: http.Message) -> None:
+        world = self.world
+        if (answered := world.roster.call(world.now())) is None:
+            world.loop.call_later(world.roster.timeout, self._failed)
+            return
+        told = http.parameter(message.target, "from")
+        watch = http.parameter(message.target, "watch") == "1"
+        world.loop.call_later(answered - world.now(), self._answer, told, watch)
+
+    def _failed(self) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(b"".join(http.answer(503, keep=False)))
+            self.transport.close()
+
+    def _answer(self, told: str, watch: bool) -> None:
+        if self.transport.is_closing():
+            return
+        roster = self.world.roster
+        if roster.down:
+            self.transport.abort()
+            return
+        changes = told.isdigit() and int(told) <= roster.version
+        several = roster.since(int(told)) if changes else roster.whole()
+        line = self.world.line(self.instance, several, whole=not changes)
+        if not watch:
+            self.transport.write(b"".join(http.answer(200, line)))
+            return
+        self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.watching = True
+        if several or not changes:
+            self.write(line)
+        self._empty()
+
+    def write(self, line: bytes) -> None:
+        line += b"\n"
+        self.transport.write(b"%x\r\n%b\r\n" % (len(line), line))
+
+    def _empty(self) -> None:
+        if not self.transport.is_closing():
+            self.write(b"")
+            self.world.loop.call_later(2.0, self._empty)
+
+    def tell(self, server: Server, state: str) -> None:
+        if self.watching and not self.transport.is_closing() and not self.world.roster.down:
+            self.write(self.world.line(self.instance, [(server, state)], whole=False))
+
+
+class ClientTalk(Talk):
+    """A client's connection to its sidecar: one lookup at a time."""
+
+    reader_class = http.AnswerReader
+
+    def __init__(self, clients: "Clients") -> None:
+        super().__init__()
+        self.clients = clients
+        self.asked: Asked | None = None
+        self.last: Asked | None = None
+        self.used, self.some = 0, False
+
+    def ask(self, asked: "Asked") -> None:
+        self.asked, self.some = asked, False
+        self.used += 1
+        self.transport.write(asked.bytes)
+
+    def data_received(self, data: bytes) -> None:
+        self.some = True
+        super().data_received(data)
+
+    def message(self, message: http.Message) -> None:
+        asked, self.asked = self.asked or self.last, None
+        self.last = asked
+        if asked is not None:
+            self.clients.answered(asked, message)
+        if not message.keep:
+            self.transport.close()
+        elif not self.transport.is_closing() and self not in self.clients.idle:
+            self.clients.idle.append(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if self in self.clients.idle:
+            self.clients.idle.remove(self)
+        asked, self.asked = self.asked, None
+        if asked is not None:
+            self.clients.broke(asked, self.used > 1 and not self.some)
+
+
+class Asked:
+    """One try that is under way."""
+
+    def __init__(self, want: Want, lookup: str, data: bytes) -> None:
+        self.want, self.lookup, self.bytes = want, lookup, data
+        self.open, self.again = True, False
+        self.talk: ClientTalk | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Clients:
+    """The clients of one instance."""
+
+    def __init__(self, world: Any, instance: int, port: int) -> None:
+        self.world, self.instance, self.port = world, instance, port
+        self.idle: list[ClientTalk] = []
+        self.open: set[Asked] = set()
+        self.tasks: set[asyncio.Task] = set()
+
+    def ask(self, want: Want) -> None:
+        lookup, world = want.lookup(), self.world
+        asked = Asked(want, lookup, request(want, lookup))
+        world.asked[lookup] = want, f"i{self.instance}"
+        self.open.add(asked)
+        self._write(world.ledger, "asked", asked, want.patience, want.kind.name, want.id)
+        # It hears out its sidecar for the slack, so that what comes late is seen, and is judged.
+        leaves = want.leaves < want.patience
+        wait = want.leaves if leaves else want.patience + world.scenario.rules.slack
+        asked.timer = world.loop.call_later(wait, self._gives_up, asked)
+        self._send(asked)
+
+    def _send(self, asked: Asked) -> None:
+        while self.idle:
+            talk = self.idle.pop()
+            if not talk.transport.is_closing():
+                asked.talk = talk
+                talk.ask(asked)
+                return
+        task = self.world.loop.create_task(self._send_new(asked))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _send_new(self, asked: Asked) -> None:
+        try:
+            _, talk = await self.world.loop.create_connection(lambda: ClientTalk(self), LOOPBACK, self.port)
+        except OSError:
+            return  # it is never answered: the judge sees that
+        if not asked.open:
+            talk.transport.abort()
+            return
+        asked.talk = talk
+        talk.ask(asked)
+
+    def _write(
+        self, ledger: Ledger, what: str, asked: Asked, number: float = 0.0, text: str = "", label: str = ""
+    ) -> None:
+        who = asked.want.tenant or "client"
+        ledger.write(self.world.micros(), what, who, asked.lookup, f"i{self.instance}", number, text, label)
+
+    def answered(self, asked: Asked, message: http.Message) -> None:
+        if asked.again and message.status == 400:
+            return  # the sidecar had read it the first time: that answer is lost
+        back = message.text(b"retry-after")
+        body = bytes(message.body).decode("latin-1") if message.status == 200 else ""
+        self._write(self.world.ledger, "answered", asked, message.status, body, back)
+        if not asked.open:
+            return
+        self._end(asked)
+        if message.status == 200:
+            asked.want.done_at = self.world.now()
+        else:
+            self.world.again(asked.want, float(back or 0))
+
+    def broke(self, asked: Asked, unread: bool) -> None:
+        """A sidecar may close a connection between lookups; what crosses that is sent once more."""
+        if asked.open and unread and not asked.again:
+            asked.again = True
+            self._send(asked)
+
+    def _gives_up(self, asked: Asked) -> None:
+        if not asked.open:
+            return
+        self._end(asked)
+        self._write(self.world.ledger, "left", asked)
+        if asked.talk is not None and asked.talk.asked is asked:
+            asked.talk.asked = None
+            asked.talk.transport.abort()
+        if asked.want.leaves >= asked.want.patience:
+            self.world.again(asked.want, 0.0)
+
+    def _end(self, asked: Asked) -> None:
+        asked.open = False
+        self.open.discard(asked)
+        if asked.timer is not None:
+            asked.timer.cancel()
+
+    def close(self) -> None:
+        for talk in list(self.idle):
+            talk.transport.abort()
+
+
+def request(want: Want, lookup: str) -> bytes:
+    """A lookup as the application sends it to its sidecar."""
+    kind = want.kind
+    method = "GET" if kind.effect == "redoable" else "POST"
+    lines = [
+        f"{method} /{kind.name}?user={want.key} HTTP/1.1",
+        "Host: backend.local",
+        f"X-Txn: {lookup}",
+        f"X-Lane: {kind.name}",
+        f"X-Remaining: {round(want.patience * 1e6)}u",
+    ]
+    if want.tenant:
+        lines.append(f"X-Org: {want.tenant}")
+    if method == "POST":
+        lines += [f"Idempotency-Key: {want.id}", "Content-Length: 0"]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def told_line(version: int, entries: list[dict[str, Any]], whole: bool) -> bytes:
+    """What the list source writes, in the platform's form."""
+    return json.dumps({"version": version, "full": whole, "servers": entries}, separators=(",", ":")).encode()
--- a/foxspread/lab/timeline.py
+++ b/foxspread/lab/timeline.py
@@ -32,8 +32,8 @@
     def started(self, server: Server) -> None:
         """A new run listens."""
 
-    def list_changed(self, server: Server, state: str, delay: float | None = None) -> None:
-        """The list source comes to know it, to be told after its usual delay, or this one."""
+    def list_changed(self, server: Server, state: str) -> None:
+        """The list source comes to know it after its delay, and tells it."""
 
     def list_stale(self, stale: float) -> None:
         """What is to be told from now on comes so much later (0: as usual)."""
--- a/foxspread/lab/virtual.py
+++ b/foxspread/lab/virtual.py
@@ -16,6 +16,7 @@
 from foxspread.lab.clock import Clock
 from foxspread.lab.demand import Want
 from foxspread.lab.ledger import Ledger
+from foxspread.lab.roster import Roster
 from foxspread.lab.scenario import Scenario
 from foxspread.lab.timeline import Hands, Timeline
 from foxspread.lab.world import Fleet, Job, Server
@@ -231,9 +232,7 @@
         self.at_run: dict[int, dict[Attempt, None]] = {}  # by run: the hand-offs that reached it
         self.wakes: dict[int, float] = {}  # by run: when it is to be woken
         self.by_job: dict[Job, Attempt] = {}
-        # The list source: what it knows (state by id), who is down, what is told how late.
-        self.known: dict[str, tuple[Server, str]] = {}
-        self.stale, self.source_down, self.busy_until = 0.0, False, 0.0
+        self.roster = Roster(self.fleet, scenario.source.capacity, scenario.source.timeout)
         self.sidecars = [sidecar(self, number, make) for number in range(scenario.instances)]
         self.wants = demand.plan(scenario, seed)
 
@@ -248,9 +247,8 @@
 
     def run(self, progress: Callable[[float], None] | None = None) -> Result:
         begun = time.perf_counter()
-        self.known = {id: (server, state) for id, (server, state) in self.fleet.listed.items()}
         for sidecar in self.sidecars:
-            self._tell(sidecar, list(self.known.values()), whole=True)
+            self._tell(sidecar, self.roster.whole(), whole=True)
         self.timeline.start()
         self.clock.after(0.0, self._next_want, 0)
         self.clock.after(0.0, self._sample)
@@ -479,56 +477,48 @@
     # The list source.
 
     def list_stale(self, stale: float) -> None:
-        self.stale = stale
+        self.roster.stale = stale
 
     def list_down(self, down: bool) -> None:
-        self.source_down = down
+        self.roster.down = down
         if down:
             for sidecar in self.sidecars:
                 if sidecar.watching:
                     sidecar.watching = False
                     self.clock.after(self.scenario.network.same_zone, sidecar.list_failed)
 
-    def list_changed(self, server: Server, state: str, delay: float | None = None) -> None:
-        delay = self.scenario.source.delay if delay is None else delay
-        self.clock.after(delay + self.stale, self._source_knows, server, state)
+    def list_changed(self, server: Server, state: str) -> None:
+        self.clock.after(self.scenario.source.delay + self.roster.stale, self._source_knows, server, state)
 
     def _source_knows(self, server: Server, state: str) -> None:
-        known = self.known.get(server.id)
-        if known is not None and known[0].run > server.run:
-            return  # a newer run is listed by now: what is told of the old one is over
-        if state == "gone":
-            if self.known.pop(server.id, None) is None:
-                return
-        else:
-            self.known[server.id] = (server, state)
+        if not self.roster.learn(server, state):
+            return
         for sidecar in self.sidecars:
-            if sidecar.watching and not self.source_down:
+            if sidecar.watching and not self.roster.down:
                 spread = self.scenario.source.spread * self.chance.random()
                 self.clock.after(spread, self._push, sidecar, server, state)
 
     def _push(self, sidecar: Sidecar, server: Server, state: str) -> None:
-        if sidecar.watching and (state == "gone" or self.known.get(server.id) == (server, state)):
-            self._tell(sidecar, [(server, state)], whole=False)
+        newest = self.roster.known.get(server.id, (server, "gone"))
+        if sidecar.watching and newest == (server, state):  # else something newer is on its way
+            self._tell(sidecar, [newest], whole=False)
 
     def subscribe(self, sidecar: Sidecar) -> None:
         if sidecar.watching or sidecar.asking:
             return
         sidecar.asking = True
-        source, now = self.scenario.source, self.now()
-        start = max(now, self.busy_until)
-        if self.source_down or start - now > source.timeout:
-            wait = self.scenario.network.same_zone if self.source_down else source.timeout
-            self.clock.after(wait, sidecar.list_failed)
-            return
-        self.busy_until = start + 1 / source.capacity
-        self.clock.after(self.busy_until - now, self._subscribed, sidecar)
+        if self.roster.down:
+            self.clock.after(self.scenario.network.same_zone, sidecar.list_failed)
+        elif (answered := self.roster.call(self.now())) is None:
+            self.clock.after(self.roster.timeout, sidecar.list_failed)
+        else:
+            self.clock.after(answered - self.now(), self._subscribed, sidecar)
 
     def _subscribed(self, sidecar: Sidecar) -> None:
-        if self.source_down:
+        if self.roster.down:
             return sidecar.list_failed()
         sidecar.asking, sidecar.watching = False, True
-        self._tell(sidecar, list(self.known.values()), whole=True)
+        self._tell(sidecar, self.roster.whole(), whole=True)
 
     def _tell(self, sidecar: Sidecar, several: list[tuple[Server, str]], whole: bool) -> None:
         entries = []
