--- a/foxspread/lab/experiments.py
+++ b/foxspread/lab/experiments.py
@@ -127,8 +127,10 @@
 
 
 def play_all(tasks: Sequence[Task], jobs: int = 0, progress: Progress | None = None) -> list[Played]:
-    """All of them, in their order, several at a time. Runs on sockets want their cores: one at a time."""
-    jobs = 1 if any(task[3] == "sockets" for task in tasks) else jobs or max(1, (os.cpu_count() or 2) - 1)
+    """All of them, in their order, several at a time. Runs on sockets want their cores: one at a time, unless
+    `jobs` says otherwise."""
+    sockets = any(task[3] == "sockets" for task in tasks)
+    jobs = jobs or (1 if sockets else max(1, (os.cpu_count() or 2) - 1))
     if jobs == 1 or len(tasks) == 1:
         out = []
         for task in tasks:
--- a/foxspread/lab/virtual.py
+++ b/foxspread/lab/virtual.py
@@ -47,6 +47,7 @@
 @dataclass(slots=True, eq=False)
 class Connection:
     run: Server
+    told: float = 0.0  # the server's start as this instance knew it when it opened this
     since: float = 0.0
 
 
@@ -176,8 +177,8 @@
         self.ended(attempt, Outcome.TIMED_OUT if attempt.begun else Outcome.UNSENT)
 
     def _keep(self, attempt: Attempt) -> None:
-        connection, started = attempt.connection, self.started.get(attempt.server)
-        if connection is not None and started is not None and (started or 0.0) <= connection.run.started:
+        connection = attempt.connection
+        if connection is not None and self.started.get(attempt.server) == connection.told:
             connection.since = self.engine.wall()
             self.idle.setdefault(attempt.server, []).append(connection)
 
@@ -208,7 +209,7 @@
         for id, started in found.items():
             if self.started.get(id, started) != started:
                 self.idle.pop(id, None)
-            self.started[id] = started - EPOCH if started else 0.0
+            self.started[id] = started
         self.decide(self.facade.listed, entries, whole)
 
     def list_failed(self) -> None:
@@ -388,7 +389,7 @@
         elif run.refusing or not run.up:
             self.clock.after(way, attempt.sidecar.ended, attempt, Outcome.UNCONNECTED)
         else:
-            attempt.connection = Connection(run)
+            attempt.connection = Connection(run, attempt.sidecar.started.get(attempt.server, -1.0))
             self.clock.after(way, attempt.sidecar.connected, attempt)
 
     def deliver(self, attempt: Attempt) -> None:
