Sums decay without a call, and who has no share is not counted

Cause: a lookup reads and adds to some forty decaying sums, a call within a call each, and built a customer and a sum of its own for each lookup of a customer without a share.

Change: both written out in place.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -660,7 +660,9 @@
 
     def _share_left(self, now: float, customer: str) -> float:
         """1 within the customer's share; less beyond it, as this sidecar sees its own part of the traffic."""
-        entry, sent = self.customers.get(customer, (Customer("", math.inf), Decaying(10.0)))
+        if customer not in self.customers:   # who has no share has none to be over
+            return 1.0
+        entry, sent = self.customers[customer]
         sent.add(now)
         within = max(entry.quota / self.sidecars * sent.span, entry.share * self.servers.asked.read(now))
         return self.surplus_benefit if sent.read(now) > within else 1.0
--- a/foxspread/sums.py
+++ b/foxspread/sums.py
@@ -19,7 +19,10 @@
         return self.value
 
     def add(self, now: float, amount: float = 1.0) -> None:
-        self.value = self.read(now) + amount
+        if now > self.at:   # as `read`, without the call
+            self.value *= math.exp((self.at - now) / self.span)
+        self.at = now
+        self.value += amount
 
 
 class Chance:
@@ -54,7 +57,11 @@
         return self.total, self.count
 
     def add(self, now: float, value: float, times: float = 1.0) -> None:
-        self.sums(now)
+        if now > self.at:   # as `sums`, without the call
+            left = math.exp((self.at - now) / self.span)
+            self.total *= left
+            self.count *= left
+        self.at = now
         self.total += value
         self.count += times
         if self.count > self.most:   # where much comes, what is old yields sooner
