--- a/foxspread/lab/sockets.py
+++ b/foxspread/lab/sockets.py
@@ -23,6 +23,7 @@
 
 from foxspread.lab import demand, setup, stand_ins
 from foxspread.lab.ledger import Ledger
+from foxspread.lab.network import Network
 from foxspread.lab.roster import Entry, Roster
 from foxspread.lab.scenario import Scenario, ScenarioError, SocketsError
 from foxspread.lab.stand_ins import Clients, Listener, ServerEnd, SourceTalk
@@ -48,12 +49,11 @@
         self.ledger = Ledger(scenario.max_rows)
         self.begun, self.epoch = self.loop.time(), time.time()
         self.playing = False  # until then it is the start of the run: no time passes
-        self.chance = random.Random(zlib.crc32(b"network:%d" % seed))
+        self.network = Network(scenario.network, seed)
         self.client_chance = random.Random(zlib.crc32(b"clients:%d" % seed))
         self.fleet = Fleet(scenario, self.ledger, seed)
         self.roster = Roster(self.fleet, scenario.source.capacity, scenario.source.timeout)
         self.timeline = Timeline(scenario, self.fleet, self, seed)
-        self.cut_zones: set[str] = set()
         self.asked: dict[str, tuple[demand.Want, str]] = {}
         self.source_talks: dict[SourceTalk, None] = {}
         zones = scenario.network.zones
@@ -80,16 +80,6 @@
     def later(self, seconds: float, call: Callable[..., None], *args: Any) -> None:
         self.loop.call_later(seconds, call, *args)
 
-    # Network.
-
-    def way(self, one: str, other: str) -> float:
-        network = self.scenario.network
-        base = network.same_zone if one == other else network.cross_zone
-        return base * (1 + network.jitter * self.chance.random())
-
-    def passes(self, one: str, other: str) -> bool:
-        return one == other or not (one in self.cut_zones or other in self.cut_zones)
-
     # What the timeline does.
 
     def changed(self, server: Server) -> None:
@@ -116,7 +106,7 @@
         self.loop.call_later(1.0, self.timeline.tell_gone, server)
 
     def zone_cut(self, zone: str, cut: bool) -> None:
-        (self.cut_zones.add if cut else self.cut_zones.discard)(zone)
+        self.network.cut(zone, cut)
         for end in self.ends.values():
             end.show()
 
@@ -139,7 +129,7 @@
     def _source_knows(self, server: Server, state: str) -> None:
         if self.roster.learn(server, state):
             for talk in list(self.source_talks):
-                spread = self.scenario.source.spread * self.chance.random()
+                spread = self.scenario.source.spread * self.network.chance.random()
                 self.loop.call_later(spread, talk.tell, server, state)
 
     def entries(self, instance: int, several: list[Entry]) -> list[dict[str, Any]]:
--- a/foxspread/lab/stand_ins.py
+++ b/foxspread/lab/stand_ins.py
@@ -131,7 +131,7 @@
             self.end.wake()
 
     def message(self, message: http.Message) -> None:
-        delay = self.end.world.way(self.zone, self.run.zone)
+        delay = self.end.world.network.way(self.zone, self.run.zone)
         if self.first:  # a new connection costs the way there and back once more
             self.first, delay = False, 3 * delay
         self.end.world.loop.call_later(delay, self._arrives, message)
@@ -155,7 +155,9 @@
     def later(self, call: Callable[..., None], *args: Any) -> None:
         """What goes back takes the way back."""
         self.job = None
-        self.end.world.loop.call_later(self.end.world.way(self.zone, self.run.zone), self._back, call, *args)
+        self.end.world.loop.call_later(
+            self.end.world.network.way(self.zone, self.run.zone), self._back, call, *args
+        )
 
     def _back(self, call: Callable[..., None], *args: Any) -> None:
         if self.run.silent or not self.end.passes(self.zone):
@@ -184,7 +186,7 @@
         self.show()
 
     def passes(self, zone: str) -> bool:
-        return self.world.passes(zone, self.run.zone)
+        return self.world.network.passes(zone, self.run.zone)
 
     def show(self) -> None:
         """Brings the ports to what the run and the network are like."""
--- a/foxspread/lab/virtual.py
+++ b/foxspread/lab/virtual.py
@@ -16,6 +16,7 @@
 from foxspread.lab.clock import Clock
 from foxspread.lab.demand import Want
 from foxspread.lab.ledger import Ledger
+from foxspread.lab.network import Network
 from foxspread.lab.roster import Roster
 from foxspread.lab.scenario import Scenario
 from foxspread.lab.timeline import Hands, Timeline
@@ -223,11 +224,10 @@
     ) -> None:
         self.scenario, self.seed = scenario, seed
         self.clock, self.ledger = Clock(), Ledger(scenario.max_rows)
-        self.chance = random.Random(zlib.crc32(b"network:%d" % seed))
+        self.network = Network(scenario.network, seed)
         self.client_chance = random.Random(zlib.crc32(b"clients:%d" % seed))
         self.fleet = Fleet(scenario, self.ledger, seed)
         self.timeline = Timeline(scenario, self.fleet, self, seed)
-        self.cut_zones: set[str] = set()
         self.decision_time = 0.0
         self.samples: list[dict[str, float]] = []
         self.at_run: dict[int, dict[Attempt, None]] = {}  # by run: the hand-offs that reached it
@@ -360,26 +360,18 @@
 
     # Network.
 
-    def way(self, one: str, other: str) -> float:
-        network = self.scenario.network
-        base = network.same_zone if one == other else network.cross_zone
-        return base * (1 + network.jitter * self.chance.random())
-
-    def passes(self, one: str, other: str) -> bool:
-        return one == other or not (one in self.cut_zones or other in self.cut_zones)
-
     def sound(self, run: Server) -> bool:
         """Does a connection to that run look whole from here? One to a silent machine does."""
         return self.fleet.servers[run.id] is run and (run.up or run.silent)
 
     def connect(self, attempt: Attempt) -> None:
         run = self.fleet.servers[attempt.server]
-        way = self.way(attempt.sidecar.zone, run.zone)
+        way = self.network.way(attempt.sidecar.zone, run.zone)
         self.clock.after(way, self._connect_arrives, attempt, way)
 
     def _connect_arrives(self, attempt: Attempt, way: float) -> None:
         run = self.fleet.servers[attempt.server]
-        if run.silent or not self.passes(attempt.sidecar.zone, run.zone):
+        if run.silent or not self.network.passes(attempt.sidecar.zone, run.zone):
             self.clock.after(
                 max(0.0, self.scenario.network.connect_timeout - way),
                 attempt.sidecar.ended,
@@ -395,11 +387,11 @@
     def deliver(self, attempt: Attempt) -> None:
         run = attempt.connection.run
         self.at_run.setdefault(run.run, {})[attempt] = None
-        self.clock.after(self.way(attempt.sidecar.zone, run.zone), self._arrives, attempt)
+        self.clock.after(self.network.way(attempt.sidecar.zone, run.zone), self._arrives, attempt)
 
     def _arrives(self, attempt: Attempt) -> None:
         run = attempt.connection.run
-        if run.silent or not self.passes(attempt.sidecar.zone, run.zone):
+        if run.silent or not self.network.passes(attempt.sidecar.zone, run.zone):
             return
         if not run.up:
             self.back(attempt, Outcome.RESET)
@@ -431,22 +423,24 @@
             return
         run = attempt.connection.run
         self.at_run.get(run.run, {}).pop(attempt, None)
-        if self.passes(attempt.sidecar.zone, run.zone) and not attempt.over:
+        if self.network.passes(attempt.sidecar.zone, run.zone) and not attempt.over:
             self.clock.after(
-                self.way(attempt.sidecar.zone, run.zone), attempt.sidecar.ended, attempt, outcome, body
+                self.network.way(attempt.sidecar.zone, run.zone),
+                attempt.sidecar.ended,
+                attempt,
+                outcome,
+                body,
             )
 
     def cut(self, attempt: Attempt) -> None:
         run = attempt.connection.run
         self.at_run.get(run.run, {}).pop(attempt, None)
         # Never before the request itself: the slowest way there is.
-        network = self.scenario.network
-        base = network.same_zone if attempt.sidecar.zone == run.zone else network.cross_zone
-        self.clock.after(base * (1 + network.jitter), self._cut_arrives, attempt)
+        self.clock.after(self.network.slowest(attempt.sidecar.zone, run.zone), self._cut_arrives, attempt)
 
     def _cut_arrives(self, attempt: Attempt) -> None:
         run = attempt.connection.run
-        if attempt.job is not None and self.passes(attempt.sidecar.zone, run.zone):
+        if attempt.job is not None and self.network.passes(attempt.sidecar.zone, run.zone):
             run.cut(self.now(), attempt.job)
             self.changed(run)
 
@@ -467,13 +461,16 @@
     def reset(self, run: Server) -> None:
         for attempt in list(self.at_run.pop(run.run, {})):
             self.by_job.pop(attempt.job, None)
-            if self.passes(attempt.sidecar.zone, run.zone) and not attempt.over:
+            if self.network.passes(attempt.sidecar.zone, run.zone) and not attempt.over:
                 self.clock.after(
-                    self.way(attempt.sidecar.zone, run.zone), attempt.sidecar.ended, attempt, Outcome.RESET
+                    self.network.way(attempt.sidecar.zone, run.zone),
+                    attempt.sidecar.ended,
+                    attempt,
+                    Outcome.RESET,
                 )
 
     def zone_cut(self, zone: str, cut: bool) -> None:
-        (self.cut_zones.add if cut else self.cut_zones.discard)(zone)
+        self.network.cut(zone, cut)
 
     # The list source.
 
@@ -496,7 +493,7 @@
             return
         for sidecar in self.sidecars:
             if sidecar.watching and not self.roster.down:
-                spread = self.scenario.source.spread * self.chance.random()
+                spread = self.scenario.source.spread * self.network.chance.random()
                 self.clock.after(spread, self._push, sidecar, server, state)
 
     def _push(self, sidecar: Sidecar, server: Server, state: str) -> None:
