A client's further try is as old as its first: what can't be in time is dismissed

Each sidecar gave every repeat a whole expected time (lookup_taken), so a seventh of the fleet's work earned nothing and filled the room of first tries, which were dismissed and came again.

Now a marked repeat (X-Resent, or retry on the simulator's wire) is taken to have spent the time by which it has less left than first tries of its category have; where each try has a time of its own nothing changes.

--- a/foxspread/facade.py
+++ b/foxspread/facade.py
@@ -70,9 +70,9 @@
         return bool(self.balancer.servers.ready)
 
     def pick(self, now: float, id: str, category: str, time_left: float, customer: str = "",
-             key: str = "") -> list[Step]:
-        """A lookup has come."""
-        self.balancer.lookup_taken(now, id, category, time_left, customer, key)
+             key: str = "", again: bool = False) -> list[Step]:
+        """A lookup has come; `again` where it is marked as a client's further try."""
+        self.balancer.lookup_taken(now, id, category, time_left, customer, key, again)
         return self.tick(now)
 
     def report(self, now: float, id: str, number: int, outcome: Outcome) -> list[Step]:
--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -335,6 +335,7 @@
         self.answered: dict[str, float] = {}       # when a server last answered anything
         self.longest = max((c.abandon_time for c in categories), default=0.0)
         self.worth = Mean(10.0, 0.0)
+        self.first_time = {c.name: Mean(30.0, 0.0) for c in categories}   # that a client's first try has
         # The list service does not grow with the sidecars: first calls are spread, later ones back off.
         self.spread, self.ask_again = min(5.0, 0.04 * sidecars), 0.5
         self.ask_at = now + chance.draw() * self.spread if asks else math.inf
@@ -350,10 +351,14 @@
         self.plan: Iterator[Decision] | None = None
 
     def lookup_taken(self, now: float, id: str, category: str, time_left: float, customer: str = "",
-                     key: str = "") -> None:
-        kind = self.categories[category]
+                     key: str = "", again: bool = False) -> None:
+        kind, spent = self.categories[category], 0.0
         self.servers.asked.add(now)
-        lookup = Lookup(id, kind, now + min(kind.expected_time, time_left), now + time_left,
+        if not again:
+            self.first_time[category].add(now, time_left)
+        elif sums := self.first_time[category].sums(now)[1]:
+            spent = max(0.0, self.first_time[category].total / sums - time_left)
+        lookup = Lookup(id, kind, now + min(kind.expected_time - spent, time_left), now + time_left,
                         kind.benefit * self._share_left(now, customer) / self.measures.usual(now, kind),
                         self.chance.draw(), key if self.keys_remembered else "")
         self.lookups[id] = lookup
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -212,7 +212,7 @@
         held = self.held[id] = Held(self.loop.create_future(), id, message)
         held.guard = self.loop.call_later(max(0.0, time_left - SPARE), self._overdue, id)
         if not self._decide(self._pick, id, category, max(0.0, time_left), message.text(b"x-org"),
-                            http.parameter(message.target, "user")):
+                            http.parameter(message.target, "user"), message.text(b"x-resent") == "1"):
             self._answer(id, Reply(500))
             self._decide(self.facade.left, id)
         return held
--- a/foxspread/simhost/host.py
+++ b/foxspread/simhost/host.py
@@ -20,7 +20,7 @@
             case "DEMAND":
                 balancer.lookup_taken(now, need(event, "op_id", str), need(event, "lane", str),
                                       need(event, "budget_us", int) / 1e6, event.get("customer") or "",
-                                      event.get("name_key") or "")
+                                      event.get("name_key") or "", bool(event.get("retry")))
             case "VERDICT":
                 balancer.hand_off_ended(now, need(event, "op_id", str), need(event, "shot", int)
                                         if "shot" in event else 0, outcome(event), bool(event.get("last")))
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -420,6 +420,18 @@
         self.assertEqual(it._share_left(100.5, "big"), 0.2)
         self.assertEqual(it._share_left(100.5, "small"), 1.0)
 
+    def test_a_client_s_further_try_is_as_old_as_its_first(self):
+        """Guards against work for what can't be in time any more: it takes the place of what can."""
+        late_is_worth_nothing = [Category("c", 0.3, 3.0)]
+        for left, again, act in ((2.95, True, Act.HAND_OFF), (2.71, True, Act.DISMISS),
+                                 (2.71, False, Act.HAND_OFF), (3.2, True, Act.HAND_OFF)):
+            it = balancer(categories=late_is_worth_nothing)
+            take(it, 100.0, "x1", "x2")
+            found = take(it, 100.4, "y", left=left, again=again)
+            self.assertIn((act, "y"), [(each.act, each.lookup) for each in found], (left, again))
+        it = balancer(categories=late_is_worth_nothing)   # a new sidecar, which has seen no first try yet
+        self.assertEqual(acts(take(it, 100.0, "y", left=2.0, again=True)), [Act.HAND_OFF])
+
     def test_subscribes_anew_after_a_failed_call(self):
         it = balancer(asks=True)
         self.assertEqual(acts(pull(it, 100.04)), [Act.SUBSCRIBE])
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -1,10 +1,12 @@
 import subprocess
 import sys
 import unittest
+from unittest import mock
 
 from foxspread import config
 from foxspread.model import Act, Decision, Effect
 from foxspread.simhost import codec
+from foxspread.simhost.host import Instance
 
 
 def run(text):
@@ -32,6 +34,13 @@
     def test_settings_may_be_absent(self):
         self.assertEqual(codec.parts({}, 1)["max_hand_offs"], 1)
 
+    def test_a_repeat_is_told_as_one(self):
+        for retry in (False, True):
+            it = Instance(1.0, {"random_seed": 1, "options": {"categories": [{"name": "c"}]}})
+            with mock.patch.object(it.balancer, "lookup_taken") as taken:
+                it.feed(1.0, "DEMAND", {"op_id": "x", "lane": "c", "budget_us": 5000, "retry": retry})
+            self.assertIs(taken.call_args.args[-1], retry)
+
     def test_a_hand_off_is_encoded(self):
         self.assertEqual(codec.action(Decision(Act.HAND_OFF, "id", "s", 0.08)),
                          {"event_type": "TRY", "op_id": "id", "server": "s", "max_wait_us": 80000})
