Dismisses only for times longer than idle servers take, and bounds by the servers there are

Two lines in Measures.room_in_all: the share let in fell with times over 0.35 of the expected time, which answers of idle servers take here (60 of 190 ms); and three in flight a sidecar are two a server of 60 for 40 sidecars, where elsewhere they are five.

Now the share let in goes by four times a low quantile of the answers' times (slow to rise), and five in flight a server over all sidecars are never too many.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -13,7 +13,8 @@
 from foxspread.model import (Act, Category, Customer, Decision, Effect, HandOff, ListedServer, Lookup, Mark,
                              Outcome)
 from foxspread.rings import Due, Ring
-from foxspread.sums import Chance, Decaying, Mean
+from foxspread.sums import Chance, Decaying, Low, Mean
+from foxspread.tries import Tries
 
 
 class ServerList(Members):
@@ -204,6 +205,7 @@
                       for c in categories}             # of a hand-off, and of its square
         self.done = {"": (Decaying(span), now)}   # by server, "" for all; and since when
         self.slow = {"": Mean(3.0, 0.2)}          # by server and zone; "": for all, by the expected time
+        self.brisk = Low(0.2)                     # by the expected time: what an idle server takes
         self.turn, self.heard = {}, {}            # by kind: part of a turn, and answers
 
     def met(self, now: float, server: str, zone: str) -> None:
@@ -224,7 +226,9 @@
             if hand_off.kind is not None:   # that a cold server is slow says nothing of the rest
                 self._learn(hand_off.kind, min(4.0, took / mean))
                 self.slow[hand_off.zone].add(now, took / mean)
-                self.slow[""].add(now, min(0.6, took / category.expected_time))
+                self.slow[""].add(now, min(1.7 * self.fair(), took / category.expected_time))
+                if outcome is Outcome.DONE:
+                    self.brisk.add(took / category.expected_time)
             for mean_of, power in zip(self.times[category.name], (1, 2)):
                 mean_of.add(now, took ** power)
 
@@ -245,9 +249,13 @@
     def room_in_all(self, now: float, part: float, spare: float, draw: float) -> float:
         """The same over all servers, where each is met too seldom to tell. Where even that is but a few, a
         burst would fill it: a share of lookups, by chance, is let in, the smaller the longer answers take."""
-        room = 2 * self.room(now) * part + spare
-        let_in = draw < part * (self.fair_time / self.slow[""].read(now)) ** 2
-        return room if room >= self.few else self.few * let_in
+        room, floor = 2 * self.room(now) * part + spare, 5 * spare   # so many at each server crowd none
+        let_in = draw < part * (self.fair() / self.slow[""].read(now)) ** 2
+        return max(room, floor) if room >= self.few else max(self.few, floor) * let_in
+
+    def fair(self) -> float:
+        """The part of the expected time that answers may take: some times what they take on idle servers."""
+        return max(self.fair_time, 4 * self.brisk.value)
 
     def part_of_turn(self, now: float, entry: ListedServer, largest: float) -> float:
         """Turns go as the speed: times of servers that are busy alike then become alike."""
@@ -335,7 +343,7 @@
         self.answered: dict[str, float] = {}       # when a server last answered anything
         self.longest = max((c.abandon_time for c in categories), default=0.0)
         self.worth = Mean(10.0, 0.0)
-        self.first_time = {c.name: Mean(30.0, 0.0) for c in categories}   # that a client's first try has
+        self.tries = Tries(categories)
         # The list service does not grow with the sidecars: first calls are spread, later ones back off.
         self.spread, self.ask_again = min(5.0, 0.04 * sidecars), 0.5
         self.ask_at = now + chance.draw() * self.spread if asks else math.inf
@@ -352,12 +360,8 @@
 
     def lookup_taken(self, now: float, id: str, category: str, time_left: float, customer: str = "",
                      key: str = "", again: bool = False) -> None:
-        kind, spent = self.categories[category], 0.0
+        kind, spent = self.categories[category], self.tries.spent(now, category, time_left, again)
         self.servers.asked.add(now)
-        if not again:
-            self.first_time[category].add(now, time_left)
-        elif sums := self.first_time[category].sums(now)[1]:
-            spent = max(0.0, self.first_time[category].total / sums - time_left)
         lookup = Lookup(id, kind, now + min(kind.expected_time - spent, time_left), now + time_left,
                         kind.benefit * self._share_left(now, customer) / self.measures.usual(now, kind),
                         self.chance.draw(), key if self.keys_remembered else "")
--- a/foxspread/sums.py
+++ b/foxspread/sums.py
@@ -36,6 +36,22 @@
         return zlib.crc32(b"%d" % self.count, self.begun) / 2**32
 
 
+class Low:
+    """A low quantile of what was added: it follows a fall soon and a rise slowly, so that a while of crowding
+    does not pass for the usual state. It moves by parts of itself, larger ones at first; steps down are larger
+    than those up by as much as values above it are more frequent."""
+
+    __slots__ = ("value", "part", "least", "count")
+
+    def __init__(self, value: float, part: float = 0.2, least: float = 0.0125) -> None:
+        self.value, self.part, self.least, self.count = value, part, least, 0
+
+    def add(self, value: float) -> None:
+        self.count += 1
+        step = max(self.least, 1.0 / (self.count + 1))
+        self.value *= math.exp(step * (self.part if value >= self.value else self.part - 1))
+
+
 class Mean:
     """The mean of what was added lately, of `most` values at the most; `usual` where that is little. Total
     and count decay together, in one step: a lookup reads and adds to dozens of these."""
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -6,7 +6,7 @@
 from foxspread.model import (Act, Category, Customer, Effect, HandOff, ListedServer, Lookup, Mark, Outcome,
                              Readiness)
 from foxspread.rings import Ring
-from foxspread.sums import Chance, Decaying, Mean
+from foxspread.sums import Chance, Decaying, Low, Mean
 from tests.helpers import NAMES, acts, balancer, mark_down, pull, sent_to, servers, take
 
 FAIL, OK = True, False
@@ -262,10 +262,46 @@
         it = measures()
         self.assertGreater(it.room_in_all(100.0, 1.0, 0.1, 0.9), 0)
         for _ in range(9):
+            it.brisk.add(0.02)
             it.slow[""].add(100.0, 0.86)
         self.assertEqual(it.room_in_all(100.0, 1.0, 0.1, 0.3), 0)
         self.assertGreater(it.room_in_all(100.0, 1.0, 0.1, 0.15), 0)
 
+    def test_where_idle_servers_take_long_that_dismisses_nothing(self):
+        """Guards an idle fleet against dismissals for times that no load has made: work that takes a third of
+        the expected time by itself."""
+        it = measures()
+        for step in range(200):
+            it.brisk.add(0.25 + step % 5 * 0.05)
+            it.slow[""].add(100.0, 0.35)
+        self.assertGreater(it.room_in_all(100.0, 0.7, 0.1, 0.95), 0)
+        for _ in range(30):   # crowded, though, it dismisses
+            it.brisk.add(1.4)
+            it.slow[""].add(110.0, 1.4)
+        self.assertEqual(it.room_in_all(110.0, 0.7, 0.1, 0.95), 0)
+
+    def test_a_few_in_flight_at_each_server_by_all_sidecars_are_no_crowd(self):
+        """Guards quiet sidecars of a fleet with servers enough against a bound of three in flight."""
+        for spare, most in ((0.1, 3), (1.5, 7.5)):
+            self.assertEqual(measures().room_in_all(100.0, 1.0, spare, 0.0), most)
+        it = measures()
+        it.done[""] = Decaying(8.0), 0.0
+        it.done[""][0].add(100.0, 20.0)   # a busier one is let as many at the least
+        self.assertEqual(it.room_in_all(100.0, 1.0, 3.0, 0.99), 15.0)
+
+    def test_a_low_quantile_falls_soon_and_rises_slowly(self):
+        it = Low(0.2)
+        for step in range(3000):
+            it.add(0.1 + step % 10 / 10)
+        usual = it.value
+        self.assertTrue(0.18 < usual < 0.32, usual)
+        for _ in range(40):
+            it.add(5.0)
+        self.assertLess(it.value, 1.3 * usual)
+        for _ in range(200):
+            it.add(0.02)
+        self.assertLess(it.value, 0.1)
+
     def test_where_much_comes_what_is_old_yields(self):
         it = Mean(12.0, most=12.0)
         for value in [1.0] * 100 + [4.0] * 24:
