--- a/foxspread/sums.py
+++ b/foxspread/sums.py
@@ -38,7 +38,7 @@
 
 class Low:
     """A low quantile of what was added: it follows a fall soon and a rise slowly, so that a while of crowding
-    does not pass for the usual state. It moves by parts of itself, larger ones at first; steps down are larger
+    does not pass for the usual state. It moves by parts of itself, larger at first; steps down are larger
     than those up by as much as values above it are more frequent."""
 
     __slots__ = ("value", "part", "least", "count")
