--- a/foxspread/lab/demand.py
+++ b/foxspread/lab/demand.py
@@ -122,7 +122,7 @@
 
 def comes_back(scenario: Scenario, want: Want, now: float, advised: float, draw: float) -> float | None:
     """After a try that did not succeed, by the second `now`: in how many seconds the client tries again, None
-    where it gives up. An advised return time is spread by the client by up to a tenth. The want then stands at
+    where it gives up. An advised return time is spread by the client by up to a tenth. The want then is at
     its next try."""
     if want.tries >= scenario.clients.retries:
         return None
