--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -661,6 +661,14 @@
             it.taken(read_request(LOOKUP, it.clock() - 0.5))
         self.assertTrue(0.3 < decide.call_args.args[3] <= 0.4)
 
+    @on_loop
+    async def test_a_lookup_is_told_as_a_further_try_only_where_it_is_marked_so(self):
+        for mark, again in ((b"", False), (b"X-Resent: 0\r\n", False), (b"X-Resent: 1\r\n", True)):
+            it = self.sidecar()
+            with mock.patch.object(it.facade, "pick", return_value=[]) as pick:
+                it.taken(read_request(LOOKUP.replace(b"X-Lane", mark + b"X-Lane"), it.clock()))
+            self.assertIs(pick.call_args.args[-1], again, mark)
+
     @on_loop
     async def test_a_client_that_leaves_frees_its_server(self):
         async with StandIn(SILENT) as server:
