Each sidecar sends to an even portion of the fleet: full tables no longer look like lost servers

Lines at fault: Rotation chose among all ready servers, so each sidecar held a connection to each. Change: Portion: one order of the fleet known to all, kinds alternating, a start by the sidecar's number, as many sound servers as its own traffic keeps in view; only where a connection carries many lookups (limits.multiplex). config reads multiplex and position.

--- a/foxspread/config.py
+++ b/foxspread/config.py
@@ -145,6 +145,8 @@
         "keys_remembered": options.section("specifics").flag("warm_keys"),
         "waste_price": options.section("tariffs").number("waste", 0.0),
         "asks": options.text("discovery", "push") == "ask",
+        "position": int(options.number("position", 0)),
+        "streams": int(limits.number("multiplex", 1)),
         "cold": (contract.number("cold_from", 1.0), contract.seconds("cold"),
                  contract.number("fall_multiple", 1.0)),
     }
--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -28,6 +28,7 @@
         self.sends: dict[str, Decaying] = {}               # to warm servers, by zone
         self.tokens: dict[str, tuple[float, float]] = {}   # of cold servers: hand-offs in hand, as of when
         self.asked = Decaying(10.0)                        # lookups taken
+        self.in_use = 1.0                                  # part of the fleet that this sidecar sends to
 
     def update(self, now: float, entries: Iterable[ListedServer], whole: bool) -> tuple[list[str], list[str]]:
         """Takes a list or changes; returns who is new or has started anew, and who is told otherwise."""
@@ -42,10 +43,10 @@
         """Hand-offs a second for a cold server: a share of what this sidecar, as all do, sends a warm one."""
         for zones in ([self.known[server].zone], self.zones):
             if (size := sum(self.warm_sizes[zone].sum() for zone in zones)) > 0:
-                usual = sum(self.sends[zone].read(now) for zone in zones) / size
+                usual = sum(self.sends[zone].read(now) for zone in zones) / (size * self.in_use)
                 break
         else:   # all just started: what is asked for, spread over them, stands in for what was sent
-            usual = self.asked.read(now) / self.sizes.sum()
+            usual = self.asked.read(now) / (self.sizes.sum() * self.in_use)
         return self.headroom * self.warmth(now, server) * usual / 10.0 * self.known[server].size
 
     def has_budget(self, now: float, server: str) -> bool:
@@ -124,6 +125,36 @@
             mark.until, mark.passes = now + mark.spell, 0
 
 
+class Portion:
+    """Which servers of a group this sidecar sends to where connections stay open and are shared by lookups:
+    were each sidecar to hold one to each server, hundreds of them would fill the servers' tables. All
+    sidecars know one order of the group, in which the kinds of machine alternate by their shares; each starts
+    at a place of its own, evenly spread by its number, and takes as many sound ones from there on as its own
+    traffic can keep in view. What is marked or lost is made up for by the next."""
+
+    def __init__(self, now: float, position: int, shared: bool, each: float = 0.8, least: int = 4) -> None:
+        self.since, self.shared, self.each, self.least = now, shared, each, least
+        self.start = position * 0.618034 % 1.0   # multiples of the golden section are spread evenly
+        self.orders: dict[str, list[str]] = {}
+
+    def listed(self, zones: dict[str, list[str]], known: dict[str, ListedServer]) -> None:
+        self.orders = {}
+        for zone, group in zones.items():
+            kinds: dict[str, list[str]] = {}
+            for server in sorted(group, key=lambda each: zlib.crc32(each.encode())):
+                kinds.setdefault(known[server].kind, []).append(server)
+            order = [each for _, _, each in sorted(((at + 0.5) / len(of_kind), kind, server) for kind, of_kind
+                                                   in kinds.items() for at, server in enumerate(of_kind))]
+            first = int(self.start * len(order))
+            self.orders[zone] = order[first:] + order[:first]
+
+    def of(self, now: float, asked: Decaying, unsound: set[str]) -> set[str]:
+        rate = (asked.read(now) + 1) / (asked.span * (1.02 - math.exp((self.since - now) / asked.span)))
+        most = max(self.least, math.ceil(rate * self.each))
+        return {each for order in self.orders.values() for each in itertools.islice(
+            (server for server in order if server not in unsound), most if self.shared else None)}
+
+
 class Rotation:
     """Which zone group a lookup goes to, and whose turn it is there."""
 
@@ -329,7 +360,8 @@
     def __init__(self, now: float, seed: int, zone: str, sidecars: int, categories: list[Category],
                  customers: list[Customer], surplus_benefit: float, max_hand_offs: int, copies: bool,
                  calling_off: bool, longest_back_in: float, tick: float, asks: bool, keys_remembered: bool,
-                 waste_price: float, cold: tuple[float, float, float]) -> None:
+                 waste_price: float, cold: tuple[float, float, float], position: int = 0,
+                 streams: int = 1) -> None:
         chance = self.chance = Chance(seed)
         self.tick, self.longest_back_in, self.keys_remembered = tick, longest_back_in, keys_remembered
         self.calling_off, self.sidecars, self.surplus_benefit = calling_off, sidecars, surplus_benefit
@@ -352,6 +384,7 @@
         self.ask_at = now + chance.draw() * self.spread if asks else math.inf
         self.least = max(1, round(4 / sidecars))   # all floors together must not crowd a server
         self.marks, self.rotation = Marks(), Rotation(zone, chance, few=min(2, self.least))
+        self.portion, self.used = Portion(now, position, streams > 1), set()
         self.next_look = self.view_until = now   # next_look: at the queue
         # Kept up to date, so that a choice works out none of it: the rings of those that count as sound, by
         # zone, and in which one each is; what they hold; what all hold, and the hushed ones; trials, by zone.
@@ -410,6 +443,8 @@
             self.marks.met(server)
             self.measures.met(now, server, self.servers.known[server].zone)
         self.touched.update(touched)
+        if touched:
+            self.portion.listed(self.servers.zones, self.servers.known)
         self.ask_again, self.view_until, self.next_look = 0.5, now, now
 
     def list_call_failed(self, now: float) -> None:
@@ -567,8 +602,7 @@
 
     def _sort_in(self, server: str) -> None:
         """Into the ring that it belongs in now, or into none."""
-        zone = self.servers.known[server].zone if server in self.servers.ready and (
-            self.panic or server not in self.marks.marked) else None
+        zone = self.servers.known[server].zone if server in self.used else None
         old = self.ring_of.pop(server, None)
         if old is not None and old != zone:
             self.sound[old].drop(server)
@@ -586,8 +620,12 @@
         groups, ready, marked = self.servers.zones, self.servers.ready, self.marks.marked
         # Panic is of the whole fleet: judged by zone, a zone's lone hung server would get all its lookups.
         panic = self.marks.in_panic(ready)
-        if panic != self.panic:
-            self.panic, self.touched = panic, self.touched | (marked & ready)
+        self.panic = panic
+        silent = {s for s in self.out if self._silent(now, s)}
+        self.hushed = silent if len(silent) <= (1 - self.marks.panic) * len(ready) else set()
+        used = self.portion.of(now, self.servers.asked, set() if panic else marked)
+        self.touched |= used ^ self.used
+        self.used, self.servers.in_use = used, len(used) / max(1, len(ready) - (not panic) * len(marked & ready))
         for server in sorted(self.touched):
             self._sort_in(server)
         self.touched.clear()
@@ -604,8 +642,6 @@
             self.due.setdefault(zone, []).append(server)
             if not mark.trial_out:
                 self.next_trial[zone] = min(mark.until, self.next_trial.get(zone, math.inf))
-        silent = {s for s in self.out if self._silent(now, s)}
-        self.hushed = silent if len(silent) <= (1 - self.marks.panic) * len(ready) else set()
         self.hushed_hold = sum(map(self._held, self.hushed))
         self.full_for.clear()
         if now >= self.open_at:   # what is cold has saved up, what was silent may have spoken
@@ -617,6 +653,8 @@
         untried = min(1.0, 0.2 / slow[""].read(now))
         elsewhere = Mean.over(now, [slow[z] for z in self.sound if z != self.rotation.zone], untried)
         slowness = {z: slow[z].read(now, elsewhere if z != self.rotation.zone else 1.0) for z in self.sound}
+        if self.portion.shared:   # healthy is a part of those that it would use
+            groups = {z: [*ring.names, *self.due.get(z, [])] for z, ring in self.sound.items()}
         self.rotation.weigh(groups, self.healthy, slowness)
         self.view_until = now + 0.25
 
