Cold budget kept under releases; lost answers hold no room and say nothing of times

Dublin, reasons counted: all but a few dismissals came from the bound over all in flight; it sat at 3, filled by hand-offs whose answer was lost and which were out until their client left, while rates had fallen with the trouble. Ruled out: connections (none refused), the list (right). Lines at fault: ServerList.allowance (sends), tokens of servers not in use; Measures.ended (a lost answer counted as a time), _in_flight, room_in_all's few. Change: shares go by what warm servers in use have done and by the kind's pace; a share starts anew when a sidecar turns to a cold server; cold servers count in a portion by their warmth. Overdue hand-offs hold no room; a hand-off that others overtook says nothing of times; one in flight at each server of the portion while answers are quick.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -25,10 +25,11 @@
         # Over what warm servers do, which is under their capacity; the rest is for small machines and bursts.
         self.headroom = min(2.0, 0.6 * fall_multiple)
         self.chance = chance
-        self.sends: dict[str, Decaying] = {}               # to warm servers, by zone
+        self.served: dict[str, Decaying] = {}              # answers of warm servers, by zone
         self.tokens: dict[str, tuple[float, float]] = {}   # of cold servers: hand-offs in hand, as of when
         self.asked = Decaying(10.0)                        # lookups taken
-        self.in_use = 1.0                                  # part of the fleet that this sidecar sends to
+        self.pace: Callable[[str], float] = lambda kind: 1.0   # of a kind, by that of all
+        self.in_use: dict[str, float] = {}                 # sizes of the warm ones it sends to, by zone
 
     def update(self, now: float, entries: Iterable[ListedServer], whole: bool) -> tuple[list[str], list[str]]:
         """Takes a list or changes; returns who is new or has started anew, and who is told otherwise."""
@@ -36,18 +37,30 @@
         for server in fresh:   # a first share at random, so that the sidecars do not all send at once
             self.tokens[server] = (self.chance.draw() * 0.9, now)
         for server in touched:
-            self.sends.setdefault(self.known[server].zone, Decaying(10.0))
+            self.served.setdefault(self.known[server].zone, Decaying(10.0))
         return fresh, touched
 
+    def use(self, now: float, used: set[str], new: set[str]) -> None:
+        """Which servers this sidecar sends to. For a cold one it starts as it would had that just started: all
+        who turn to it when another drains would have saved up a hand-off, and send it at once."""
+        for server in sorted(self.cold.keys() & new):
+            self.tokens[server] = (self.chance.draw() * 0.9, now)
+        self.in_use = {}
+        for entry in (self.known[server] for server in used if server not in self.cold):
+            self.in_use[entry.zone] = self.in_use.get(entry.zone, 0.0) + entry.size
+
     def allowance(self, now: float, server: str) -> float:
-        """Hand-offs a second for a cold server: a share of what this sidecar, as all do, sends a warm one."""
+        """Hand-offs a second for a cold server: a share of what warm ones do for this sidecar, as for all, and
+        less for a slow kind. What is turned away is no measure: in an overload that is most of what is sent."""
         for zones in ([self.known[server].zone], self.zones):
-            if (size := sum(self.warm_sizes[zone].sum() for zone in zones)) > 0:
-                usual = sum(self.sends[zone].read(now) for zone in zones) / (size * self.in_use)
+            if sum(self.warm_sizes[zone].sum() for zone in zones) > 0:
+                usual = sum(self.served[zone].read(now) for zone in zones) \
+                    / max(1.0, sum(self.in_use.get(zone, 0.0) for zone in zones))
                 break
-        else:   # all just started: what is asked for, spread over them, stands in for what was sent
-            usual = self.asked.read(now) / (self.sizes.sum() * self.in_use)
-        return self.headroom * self.warmth(now, server) * usual / 10.0 * self.known[server].size
+        else:   # all just started: what is asked for, spread over them, stands in for what was done
+            usual = self.asked.read(now) / self.sizes.sum()
+        return self.headroom * self.warmth(now, server) * usual / 10.0 * self.known[server].size \
+            * self.pace(self.known[server].kind)
 
     def has_budget(self, now: float, server: str) -> bool:
         if self.warmth(now, server) == 1.0:
@@ -58,9 +71,7 @@
         return held >= 1.0
 
     def spend(self, now: float, server: str) -> None:
-        if server not in self.cold:
-            self.sends[self.known[server].zone].add(now)
-        elif self.warmth(now, server) < 1.0:
+        if self.warmth(now, server) < 1.0:
             self.tokens[server] = (self.tokens[server][0] - 1.0, now)
 
 
@@ -148,11 +159,20 @@
             first = int(self.start * len(order))
             self.orders[zone] = order[first:] + order[:first]
 
-    def of(self, now: float, asked: Decaying, unsound: set[str]) -> set[str]:
+    def of(self, now: float, asked: Decaying, unsound: set[str], warmth: Callable[[str], float]) -> set[str]:
+        """A cold server counts by its warmth: others share in what it cannot do yet."""
         rate = (asked.read(now) + 1) / (asked.span * (1.02 - math.exp((self.since - now) / asked.span)))
-        most = max(self.least, math.ceil(rate * self.each))
-        return {each for order in self.orders.values() for each in itertools.islice(
-            (server for server in order if server not in unsound), most if self.shared else None)}
+        most = max(self.least, math.ceil(rate * self.each)) if self.shared else math.inf
+        found = set()
+        for order in self.orders.values():
+            had = 0.0
+            for server in order:
+                if had >= most:
+                    break
+                if server not in unsound:
+                    found.add(server)
+                    had += warmth(server)
+        return found
 
 
 class Rotation:
@@ -240,6 +260,7 @@
         self.done = {"": (Decaying(span), now)}   # by server, "" for all; and since when
         self.slow = {"": Mean(3.0, 0.2)}          # by server and zone; "": for all, by the expected time
         self.brisk = Low(0.2)                     # by the expected time: what an idle server takes
+        self.passed: dict[str, float] = {}        # by server: when the latest that was answered was sent
         self.turn, self.heard = {}, {}            # by kind: part of a turn, and answers
 
     def met(self, now: float, server: str, zone: str) -> None:
@@ -254,8 +275,13 @@
                 self.done[name][0].add(now)
         elif outcome is Outcome.FULL:
             self.slow[server].add(now, 8.0)   # it answers at once, looks idle, and would draw all lookups
-        # What was cut off counts with the time it had: else slow times would look ever shorter.
-        if outcome is Outcome.DONE or outcome in (Outcome.TIMED_OUT, Outcome.CALLED_OFF) and took > mean:
+        # What was cut off counts with the time it had: else slow times would look ever shorter. Not where what
+        # was sent there later has been answered: that answer was lost, and says nothing of times.
+        cut = outcome in (Outcome.TIMED_OUT, Outcome.CALLED_OFF) and took > mean
+        lost = hand_off.sent < self.passed.get(server, -math.inf)
+        if outcome is Outcome.DONE:
+            self.passed[server] = max(hand_off.sent, self.passed.get(server, hand_off.sent))
+        if outcome is Outcome.DONE or cut and not lost:
             self.slow[server].add(now, took / mean)
             if hand_off.kind is not None:   # that a cold server is slow says nothing of the rest
                 self._learn(hand_off.kind, min(4.0, took / mean))
@@ -274,18 +300,25 @@
         if (top := self.turn[kind]) > 1.0:
             self.turn = {each: turn / top for each, turn in self.turn.items()}
 
+    def pace(self, kind: str) -> float:
+        """What a machine of that kind does, by the mean of those known; at most 1."""
+        return min(1.0, self.turn.get(kind, 1.0) * len(self.turn) / max(1e-9, sum(self.turn.values())))
+
     def room(self, now: float, name: str = "") -> float:
         """How many may be in flight: the rate (over all time, lest all overrun) x the time they may take."""
         done, since = self.done[name]
         rate = (done.read(now) + 1) / (self.span * (1.05 - math.exp((since - now) / self.span)))
         return rate * self.time_bound
 
-    def room_in_all(self, now: float, part: float, spare: float, draw: float) -> float:
+    def room_in_all(self, now: float, part: float, spare: float, draw: float, used: int = 0) -> float:
         """The same over all servers, where each is met too seldom to tell. Where even that is but a few, a
         burst would fill it: a share of lookups, by chance, is let in, the smaller the longer answers take."""
         room, floor = 2 * self.room(now) * part + spare, 5 * spare   # so many at each server crowd none
         let_in = draw < part * (self.fair() / self.slow[""].read(now)) ** 2
-        return max(room, floor) if room >= self.few else max(self.few, floor) * let_in
+        # One at each server of its portion while answers are quick: rates that fell with a trouble would keep
+        # it from the sound ones for good.
+        few = max(self.few, floor, used)
+        return max(room, floor, used * let_in) if room >= self.few else few * let_in
 
     def fair(self) -> float:
         """The part of the expected time that answers may take: some times what they take on idle servers."""
@@ -369,12 +402,14 @@
         self.customers = {c.name: (c, Decaying(10.0)) for c in customers}
         self.servers = ServerList(*cold, chance=chance)
         self.measures = Measures(now, categories, waste_price=waste_price)
+        self.servers.pace = self.measures.pace
         self.gate = Gate(self.servers, max_hand_offs, copies)
         self.lookups: dict[str, Lookup] = {}
         self.waiting: dict[str, Lookup] = {}     # to be looked at by the next decisions
         self.queue: dict[str, Lookup] = {}       # without room, to be looked at when some may have come free
         self.alarms: list[tuple[float, str]] = []
         self.out: dict[str, dict[tuple[str, int], HandOff]] = {}   # by server with any, the oldest first
+        self.held: dict[str, int] = {}             # of these, by server, what is not overdue
         self.answered: dict[str, float] = {}       # when a server last answered anything
         self.longest = max((c.abandon_time for c in categories), default=0.0)
         self.worth = Mean(10.0, 0.0)
@@ -415,13 +450,16 @@
         del self.out[server][(id, number)]
         if not self.out[server]:
             del self.out[server]
-        self._count(server, -1)
+        if not hand_off.late:
+            self._count(server, -1)
         overdue = False
         if outcome is Outcome.CALLED_OFF:
             # Slow servers, whose lookups are called off, never time out: overdue or twice that is as bad.
             twice = 2 * self.measures.usual(now, lookup.category) / self.servers.warmth(now, server)
             overdue = now > min(hand_off.overdue, hand_off.sent + twice)
         self.measures.ended(now, hand_off, lookup.category)
+        if outcome is Outcome.DONE and hand_off.kind is not None and server in self.servers.known:
+            self.servers.served[hand_off.zone].add(now)
         if outcome in (Outcome.DONE, Outcome.ERROR):   # a hung server can still say that it is full
             self.answered[server] = now
         # A failed connection is the server's own: in a lost zone, three for each would use up all hand-offs.
@@ -483,8 +521,10 @@
             self._look(now)
         while self.alarms and self.alarms[0][0] <= now + 1e-6:
             lookup = self.lookups.get(heapq.heappop(self.alarms)[1])
-            if lookup is not None and not lookup.over:
-                self.waiting[lookup.id] = lookup
+            if lookup is not None:
+                self._let_go(now, lookup)
+                if not lookup.over:
+                    self.waiting[lookup.id] = lookup
         if now >= self.next_look:   # not for each lookup that comes: in a burst that would take all of a core
             self.waiting, self.queue, self.next_look = self.queue | self.waiting, {}, now + 4 * self.tick
         waiting, self.waiting = self.waiting.values(), {}
@@ -549,7 +589,8 @@
         # What is worth less than usual gets a smaller part of the room, so that it yields first when short.
         part = min(1.0, 0.5 + 0.5 * lookup.worth / max(1e-9, self.worth.read(now)))
         spare = len(self.servers.ready) / self.sidecars
-        if not lookup.sent and self._in_flight() >= self.measures.room_in_all(now, part, spare, lookup.draw):
+        if not lookup.sent and self._in_flight() >= self.measures.room_in_all(
+                now, part, spare, lookup.draw, len(self.used) * self.portion.shared):
             return None
         mean = {z: self.held_in[z] / max(1, len(ring)) for z, ring in self.sound.items()}
         zones = self.rotation.zones(self.servers.zones, mean, lambda z: self._draw(lookup, z))
@@ -590,9 +631,20 @@
             self.sound[self.ring_of[server]].park(server)
         return False
 
+    def _let_go(self, now: float, lookup: Lookup) -> None:
+        """Guards against dismissing what sound servers could do: where answers are lost, what never comes back
+        would fill all room until its client gives up. From when it is overdue on it holds none."""
+        for hand_off in lookup.out():
+            if not hand_off.late and now >= hand_off.overdue:
+                hand_off.late = True
+                self._count(hand_off.server, -1)
+
     def _count(self, server: str, change: int) -> None:
         """A hand-off more or less at that server: what it held may have parked it, so it is opened again."""
         self.flying += change
+        self.held[server] = self.held.get(server, 0) + change
+        if not self.held[server]:
+            del self.held[server]
         self.hushed_hold += change * (server in self.hushed)
         if (zone := self.ring_of.get(server)) is not None:
             self.held_in[zone] += change
@@ -623,9 +675,11 @@
         self.panic = panic
         silent = {s for s in self.out if self._silent(now, s)}
         self.hushed = silent if len(silent) <= (1 - self.marks.panic) * len(ready) else set()
-        used = self.portion.of(now, self.servers.asked, set() if panic else marked)
+        used = self.portion.of(now, self.servers.asked, set() if panic else marked,
+                               lambda server: self.servers.warmth(now, server))
+        self.servers.use(now, used, used - self.used)
         self.touched |= used ^ self.used
-        self.used, self.servers.in_use = used, len(used) / max(1, len(ready) - (not panic) * len(marked & ready))
+        self.used = used
         for server in sorted(self.touched):
             self._sort_in(server)
         self.touched.clear()
@@ -666,6 +720,7 @@
         for server in over:
             self.servers.forget(server)
             for by_id in (self.servers.tokens, self.marks.of, self.measures.done, self.measures.slow,
+                          self.measures.passed,
                           self.rotation.turns, self.answered):
                 by_id.pop(server, None)
 
@@ -674,7 +729,7 @@
         return zlib.crc32(f"{lookup.key}:{label}".encode()) / 2**32 if lookup.key else self.chance.draw()
 
     def _held(self, server: str) -> int:
-        return len(self.out.get(server, ()))
+        return self.held.get(server, 0)
 
     def _in_flight(self) -> int:
         """Over all servers; what hangs at silent ones takes no room from the rest."""
--- a/foxspread/model.py
+++ b/foxspread/model.py
@@ -91,6 +91,7 @@
     overdue: float = math.inf
     outcome: Outcome | None = None
     called_off: bool = False
+    late: bool = False             # overdue: it holds no room any more
 
 
 @dataclass(slots=True)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -83,8 +83,10 @@
         return {z: slow[z].read(now, elsewhere if z != own else 1.0) for z in self.sound}
 
     def _choose(self, now, lookup):
+        self.held = {s: sum(not h.late for h in out.values()) for s, out in self.out.items()}
+        self.held = {s: held for s, held in self.held.items() if held}
+        self.flying = sum(self.held.values())
         self.held_in = {z: sum(map(self._held, ring.names)) for z, ring in self.sound.items()}
-        self.flying = sum(map(len, self.out.values()))
         self.hushed_hold = sum(map(self._held, self.hushed))
         self.next_trial = dict.fromkeys(self.due, -math.inf)
         return super()._choose(now, lookup)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -201,12 +201,12 @@
     def test_a_cold_server_is_sent_its_share_smoothly(self):
         it = ServerList(0.1, 20.0, 2.5, Chance(1))
         it.update(100.0, [*servers(NAMES[:3]), *servers(["s4"], started=100.0)], True)
+        it.use(100.0, set(NAMES), set(NAMES))
         sent = []
         for step in range(1000):   # ten a second to each warm server
             now = 100 + step / 100
             if step % 10 == 0:
-                for warm in NAMES[:3]:
-                    it.spend(now, warm)
+                it.served["a"].add(now, 3.0)
             if it.has_budget(now, "s4"):
                 it.spend(now, "s4")
                 sent.append(now)
@@ -219,6 +219,7 @@
         for seed in range(300):
             fleet.append(ServerList(0.13, 23.0, 3.0, Chance(seed)))
             fleet[-1].update(100.0, servers(names), True)
+            fleet[-1].use(100.0, set(names), set())
         for step in range(60):   # each takes two lookups a second
             for number, it in enumerate(fleet):
                 now = 100 + step / 2 + number / 600
@@ -226,7 +227,10 @@
                     it.update(now, servers(["cold"], started=110.0), False)
                 cold = step >= 20 and it.has_budget(now, "cold")
                 sent += [now] * cold
-                it.spend(now, "cold" if cold else names[(step + number) % 20])
+                if cold:
+                    it.spend(now, "cold")
+                else:
+                    it.served["a"].add(now)
         warm_rate = 300 * 2 / 20
         for start in (110.0, 112.0, 115.0, 118.0):
             capacity = warm_rate * (0.13 + 0.87 * (start - 110.0) / 23.0)
--- a/tests/test_portion.py
+++ b/tests/test_portion.py
@@ -11,6 +11,10 @@
 KINDS = ["fast", "slow", "slow"]
 
 
+def warm(server):
+    return 1.0
+
+
 def portion(position, names, rate=0.0):
     it = Portion(0.0, position, shared=True)
     it.listed({"a": sorted(names)}, {n: ListedServer(n, "a", kind=KINDS[int(n) % 3]) for n in names})
@@ -26,7 +30,7 @@
         count = Counter()
         for position in range(300):
             it, asked = portion(position, names)
-            count.update(it.of(1000.0, asked, set()))
+            count.update(it.of(1000.0, asked, set(), warm))
         self.assertLessEqual(max(count.values()), 26)   # 20 each are even
         self.assertGreaterEqual(min(count.get(name, 0) for name in names), 14)
 
@@ -34,16 +38,16 @@
         names = [f"{n:03}" for n in range(60)]
         for position in range(40):
             it, asked = portion(position, names, rate=20.0)
-            found = it.of(1000.0, asked, set())
+            found = it.of(1000.0, asked, set(), warm)
             self.assertEqual(Counter(KINDS[int(n) % 3] for n in found).keys(), set(KINDS))
             self.assertGreaterEqual(len(found), 16)
-            self.assertLessEqual(len(portion(position, names)[0].of(1000.0, Decaying(10.0), set())), 5)
+            self.assertLessEqual(len(portion(position, names)[0].of(1000.0, Decaying(10.0), set(), warm)), 5)
 
     def test_what_is_marked_is_made_up_for_and_the_rest_stays(self):
         it, asked = portion(7, [f"{n:03}" for n in range(60)])
-        before = it.of(1000.0, asked, set())
+        before = it.of(1000.0, asked, set(), warm)
         lost = min(before)
-        after = it.of(1000.0, asked, {lost})
+        after = it.of(1000.0, asked, {lost}, warm)
         self.assertEqual((len(after), len(after & before)), (len(before), len(before) - 1))
 
     def test_a_server_less_moves_a_portion_by_one_or_two(self):
