Marks by category, turns until one is whole, trials as rare as a quiet sidecar's lookups

Lines at fault: Marks (one mark for all categories, 4 s spells however quiet), Rotation.pick (least laden before turns), Balancer._silent (answers to what was sent earlier count), times of lost answers. Change: marks by server and category beside those by server; an overtaken overdue hand-off fails at once, a late answer counts as a failure; the rest that a server is compared with is its better half; spells up to 16 s for portions; where no turn is whole, as many rounds as it takes; failures shorten turns; times count up to the expected time; full answers teach a kind's pace; after three full servers the client is asked to come back.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -17,6 +17,9 @@
 from foxspread.tries import Tries
 
 
+Marked = str | tuple[str, str]   # a server, or one for a category
+
+
 class ServerList(Members):
     """Who is ready, since when, and how much a server that has just started may be sent."""
 
@@ -76,62 +79,77 @@
 
 
 class Marks:
-    """NGINX's max_fails and fail_timeout, trials, and Envoy's panic floor."""
+    """NGINX's max_fails and fail_timeout, trials, and Envoy's panic floor. What is marked is a server, or a
+    server for one category (a pair): some serve one kind of lookup and leave another unanswered."""
 
     def __init__(self, max_fails: int = 3, fail_timeout: float = 10.0, spell: float = 4.0, trials: int = 2,
-                 panic: float = 0.4) -> None:
+                 panic: float = 0.4, longest: float = 4.0) -> None:
+        self.longest = longest
         self.max_fails, self.fail_timeout, self.spell, self.trials = max_fails, fail_timeout, spell, trials
         self.panic = panic
-        self.of: dict[str, Mark] = {}
-        self.marked: set[str] = set()
+        self.of: dict[Marked, Mark] = {}
+        self.marked: set[Marked] = set()
         self.verdicts = Mean(10.0, 0.0)   # 1 for each failure, over all servers
 
-    def met(self, server: str) -> None:
-        self.of[server] = Mark()
-        self.marked.discard(server)
+    def met(self, server: str, categories: Iterable[str] = ()) -> None:
+        for what in (server, *((server, category) for category in categories)):
+            self.of[what] = Mark()
+            self.marked.discard(what)
 
-    def down(self, server: str) -> bool:
-        return server in self.marked
+    def forget(self, server: str, categories: Iterable[str]) -> None:
+        self.met(server, categories)
+        for what in (server, *((server, category) for category in categories)):
+            del self.of[what]
 
-    def trial_due(self, now: float, server: str) -> bool:
-        return self.down(server) and now >= self.of[server].until and not self.of[server].trial_out
+    def down(self, what: Marked) -> bool:
+        return what in self.marked
+
+    def trial_due(self, now: float, what: Marked) -> bool:
+        return self.down(what) and now >= self.of[what].until and not self.of[what].trial_out
 
     def in_panic(self, ready: set[str]) -> bool:
         return len(ready) - sum(s in ready for s in self.marked) < self.panic * len(ready)
 
-    def record(self, now: float, server: str, failure: bool | None, trial: bool, weight: int = 1) -> None:
+    def record(self, now: float, what: Marked, failure: bool | None, trial: bool, weight: int = 1) -> None:
         """Notes a verdict; None where there is none, as from a full server."""
-        mark = self.of[server]
-        if self.down(server) and trial:
-            self._trial_ended(now, server, mark, failure)
-        if self.down(server) or trial or failure is None:
+        mark = self.of[what]
+        if self.down(what) and trial:
+            self._trial_ended(now, what, mark, failure)
+        if self.down(what) or trial or failure is None:
             return
-        self.verdicts.add(now, float(failure))
+        if isinstance(what, str):
+            self.verdicts.add(now, float(failure))
         many = mark.note(now, failure, weight, self.fail_timeout) >= self.max_fails
         # A dead server must not pass for one of many that fail: several failed connections are its own doing.
-        if many and (weight > 1 and mark.streak >= 2 * self.max_fails or self._worse_than_rest(now, mark)):
+        if many and (weight > 1 and mark.streak >= 2 * self.max_fails or self._worse_than_rest(now, what, mark)):
             # A busy sidecar can afford trials sooner: those of all servers may take one lookup of fifty.
             seldom = 500.0 * (1 + len(self.marked)) / max(1.0, self.verdicts.sums(now)[1])
-            spell = max(self.spell / 8, min(self.spell, seldom))
+            spell = max(self.spell / 8, min(self.longest, seldom))
             # Flapping: a server that fails again soon after its trials stays away for longer each time.
             again = now - mark.readmitted < 3 * self.fail_timeout
             mark.spell = min(mark.spell * 2, 4 * spell) if again else spell
             mark.until, mark.passes = now + mark.spell, 0
-            self.marked.add(server)
+            self.marked.add(what)
 
-    def _worse_than_rest(self, now: float, mark: Mark) -> bool:
-        """Guards sound servers against failures that belong to lookups: those strike all servers alike."""
+    def _worse_than_rest(self, now: float, what: Marked, mark: Mark) -> bool:
+        """Guards sound servers against failures that belong to lookups: those strike all servers alike. The
+        rest is its better half: more than half of all may leave a category unanswered at a time."""
         failed, ended = mark.verdicts.sums(now)
-        all_failed, all_ended = self.verdicts.sums(now)
-        return failed / ended > min(0.9, 0.15 + 2 * (all_failed - failed + 0.1) / (all_ended - ended + 1.0))
-
-    def _trial_ended(self, now: float, server: str, mark: Mark, failure: bool | None) -> None:
+        peers = [each.verdicts.sums(now) for key, each in self.of.items() if each is not mark
+                 and (key[1] == what[1] if isinstance(what, tuple) and isinstance(key, tuple)
+                      else isinstance(key, str) and isinstance(what, str))]
+        peers = sorted((each for each in peers if each[1] >= 0.5), key=lambda each: each[0] / each[1])
+        better = peers[:(len(peers) + 1) // 2]
+        rest = (sum(each[0] for each in better) + 0.1) / (sum(each[1] for each in better) + 1.0)
+        return failed / ended > min(0.9, 0.15 + 2 * rest)
+
+    def _trial_ended(self, now: float, what: Marked, mark: Mark, failure: bool | None) -> None:
         mark.trial_out = False
         if failure is False:
             mark.passes += 1
             if mark.passes >= self.trials:
-                self.marked.discard(server)
-                self.of[server] = Mark(spell=mark.spell, readmitted=now)
+                self.marked.discard(what)
+                self.of[what] = Mark(spell=mark.spell, readmitted=now)
         else:   # also after none: a hung server stays full, and every lookup would be the next trial
             mark.until, mark.passes = now + mark.spell, 0
 
@@ -143,7 +161,7 @@
     at a place of its own, evenly spread by its number, and takes as many sound ones from there on as its own
     traffic can keep in view. What is marked or lost is made up for by the next."""
 
-    def __init__(self, now: float, position: int, shared: bool, each: float = 0.8, least: int = 4) -> None:
+    def __init__(self, now: float, position: int, shared: bool, each: float = 0.5, least: int = 4) -> None:
         self.since, self.shared, self.each, self.least = now, shared, each, least
         self.start = position * 0.618034 % 1.0   # multiples of the golden section are spread evenly
         self.orders: dict[str, list[str]] = {}
@@ -216,7 +234,7 @@
         size, at = len(ring), self.cursor.get(zone)
         if at is None:
             at = self.cursor[zone] = int(self.chance.draw() * size)
-        most, spare = max(self.few, self.skip * mean), None
+        most, spare, soon = max(self.few, self.skip * mean), None, {}
         due = self.due.setdefault(zone, Due())
         # Half of a large group comes to be due over several lookups: none must wait for thousands of turns.
         wanted = min(size // 2, len(due) + 64) if key else 1
@@ -227,8 +245,8 @@
                 server = ring.names[place]
                 self.cursor[zone] = (place + 1) % size
                 if server not in due and fits(server):
-                    turn = self.turns.get(server) or self.chance.draw()
-                    turn = self.turns[server] = min(1.5, turn + part(server))
+                    turn, more = self.turns.get(server) or self.chance.draw(), part(server)
+                    turn = self.turns[server] = min(1.5, turn + more)
                     if held(server) < most and turn >= 1.0:
                         self.turns[server] = turn - 1.0
                         if not key and not due:
@@ -236,10 +254,18 @@
                         due.add(server)
                         if len(due) >= max(1, wanted):
                             break
+                    elif held(server) < most:
+                        soon[server] = ((1.0 - turn) / more, more)
                     elif spare is None or (held(server), -turn) < (held(spare), -self.turns[spare]):
                         spare = server
             else:
                 self.cursor[zone] = start
+                if soon and not due:   # as many rounds more as it takes until one has a whole turn
+                    spare = min(soon, key=soon.__getitem__)
+                    rounds = soon[spare][0]
+                    for server, (_, more) in soon.items():
+                        self.turns[server] += rounds * more
+                    self.turns[spare] = 1e-9
         for server in due.nearest(key) if key else due:
             if held(server) < most and fits(server):
                 due.remove(server)
@@ -275,11 +301,13 @@
                 self.done[name][0].add(now)
         elif outcome is Outcome.FULL:
             self.slow[server].add(now, 8.0)   # it answers at once, looks idle, and would draw all lookups
+            if hand_off.kind is not None:
+                self._learn(hand_off.kind, 2.0)
         # What was cut off counts with the time it had: else slow times would look ever shorter. Not where what
         # was sent there later has been answered: that answer was lost, and says nothing of times.
         cut = outcome in (Outcome.TIMED_OUT, Outcome.CALLED_OFF) and took > mean
-        lost = hand_off.sent < self.passed.get(server, -math.inf)
-        if outcome is Outcome.DONE:
+        lost = self.overtaken(hand_off)
+        if outcome in (Outcome.DONE, Outcome.ERROR):   # a hung server can still say that it is full
             self.passed[server] = max(hand_off.sent, self.passed.get(server, hand_off.sent))
         if outcome is Outcome.DONE or cut and not lost:
             self.slow[server].add(now, took / mean)
@@ -290,14 +318,18 @@
                 if outcome is Outcome.DONE:
                     self.brisk.add(took / category.expected_time)
             for mean_of, power in zip(self.times[category.name], (1, 2)):
-                mean_of.add(now, took ** power)
+                mean_of.add(now, min(took, category.expected_time) ** power)
+
+    def overtaken(self, hand_off: HandOff) -> bool:
+        """Something that was sent to that server later has been answered."""
+        return hand_off.sent < self.passed.get(hand_off.server, -math.inf)
 
     def _learn(self, kind: str, ratio: float) -> None:
         """A kind is known long before each machine: turns move until the times of all kinds are alike."""
         self.heard[kind] = self.heard.get(kind, 0) + 1
         step = max(0.03, 0.6 / (3 + self.heard[kind]))   # soon at first: servers crowded then stay slow
         self.turn[kind] = max(0.05, self.turn.get(kind, 1.0) * math.exp(-step * (ratio - 1)))
-        if (top := self.turn[kind]) > 1.0:
+        if (top := max(self.turn.values())) != 1.0:
             self.turn = {each: turn / top for each, turn in self.turn.items()}
 
     def pace(self, kind: str) -> float:
@@ -337,7 +369,7 @@
         mean, square = (each.read(now) for each in self.times[category.name])
         deviation = math.sqrt(max(0.0, square - mean * mean))
         caution = 2 + 10 * self.waste_price if category.late_benefit > 0 else 3
-        return mean + caution * max(deviation, 2 / 3 * mean)
+        return min(category.expected_time, mean + caution * max(deviation, 2 / 3 * mean))
 
 
 class Gate:
@@ -410,15 +442,15 @@
         self.alarms: list[tuple[float, str]] = []
         self.out: dict[str, dict[tuple[str, int], HandOff]] = {}   # by server with any, the oldest first
         self.held: dict[str, int] = {}             # of these, by server, what is not overdue
-        self.answered: dict[str, float] = {}       # when a server last answered anything
         self.longest = max((c.abandon_time for c in categories), default=0.0)
         self.worth = Mean(10.0, 0.0)
         self.tries = Tries(categories)
         # The list service does not grow with the sidecars: first calls are spread, later ones back off.
         self.spread, self.ask_again = min(5.0, 0.04 * sidecars), 0.5
         self.ask_at = now + chance.draw() * self.spread if asks else math.inf
-        self.least = max(1, round(4 / sidecars))   # all floors together must not crowd a server
-        self.marks, self.rotation = Marks(), Rotation(zone, chance, few=min(2, self.least))
+        # All floors together must not crowd a server; of a portion, the bound over all keeps them.
+        self.least = 3 if streams > 1 else max(1, round(4 / sidecars))
+        self.marks, self.rotation = Marks(longest=16.0 if streams > 1 else 4.0), Rotation(zone, chance, few=min(2, self.least))
         self.portion, self.used = Portion(now, position, streams > 1), set()
         self.next_look = self.view_until = now   # next_look: at the queue
         # Kept up to date, so that a choice works out none of it: the rings of those that count as sound, by
@@ -460,14 +492,12 @@
         self.measures.ended(now, hand_off, lookup.category)
         if outcome is Outcome.DONE and hand_off.kind is not None and server in self.servers.known:
             self.servers.served[hand_off.zone].add(now)
-        if outcome in (Outcome.DONE, Outcome.ERROR):   # a hung server can still say that it is full
-            self.answered[server] = now
         # A failed connection is the server's own: in a lost zone, three for each would use up all hand-offs.
         weight = self.marks.max_fails if outcome is Outcome.UNCONNECTED else 1
-        self.marks.record(now, server, overdue or outcome.failure, hand_off.trial, weight)
-        if self.marks.down(server) or hand_off.trial:
-            self.view_until = now
-            self.touched.add(server)
+        # An answer that comes when most of its benefit is gone is no better than none.
+        failure = overdue or outcome.failure or (outcome is Outcome.DONE and now > lookup.expected_at)
+        if not hand_off.judged:
+            self._judge(now, lookup, hand_off, failure if outcome is not Outcome.FULL else None, weight)
         lookup.over |= closed or outcome is Outcome.DONE
         self.next_look = now
         if lookup.over and not lookup.out():
@@ -475,10 +505,20 @@
         else:
             self.waiting[id] = lookup   # to go on, or to call off its other copy
 
+    def _judge(self, now: float, lookup: Lookup, hand_off: HandOff, failure: bool | None, weight: int) -> None:
+        server, pair = hand_off.server, (hand_off.server, lookup.category.name)
+        hand_off.judged = True
+        for what in (server, pair) if len(self.categories) > 1 else (server,):
+            if what in self.marks.of:
+                self.marks.record(now, what, failure, hand_off.trial == what, weight)
+        if self.marks.down(server) or self.marks.down(pair) or hand_off.trial:
+            self.view_until = now
+            self.touched.add(server)
+
     def servers_listed(self, now: float, entries: Iterable[ListedServer], whole: bool) -> None:
         fresh, touched = self.servers.update(now, entries, whole)
         for server in fresh:
-            self.marks.met(server)
+            self.marks.met(server, self.categories)
             self.measures.met(now, server, self.servers.known[server].zone)
         self.touched.update(touched)
         if touched:
@@ -588,6 +628,9 @@
             return None
         # What is worth less than usual gets a smaller part of the room, so that it yields first when short.
         part = min(1.0, 0.5 + 0.5 * lookup.worth / max(1e-9, self.worth.read(now)))
+        # Where several are full most are: each more costs time, and the client is asked to come back.
+        if self.portion.shared and sum(h.outcome is Outcome.FULL for h in lookup.sent) >= 5 * part - 2:
+            return None
         spare = len(self.servers.ready) / self.sidecars
         if not lookup.sent and self._in_flight() >= self.measures.room_in_all(
                 now, part, spare, lookup.draw, len(self.used) * self.portion.shared):
@@ -596,13 +639,17 @@
         zones = self.rotation.zones(self.servers.zones, mean, lambda z: self._draw(lookup, z))
         zones.sort(key=lambda z: any(h.zone == z and h.outcome is Outcome.UNCONNECTED for h in lookup.sent))
         if zones and not lookup.sent and now >= self.next_trial.get(zones[0], math.inf):
-            for server in self.due[zones[0]]:
-                if self.marks.trial_due(now, server) and self.gate.lets(now, lookup, server):
+            for what in self.due[zones[0]]:
+                server, only_for = (what, lookup.category.name) if isinstance(what, str) else what
+                if only_for == lookup.category.name and self.marks.trial_due(now, what) \
+                        and self.gate.lets(now, lookup, server):
                     return server
         only = self.gate.near(lookup) if lookup.sent else None
         large = {z for z in zones if len(self.sound[z]) > 64}   # small groups are walked through each time
 
         def fits(server: str) -> bool:
+            if (server, lookup.category.name) in self.marks.marked:
+                return False
             if server in self.hushed or lookup.sent and any(h.server == server for h in lookup.sent):
                 return self._park(server, large and server in self.hushed)
             if not self.gate.lets(now, lookup, server):
@@ -612,7 +659,9 @@
             return held < max(self.least, part * room) or self._park(server, large and full)
 
         def part_of_turn(server: str) -> float:
-            return self.measures.part_of_turn(now, self.servers.known[server], self.servers.largest)
+            mark = self.marks.of.get((server, lookup.category.name))
+            sound = 1.0 - mark.verdicts.read(now, 0.0) if mark is not None else 1.0
+            return max(0.02, sound ** 2) * self.measures.part_of_turn(now, self.servers.known[server], self.servers.largest)
 
         for zone in zones:
             if zone in large and not lookup.sent and part <= self.full_for.get(zone, 0.0):
@@ -633,11 +682,14 @@
 
     def _let_go(self, now: float, lookup: Lookup) -> None:
         """Guards against dismissing what sound servers could do: where answers are lost, what never comes back
-        would fill all room until its client gives up. From when it is overdue on it holds none."""
+        would fill all room until its client gives up. Overdue, and overtaken by what was sent there later, it
+        holds none, and counts as failed."""
         for hand_off in lookup.out():
-            if not hand_off.late and now >= hand_off.overdue:
+            if not hand_off.late and now >= hand_off.overdue and self.measures.overtaken(hand_off):
                 hand_off.late = True
                 self._count(hand_off.server, -1)
+                if not hand_off.judged:
+                    self._judge(now, lookup, hand_off, True, 1)
 
     def _count(self, server: str, change: int) -> None:
         """A hand-off more or less at that server: what it held may have parked it, so it is opened again."""
@@ -676,7 +728,7 @@
         silent = {s for s in self.out if self._silent(now, s)}
         self.hushed = silent if len(silent) <= (1 - self.marks.panic) * len(ready) else set()
         used = self.portion.of(now, self.servers.asked, set() if panic else marked,
-                               lambda server: self.servers.warmth(now, server))
+                               lambda server: self._part(now, server))
         self.servers.use(now, used, used - self.used)
         self.touched |= used ^ self.used
         self.used = used
@@ -691,9 +743,10 @@
                 cold[zone] += 1.0 - self.servers.warmth(now, server)
         self.healthy = {z: len(ring) - cold[z] for z, ring in self.sound.items()}
         self.due, self.next_trial = {}, {}
-        for server in () if panic else sorted(marked & ready):
-            zone, mark = self.servers.known[server].zone, self.marks.of[server]
-            self.due.setdefault(zone, []).append(server)
+        pairs = [what for what in marked if isinstance(what, tuple) and what[0] in ready and what[0] not in marked]
+        for what in () if panic else sorted(marked & ready) + sorted(pairs):
+            mark, zone = self.marks.of[what], self.servers.known[what if isinstance(what, str) else what[0]].zone
+            self.due.setdefault(zone, []).append(what)
             if not mark.trial_out:
                 self.next_trial[zone] = min(mark.until, self.next_trial.get(zone, math.inf))
         self.hushed_hold = sum(map(self._held, self.hushed))
@@ -708,20 +761,25 @@
         elsewhere = Mean.over(now, [slow[z] for z in self.sound if z != self.rotation.zone], untried)
         slowness = {z: slow[z].read(now, elsewhere if z != self.rotation.zone else 1.0) for z in self.sound}
         if self.portion.shared:   # healthy is a part of those that it would use
-            groups = {z: [*ring.names, *self.due.get(z, [])] for z, ring in self.sound.items()}
+            groups = {z: [*ring.names, *(each for each in self.due.get(z, []) if isinstance(each, str))] for z, ring in self.sound.items()}
         self.rotation.weigh(groups, self.healthy, slowness)
         self.view_until = now + 0.25
 
+    def _part(self, now: float, server: str) -> float:
+        """How much of a sound, warm server it is to this sidecar."""
+        unserved = sum((server, category) in self.marks.marked for category in self.categories)
+        return self.servers.warmth(now, server) * (1 - unserved / len(self.categories))
+
     def _forget(self, now: float) -> None:
         """Guards against growth where servers are ever new: of one that no lookup has met nothing stays."""
         gone = itertools.islice(self.servers.gone.items(), 300)   # a whole fleet may go at once
         over = [s for s, since in gone if s not in self.out and now > since + self.longest]
-        self.marks.marked.difference_update(over)
         for server in over:
             self.servers.forget(server)
-            for by_id in (self.servers.tokens, self.marks.of, self.measures.done, self.measures.slow,
+            self.marks.forget(server, self.categories)
+            for by_id in (self.servers.tokens, self.measures.done, self.measures.slow,
                           self.measures.passed,
-                          self.rotation.turns, self.answered):
+                          self.rotation.turns):
                 by_id.pop(server, None)
 
     def _draw(self, lookup: Lookup, label: str) -> float:
@@ -739,7 +797,7 @@
         """Guards against hung servers before their time-outs are counted, above all on a quiet sidecar: with
         a hand-off out far beyond its usual time and nothing back since, a server gets nothing more."""
         first = next(iter(self.out[server].values()))
-        return now > first.overdue and self.answered.get(server, -math.inf) < first.sent
+        return now > first.overdue and not self.measures.overtaken(first)
 
     def _given_up_on(self, now: float, lookup: Lookup) -> bool:
         """Moves on only from a server that looks dead: what is merely slow, done twice, slows the rest."""
@@ -749,8 +807,10 @@
     def _hand_off(self, now: float, lookup: Lookup, server: str) -> Decision:
         self.servers.spend(now, server)
         entry, warm = self.servers.known[server], self.servers.warmth(now, server) == 1.0
-        hand_off = HandOff(server, entry.zone, entry.kind if warm else None, now, self.marks.down(server))
-        self.marks.of[server].trial_out = hand_off.trial
+        trial = next((what for what in (server, (server, lookup.category.name)) if self.marks.down(what)), None)
+        hand_off = HandOff(server, entry.zone, entry.kind if warm else None, now, trial)
+        if trial is not None:
+            self.marks.of[trial].trial_out = True
         lookup.sent.append(hand_off)
         overdue = self.measures.overdue(now, lookup.category)
         hand_off.overdue = now + overdue / self.servers.warmth(now, server)   # cold is slow, not hung
--- a/foxspread/model.py
+++ b/foxspread/model.py
@@ -87,11 +87,12 @@
     zone: str
     kind: str | None               # None while it is not warm
     sent: float
-    trial: bool
+    trial: str | tuple[str, str] | None   # of what is marked: a server, or one for a category
     overdue: float = math.inf
     outcome: Outcome | None = None
     called_off: bool = False
-    late: bool = False             # overdue: it holds no room any more
+    late: bool = False             # overdue and overtaken: it holds no room any more
+    judged: bool = False           # its verdict has been noted
 
 
 @dataclass(slots=True)
