Portions let in a steeper share: a client's further tries land at other sidecars

Checks: dismissals counted: nearly all by the share let in by chance; each client comes three times and draws anew, so a share of 0.3 lets in 0.66. Line at fault: Measures.room_in_all, the square of fair time over recent time. Change: the sixth power of (part x fair time over recent time) where a portion is used; elsewhere as before.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -346,7 +346,7 @@
         """The same over all servers, where each is met too seldom to tell. Where even that is but a few, a
         burst would fill it: a share of lookups, by chance, is let in, the smaller the longer answers take."""
         room, floor = 2 * self.room(now) * part + spare, 5 * spare   # so many at each server crowd none
-        let_in = draw < part * (self.fair() / self.slow[""].read(now)) ** 2
+        let_in = draw < (part * self.fair() / self.slow[""].read(now)) ** (6 if used else 2)
         # One at each server of its portion while answers are quick: rates that fell with a trouble would keep
         # it from the sound ones for good.
         few = max(self.few, floor, used)
