What is lost is answered at its expected time, and repeated where that is allowed

Symptom: dublin's lost lookups stayed out until their client gave up; build-packs whose answer was lost were never repeated, for the server answered others. Lines at fault: _decisions (held until useful_until), _given_up_on (only silent or marked servers). Change: past the expected time, with all hand-offs overtaken, or at marked or silent servers, a lookup gets its final answer at once; where portions are used an overtaken overdue hand-off may be repeated as the gate allows.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -578,7 +578,7 @@
             server = self._choose(now, lookup) if not self.queue or lookup.sent else None
             if server is not None:
                 yield self._hand_off(now, lookup, server)
-            elif lookup.out() and not self._too_late(now, lookup):
+            elif lookup.out() and not self._too_late(now, lookup) and not self._lost(now, lookup):
                 if not self.gate.copies and self._given_up_on(now, lookup):
                     yield from self._call_off(lookup)
                 else:   # looked at again after the usual time
@@ -592,6 +592,13 @@
         """Nothing is to be earned any more, or the client is about to give up."""
         return now + 1e-6 >= min(lookup.useful_until, lookup.abandon_at - 2 * self.tick)
 
+    def _lost(self, now: float, lookup: Lookup) -> bool:
+        """Past its expected time, with no answer to be looked for: its client is told at once."""
+        return now + 1e-6 >= lookup.expected_at and all(self._dead(h) for h in lookup.out())
+
+    def _dead(self, hand_off: HandOff) -> bool:
+        return hand_off.late or self.marks.down(hand_off.server) or hand_off.server in self.hushed
+
     def _worth_waiting(self, now: float, lookup: Lookup, ahead: int) -> bool:
         """Queue only what will mostly be answered in time."""
         mean = self.measures.usual(now, lookup.category)
@@ -802,7 +809,7 @@
     def _given_up_on(self, now: float, lookup: Lookup) -> bool:
         """Moves on only from a server that looks dead: what is merely slow, done twice, slows the rest."""
         last = lookup.out()[-1]
-        return now >= last.overdue and (self.marks.down(last.server) or last.server in self.hushed)
+        return now >= last.overdue and self._dead(last) and (self.portion.shared or not last.late)
 
     def _hand_off(self, now: float, lookup: Lookup, server: str) -> Decision:
         self.servers.spend(now, server)
@@ -819,7 +826,7 @@
         # Only a time-out ends it where it can neither be called off nor have a copy.
         may_wait = self.gate.copies or self.calling_off
         end = min(lookup.abandon_at - self.tick, math.inf if may_wait else hand_off.overdue)
-        for at in (hand_off.overdue, lookup.useful_until):
+        for at in {hand_off.overdue, lookup.expected_at, lookup.useful_until}:
             heapq.heappush(self.alarms, (at, lookup.id))
         return Decision(Act.HAND_OFF, lookup.id, server, max(end - now, self.tick))
 
