--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -31,8 +31,8 @@
         self.served: dict[str, Decaying] = {}              # answers of warm servers, by zone
         self.tokens: dict[str, tuple[float, float]] = {}   # of cold servers: hand-offs in hand, as of when
         self.asked = Decaying(10.0)                        # lookups taken
-        self.pace: Callable[[str], float] = lambda kind: 1.0   # of a kind, by that of all
-        self.in_use: dict[str, float] = {}                 # sizes of the warm ones it sends to, by zone
+        self.turn: dict[str, float] = {}                   # by kind: what it does, by the fastest
+        self.in_use: dict[str, float] = {}                 # sizes of the warm ones that it sends to, by zone
 
     def update(self, now: float, entries: Iterable[ListedServer], whole: bool) -> tuple[list[str], list[str]]:
         """Takes a list or changes; returns who is new or has started anew, and who is told otherwise."""
@@ -44,26 +44,26 @@
         return fresh, touched
 
     def use(self, now: float, used: set[str], new: set[str]) -> None:
-        """Which servers this sidecar sends to. For a cold one it starts as it would had that just started: all
-        who turn to it when another drains would have saved up a hand-off, and send it at once."""
+        """Which servers it sends to. All who turn to a cold one when another drains would have saved up a
+        hand-off, and send it at once: it starts anew for them."""
         for server in sorted(self.cold.keys() & new):
             self.tokens[server] = (self.chance.draw() * 0.9, now)
-        self.in_use = {}
+        self.in_use = dict.fromkeys(self.warm_sizes, 0.0)
         for entry in (self.known[server] for server in used if server not in self.cold):
-            self.in_use[entry.zone] = self.in_use.get(entry.zone, 0.0) + entry.size
+            self.in_use[entry.zone] += entry.size
 
     def allowance(self, now: float, server: str) -> float:
-        """Hand-offs a second for a cold server: a share of what warm ones do for this sidecar, as for all, and
-        less for a slow kind. What is turned away is no measure: in an overload that is most of what is sent."""
-        for zones in ([self.known[server].zone], self.zones):
-            if sum(self.warm_sizes[zone].sum() for zone in zones) > 0:
-                usual = sum(self.served[zone].read(now) for zone in zones) \
-                    / max(1.0, sum(self.in_use.get(zone, 0.0) for zone in zones))
-                break
+        """Hand-offs a second for a cold server: a share of what warm ones do (not what they are sent: in an
+        overload most is turned away) for this sidecar, as for all."""
+        zones = [self.known[server].zone]
+        if not self.warm_sizes[zones[0]].sum():
+            zones = [zone for zone in self.zones if self.warm_sizes[zone].sum() > 0]
+        if zones:
+            usual = sum(self.served[z].read(now) for z in zones) / max(1.0, sum(map(self.in_use.get, zones)))
         else:   # all just started: what is asked for, spread over them, stands in for what was done
             usual = self.asked.read(now) / self.sizes.sum()
-        return self.headroom * self.warmth(now, server) * usual / 10.0 * self.known[server].size \
-            * self.pace(self.known[server].kind)
+        entry = self.known[server]
+        return self.headroom * self.warmth(now, server) * usual / 10.0 * entry.size * self.turn.get(entry.kind, 1.0)
 
     def has_budget(self, now: float, server: str) -> bool:
         if self.warmth(now, server) == 1.0:
@@ -84,22 +84,18 @@
 
     def __init__(self, max_fails: int = 3, fail_timeout: float = 10.0, spell: float = 4.0, trials: int = 2,
                  panic: float = 0.4, longest: float = 4.0) -> None:
-        self.longest = longest
         self.max_fails, self.fail_timeout, self.spell, self.trials = max_fails, fail_timeout, spell, trials
-        self.panic = panic
+        self.panic, self.longest = panic, longest
         self.of: dict[Marked, Mark] = {}
         self.marked: set[Marked] = set()
         self.verdicts = Mean(10.0, 0.0)   # 1 for each failure, over all servers
 
-    def met(self, server: str, categories: Iterable[str] = ()) -> None:
+    def met(self, server: str, categories: Iterable[str] = (), gone: bool = False) -> None:
         for what in (server, *((server, category) for category in categories)):
-            self.of[what] = Mark()
             self.marked.discard(what)
-
-    def forget(self, server: str, categories: Iterable[str]) -> None:
-        self.met(server, categories)
-        for what in (server, *((server, category) for category in categories)):
-            del self.of[what]
+            self.of[what] = Mark()
+            if gone:
+                del self.of[what]
 
     def down(self, what: Marked) -> bool:
         return what in self.marked
@@ -121,7 +117,8 @@
             self.verdicts.add(now, float(failure))
         many = mark.note(now, failure, weight, self.fail_timeout) >= self.max_fails
         # A dead server must not pass for one of many that fail: several failed connections are its own doing.
-        if many and (weight > 1 and mark.streak >= 2 * self.max_fails or self._worse_than_rest(now, what, mark)):
+        own = weight > 1 and mark.streak >= 2 * self.max_fails
+        if many and (own or self._worse_than_rest(now, what, mark)):
             # A busy sidecar can afford trials sooner: those of all servers may take one lookup of fifty.
             seldom = 500.0 * (1 + len(self.marked)) / max(1.0, self.verdicts.sums(now)[1])
             spell = max(self.spell / 8, min(self.longest, seldom))
@@ -136,8 +133,7 @@
         rest is its better half: more than half of all may leave a category unanswered at a time."""
         failed, ended = mark.verdicts.sums(now)
         peers = [each.verdicts.sums(now) for key, each in self.of.items() if each is not mark
-                 and (key[1] == what[1] if isinstance(what, tuple) and isinstance(key, tuple)
-                      else isinstance(key, str) and isinstance(what, str))]
+                 and (isinstance(what, str) if isinstance(key, str) else key[1] == what[1])]
         peers = sorted((each for each in peers if each[1] >= 0.5), key=lambda each: each[0] / each[1])
         better = peers[:(len(peers) + 1) // 2]
         rest = (sum(each[0] for each in better) + 0.1) / (sum(each[1] for each in better) + 1.0)
@@ -155,11 +151,9 @@
 
 
 class Portion:
-    """Which servers of a group this sidecar sends to where connections stay open and are shared by lookups:
-    were each sidecar to hold one to each server, hundreds of them would fill the servers' tables. All
-    sidecars know one order of the group, in which the kinds of machine alternate by their shares; each starts
-    at a place of its own, evenly spread by its number, and takes as many sound ones from there on as its own
-    traffic can keep in view. What is marked or lost is made up for by the next."""
+    """The servers that it sends to where lookups share connections: hundreds of sidecars with one to each
+    would fill the servers' tables. All know one order, in which the kinds of machine alternate; each starts
+    at its own place, and takes as many sound ones as its traffic keeps in view."""
 
     def __init__(self, now: float, position: int, shared: bool, each: float = 0.5, least: int = 4) -> None:
         self.since, self.shared, self.each, self.least = now, shared, each, least
@@ -172,24 +166,22 @@
             kinds: dict[str, list[str]] = {}
             for server in sorted(group, key=lambda each: zlib.crc32(each.encode())):
                 kinds.setdefault(known[server].kind, []).append(server)
-            order = [each for _, _, each in sorted(((at + 0.5) / len(of_kind), kind, server) for kind, of_kind
-                                                   in kinds.items() for at, server in enumerate(of_kind))]
+            order = [each for _, _, each in sorted(((at + 0.5) / len(alike), kind, server) for kind, alike
+                                                   in kinds.items() for at, server in enumerate(alike))]
             first = int(self.start * len(order))
             self.orders[zone] = order[first:] + order[:first]
 
     def of(self, now: float, asked: Decaying, unsound: set[str], warmth: Callable[[str], float]) -> set[str]:
-        """A cold server counts by its warmth: others share in what it cannot do yet."""
         rate = (asked.read(now) + 1) / (asked.span * (1.02 - math.exp((self.since - now) / asked.span)))
         most = max(self.least, math.ceil(rate * self.each)) if self.shared else math.inf
         found = set()
         for order in self.orders.values():
             had = 0.0
-            for server in order:
+            for server in (each for each in order if each not in unsound):
                 if had >= most:
                     break
-                if server not in unsound:
-                    found.add(server)
-                    had += warmth(server)
+                found.add(server)
+                had += warmth(server)
         return found
 
 
@@ -262,9 +254,8 @@
                 self.cursor[zone] = start
                 if soon and not due:   # as many rounds more as it takes until one has a whole turn
                     spare = min(soon, key=soon.__getitem__)
-                    rounds = soon[spare][0]
                     for server, (_, more) in soon.items():
-                        self.turns[server] += rounds * more
+                        self.turns[server] += soon[spare][0] * more
                     self.turns[spare] = 1e-9
         for server in due.nearest(key) if key else due:
             if held(server) < most and fits(server):
@@ -303,13 +294,12 @@
             self.slow[server].add(now, 8.0)   # it answers at once, looks idle, and would draw all lookups
             if hand_off.kind is not None:
                 self._learn(hand_off.kind, 2.0)
-        # What was cut off counts with the time it had: else slow times would look ever shorter. Not where what
-        # was sent there later has been answered: that answer was lost, and says nothing of times.
-        cut = outcome in (Outcome.TIMED_OUT, Outcome.CALLED_OFF) and took > mean
-        lost = self.overtaken(hand_off)
+        # What was cut off counts with the time it had: else slow times would look ever shorter. Not what was
+        # overtaken: that answer was lost, and says nothing of times.
+        cut = outcome in (Outcome.TIMED_OUT, Outcome.CALLED_OFF) and not self.overtaken(hand_off)
         if outcome in (Outcome.DONE, Outcome.ERROR):   # a hung server can still say that it is full
             self.passed[server] = max(hand_off.sent, self.passed.get(server, hand_off.sent))
-        if outcome is Outcome.DONE or cut and not lost:
+        if outcome is Outcome.DONE or cut and took > mean:
             self.slow[server].add(now, took / mean)
             if hand_off.kind is not None:   # that a cold server is slow says nothing of the rest
                 self._learn(hand_off.kind, min(4.0, took / mean))
@@ -330,11 +320,7 @@
         step = max(0.03, 0.6 / (3 + self.heard[kind]))   # soon at first: servers crowded then stay slow
         self.turn[kind] = max(0.05, self.turn.get(kind, 1.0) * math.exp(-step * (ratio - 1)))
         if (top := max(self.turn.values())) != 1.0:
-            self.turn = {each: turn / top for each, turn in self.turn.items()}
-
-    def pace(self, kind: str) -> float:
-        """What a machine of that kind does, by the mean of those known; at most 1."""
-        return min(1.0, self.turn.get(kind, 1.0) * len(self.turn) / max(1e-9, sum(self.turn.values())))
+            self.turn.update({each: turn / top for each, turn in self.turn.items()})
 
     def room(self, now: float, name: str = "") -> float:
         """How many may be in flight: the rate (over all time, lest all overrun) x the time they may take."""
@@ -347,8 +333,7 @@
         burst would fill it: a share of lookups, by chance, is let in, the smaller the longer answers take."""
         room, floor = 2 * self.room(now) * part + spare, 5 * spare   # so many at each server crowd none
         let_in = draw < (part * self.fair() / self.slow[""].read(now)) ** (6 if used else 2)
-        # One at each server of its portion while answers are quick: rates that fell with a trouble would keep
-        # it from the sound ones for good.
+        # One at each of its portion while answers are quick: fallen rates would keep it from the sound ones.
         few = max(self.few, floor, used)
         return max(room, floor, used * let_in) if room >= self.few else few * let_in
 
@@ -434,7 +419,7 @@
         self.customers = {c.name: (c, Decaying(10.0)) for c in customers}
         self.servers = ServerList(*cold, chance=chance)
         self.measures = Measures(now, categories, waste_price=waste_price)
-        self.servers.pace = self.measures.pace
+        self.servers.turn = self.measures.turn
         self.gate = Gate(self.servers, max_hand_offs, copies)
         self.lookups: dict[str, Lookup] = {}
         self.waiting: dict[str, Lookup] = {}     # to be looked at by the next decisions
@@ -450,7 +435,8 @@
         self.ask_at = now + chance.draw() * self.spread if asks else math.inf
         # All floors together must not crowd a server; of a portion, the bound over all keeps them.
         self.least = 3 if streams > 1 else max(1, round(4 / sidecars))
-        self.marks, self.rotation = Marks(longest=16.0 if streams > 1 else 4.0), Rotation(zone, chance, few=min(2, self.least))
+        self.marks = Marks(longest=16.0 if streams > 1 else 4.0)
+        self.rotation = Rotation(zone, chance, few=min(2, self.least))
         self.portion, self.used = Portion(now, position, streams > 1), set()
         self.next_look = self.view_until = now   # next_look: at the queue
         # Kept up to date, so that a choice works out none of it: the rings of those that count as sound, by
@@ -495,9 +481,9 @@
         # A failed connection is the server's own: in a lost zone, three for each would use up all hand-offs.
         weight = self.marks.max_fails if outcome is Outcome.UNCONNECTED else 1
         # An answer that comes when most of its benefit is gone is no better than none.
-        failure = overdue or outcome.failure or (outcome is Outcome.DONE and now > lookup.expected_at)
+        late = outcome is Outcome.DONE and now > lookup.expected_at
         if not hand_off.judged:
-            self._judge(now, lookup, hand_off, failure if outcome is not Outcome.FULL else None, weight)
+            self._judge(now, lookup, hand_off, overdue or late or outcome.failure, weight)
         lookup.over |= closed or outcome is Outcome.DONE
         self.next_look = now
         if lookup.over and not lookup.out():
@@ -505,7 +491,8 @@
         else:
             self.waiting[id] = lookup   # to go on, or to call off its other copy
 
-    def _judge(self, now: float, lookup: Lookup, hand_off: HandOff, failure: bool | None, weight: int) -> None:
+    def _judge(self, now: float, lookup: Lookup, hand_off: HandOff, failure: bool | None,
+               weight: int = 1) -> None:
         server, pair = hand_off.server, (hand_off.server, lookup.category.name)
         hand_off.judged = True
         for what in (server, pair) if len(self.categories) > 1 else (server,):
@@ -597,7 +584,9 @@
         return now + 1e-6 >= lookup.expected_at and all(self._dead(h) for h in lookup.out())
 
     def _dead(self, hand_off: HandOff) -> bool:
-        return hand_off.late or self.marks.down(hand_off.server) or hand_off.server in self.hushed
+        """Overtaken where lookups share connections, or at a server that looks dead."""
+        return hand_off.late and self.portion.shared or self.marks.down(hand_off.server) \
+            or hand_off.server in self.hushed
 
     def _worth_waiting(self, now: float, lookup: Lookup, ahead: int) -> bool:
         """Queue only what will mostly be answered in time."""
@@ -646,16 +635,14 @@
         zones = self.rotation.zones(self.servers.zones, mean, lambda z: self._draw(lookup, z))
         zones.sort(key=lambda z: any(h.zone == z and h.outcome is Outcome.UNCONNECTED for h in lookup.sent))
         if zones and not lookup.sent and now >= self.next_trial.get(zones[0], math.inf):
-            for what in self.due[zones[0]]:
-                server, only_for = (what, lookup.category.name) if isinstance(what, str) else what
-                if only_for == lookup.category.name and self.marks.trial_due(now, what) \
-                        and self.gate.lets(now, lookup, server):
+            for server in self.due[zones[0]]:
+                if self.marks.trial_due(now, server) and self.gate.lets(now, lookup, server):
                     return server
-        only = self.gate.near(lookup) if lookup.sent else None
+        name, only = lookup.category.name, self.gate.near(lookup) if lookup.sent else None
         large = {z for z in zones if len(self.sound[z]) > 64}   # small groups are walked through each time
 
         def fits(server: str) -> bool:
-            if (server, lookup.category.name) in self.marks.marked:
+            if self.marks.down(pair := (server, name)) and not self.marks.trial_due(now, pair):
                 return False
             if server in self.hushed or lookup.sent and any(h.server == server for h in lookup.sent):
                 return self._park(server, large and server in self.hushed)
@@ -666,9 +653,9 @@
             return held < max(self.least, part * room) or self._park(server, large and full)
 
         def part_of_turn(server: str) -> float:
-            mark = self.marks.of.get((server, lookup.category.name))
-            sound = 1.0 - mark.verdicts.read(now, 0.0) if mark is not None else 1.0
-            return max(0.02, sound ** 2) * self.measures.part_of_turn(now, self.servers.known[server], self.servers.largest)
+            sound = 1.0 - self.marks.of[server, name].verdicts.read(now, 0.0)
+            entry, largest = self.servers.known[server], self.servers.largest
+            return max(0.005, sound ** 4) * self.measures.part_of_turn(now, entry, largest)
 
         for zone in zones:
             if zone in large and not lookup.sent and part <= self.full_for.get(zone, 0.0):
@@ -688,15 +675,13 @@
         return False
 
     def _let_go(self, now: float, lookup: Lookup) -> None:
-        """Guards against dismissing what sound servers could do: where answers are lost, what never comes back
-        would fill all room until its client gives up. Overdue, and overtaken by what was sent there later, it
-        holds none, and counts as failed."""
+        """Guards against lost answers that fill all room until their clients give up: overdue, and overtaken
+        by what was sent there later, a hand-off counts as failed."""
         for hand_off in lookup.out():
             if not hand_off.late and now >= hand_off.overdue and self.measures.overtaken(hand_off):
                 hand_off.late = True
                 self._count(hand_off.server, -1)
-                if not hand_off.judged:
-                    self._judge(now, lookup, hand_off, True, 1)
+                self._judge(now, lookup, hand_off, True)
 
     def _count(self, server: str, change: int) -> None:
         """A hand-off more or less at that server: what it held may have parked it, so it is opened again."""
@@ -730,15 +715,13 @@
         self._forget(now)
         groups, ready, marked = self.servers.zones, self.servers.ready, self.marks.marked
         # Panic is of the whole fleet: judged by zone, a zone's lone hung server would get all its lookups.
-        panic = self.marks.in_panic(ready)
-        self.panic = panic
+        panic = self.panic = self.marks.in_panic(ready)
         silent = {s for s in self.out if self._silent(now, s)}
         self.hushed = silent if len(silent) <= (1 - self.marks.panic) * len(ready) else set()
         used = self.portion.of(now, self.servers.asked, set() if panic else marked,
-                               lambda server: self._part(now, server))
+                               lambda server: self.servers.warmth(now, server))
         self.servers.use(now, used, used - self.used)
-        self.touched |= used ^ self.used
-        self.used = used
+        self.used, self.touched = used, self.touched | used ^ self.used
         for server in sorted(self.touched):
             self._sort_in(server)
         self.touched.clear()
@@ -750,10 +733,9 @@
                 cold[zone] += 1.0 - self.servers.warmth(now, server)
         self.healthy = {z: len(ring) - cold[z] for z, ring in self.sound.items()}
         self.due, self.next_trial = {}, {}
-        pairs = [what for what in marked if isinstance(what, tuple) and what[0] in ready and what[0] not in marked]
-        for what in () if panic else sorted(marked & ready) + sorted(pairs):
-            mark, zone = self.marks.of[what], self.servers.known[what if isinstance(what, str) else what[0]].zone
-            self.due.setdefault(zone, []).append(what)
+        for server in () if panic else sorted(marked & ready):
+            zone, mark = self.servers.known[server].zone, self.marks.of[server]
+            self.due.setdefault(zone, []).append(server)
             if not mark.trial_out:
                 self.next_trial[zone] = min(mark.until, self.next_trial.get(zone, math.inf))
         self.hushed_hold = sum(map(self._held, self.hushed))
@@ -768,24 +750,18 @@
         elsewhere = Mean.over(now, [slow[z] for z in self.sound if z != self.rotation.zone], untried)
         slowness = {z: slow[z].read(now, elsewhere if z != self.rotation.zone else 1.0) for z in self.sound}
         if self.portion.shared:   # healthy is a part of those that it would use
-            groups = {z: [*ring.names, *(each for each in self.due.get(z, []) if isinstance(each, str))] for z, ring in self.sound.items()}
+            groups = {z: [*ring.names, *self.due.get(z, [])] for z, ring in self.sound.items()}
         self.rotation.weigh(groups, self.healthy, slowness)
         self.view_until = now + 0.25
 
-    def _part(self, now: float, server: str) -> float:
-        """How much of a sound, warm server it is to this sidecar."""
-        unserved = sum((server, category) in self.marks.marked for category in self.categories)
-        return self.servers.warmth(now, server) * (1 - unserved / len(self.categories))
-
     def _forget(self, now: float) -> None:
         """Guards against growth where servers are ever new: of one that no lookup has met nothing stays."""
         gone = itertools.islice(self.servers.gone.items(), 300)   # a whole fleet may go at once
         over = [s for s, since in gone if s not in self.out and now > since + self.longest]
         for server in over:
             self.servers.forget(server)
-            self.marks.forget(server, self.categories)
-            for by_id in (self.servers.tokens, self.measures.done, self.measures.slow,
-                          self.measures.passed,
+            self.marks.met(server, self.categories, gone=True)
+            for by_id in (self.servers.tokens, self.measures.done, self.measures.slow, self.measures.passed,
                           self.rotation.turns):
                 by_id.pop(server, None)
 
@@ -809,12 +785,13 @@
     def _given_up_on(self, now: float, lookup: Lookup) -> bool:
         """Moves on only from a server that looks dead: what is merely slow, done twice, slows the rest."""
         last = lookup.out()[-1]
-        return now >= last.overdue and self._dead(last) and (self.portion.shared or not last.late)
+        return now >= last.overdue and self._dead(last)
 
     def _hand_off(self, now: float, lookup: Lookup, server: str) -> Decision:
         self.servers.spend(now, server)
         entry, warm = self.servers.known[server], self.servers.warmth(now, server) == 1.0
-        trial = next((what for what in (server, (server, lookup.category.name)) if self.marks.down(what)), None)
+        whats = server, (server, lookup.category.name)
+        trial = next((what for what in whats if self.marks.down(what)), None)
         hand_off = HandOff(server, entry.zone, entry.kind if warm else None, now, trial)
         if trial is not None:
             self.marks.of[trial].trial_out = True
