--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -1,10 +1,8 @@
 """All decisions of foxspread. A host calls a `Balancer`'s inputs (each only notes what is now known), pulls
-`next_decision(now)` until None, and wakes it by `wake_at()`. The plain types are in foxspread/model.py; the
-mechanism, its source and each exception to it are in docs/design.md. There is no clock and no I/O in here.
-"""
+`next_decision(now)` until None, and wakes it by `wake_at()`. docs/design.md has the mechanism, its source and
+each exception to it. There is no clock and no I/O in here."""
 
 import heapq
-import itertools
 import math
 import zlib
 from collections.abc import Callable, Iterable, Iterator
@@ -12,7 +10,7 @@
 from foxspread.members import Members
 from foxspread.model import (Act, Category, Customer, Decision, Effect, HandOff, ListedServer, Lookup, Mark,
                              Outcome)
-from foxspread.rings import Due, Ring
+from foxspread.rings import Due, Flight, Ring, alternating
 from foxspread.sums import Chance, Decaying, Low, Mean
 from foxspread.tries import Tries
 
@@ -25,14 +23,13 @@
 
     def __init__(self, cold_from: float, cold_time: float, fall_multiple: float, chance: Chance) -> None:
         super().__init__(cold_from, cold_time)
-        # Over what warm servers do, which is under their capacity; the rest is for small machines and bursts.
+        # Over what warm servers do; the rest is for small machines and bursts.
         self.headroom = min(2.0, 0.6 * fall_multiple)
         self.chance = chance
-        self.served: dict[str, Decaying] = {}              # answers of warm servers, by zone
-        self.tokens: dict[str, tuple[float, float]] = {}   # of cold servers: hand-offs in hand, as of when
-        self.asked = Decaying(10.0)                        # lookups taken
-        self.turn: dict[str, float] = {}                   # by kind: what it does, by the fastest
-        self.in_use: dict[str, float] = {}                 # sizes of the warm ones that it sends to, by zone
+        # Answers of warm servers and sizes of those in use, by zone; of cold ones, what is in hand since when.
+        self.served, self.in_use, self.tokens = {}, {}, {}
+        self.turn: dict[str, float] = {}   # by kind: what it does, by the fastest
+        self.asked = Decaying(10.0)        # lookups taken
 
     def update(self, now: float, entries: Iterable[ListedServer], whole: bool) -> tuple[list[str], list[str]]:
         """Takes a list or changes; returns who is new or has started anew, and who is told otherwise."""
@@ -63,7 +60,8 @@
         else:   # all just started: what is asked for, spread over them, stands in for what was done
             usual = self.asked.read(now) / self.sizes.sum()
         entry = self.known[server]
-        return self.headroom * self.warmth(now, server) * usual / 10.0 * entry.size * self.turn.get(entry.kind, 1.0)
+        return self.headroom * self.warmth(now, server) * usual / 10.0 * entry.size \
+            * self.turn.get(entry.kind, 1.0)
 
     def has_budget(self, now: float, server: str) -> bool:
         if self.warmth(now, server) == 1.0:
@@ -83,12 +81,11 @@
     server for one category (a pair): some serve one kind of lookup and leave another unanswered."""
 
     def __init__(self, max_fails: int = 3, fail_timeout: float = 10.0, spell: float = 4.0, trials: int = 2,
-                 panic: float = 0.4, longest: float = 4.0) -> None:
+                 panic: float = 0.4) -> None:
         self.max_fails, self.fail_timeout, self.spell, self.trials = max_fails, fail_timeout, spell, trials
-        self.panic, self.longest = panic, longest
+        self.panic = panic
         self.of: dict[Marked, Mark] = {}
-        self.marked: set[Marked] = set()
-        self.verdicts = Mean(10.0, 0.0)   # 1 for each failure, over all servers
+        self.marked, self.verdicts = set(), Mean(10.0, 0.0)   # 1 for each failure, over all servers
 
     def met(self, server: str, categories: Iterable[str] = (), gone: bool = False) -> None:
         for what in (server, *((server, category) for category in categories)):
@@ -117,27 +114,24 @@
             self.verdicts.add(now, float(failure))
         many = mark.note(now, failure, weight, self.fail_timeout) >= self.max_fails
         # A dead server must not pass for one of many that fail: several failed connections are its own doing.
-        own = weight > 1 and mark.streak >= 2 * self.max_fails
-        if many and (own or self._worse_than_rest(now, what, mark)):
+        if many and (weight > 1 and mark.streak >= 2 * self.max_fails or self._worse(now, what, mark)):
             # A busy sidecar can afford trials sooner: those of all servers may take one lookup of fifty.
             seldom = 500.0 * (1 + len(self.marked)) / max(1.0, self.verdicts.sums(now)[1])
-            spell = max(self.spell / 8, min(self.longest, seldom))
+            spell = max(self.spell / 8, min(self.spell, seldom))
             # Flapping: a server that fails again soon after its trials stays away for longer each time.
             again = now - mark.readmitted < 3 * self.fail_timeout
             mark.spell = min(mark.spell * 2, 4 * spell) if again else spell
             mark.until, mark.passes = now + mark.spell, 0
             self.marked.add(what)
 
-    def _worse_than_rest(self, now: float, what: Marked, mark: Mark) -> bool:
+    def _worse(self, now: float, what: Marked, mark: Mark) -> bool:
         """Guards sound servers against failures that belong to lookups: those strike all servers alike. The
         rest is its better half: more than half of all may leave a category unanswered at a time."""
         failed, ended = mark.verdicts.sums(now)
-        peers = [each.verdicts.sums(now) for key, each in self.of.items() if each is not mark
+        peers = [each.verdicts for key, each in self.of.items() if each is not mark
                  and (isinstance(what, str) if isinstance(key, str) else key[1] == what[1])]
-        peers = sorted((each for each in peers if each[1] >= 0.5), key=lambda each: each[0] / each[1])
-        better = peers[:(len(peers) + 1) // 2]
-        rest = (sum(each[0] for each in better) + 0.1) / (sum(each[1] for each in better) + 1.0)
-        return failed / ended > min(0.9, 0.15 + 2 * rest)
+        all_failed, all_ended = Mean.better_half(now, peers)
+        return failed / ended > min(0.9, 0.15 + 2 * (all_failed + 0.1) / (all_ended + 1.0))
 
     def _trial_ended(self, now: float, what: Marked, mark: Mark, failure: bool | None) -> None:
         mark.trial_out = False
@@ -161,27 +155,20 @@
         self.orders: dict[str, list[str]] = {}
 
     def listed(self, zones: dict[str, list[str]], known: dict[str, ListedServer]) -> None:
-        self.orders = {}
-        for zone, group in zones.items():
-            kinds: dict[str, list[str]] = {}
-            for server in sorted(group, key=lambda each: zlib.crc32(each.encode())):
-                kinds.setdefault(known[server].kind, []).append(server)
-            order = [each for _, _, each in sorted(((at + 0.5) / len(alike), kind, server) for kind, alike
-                                                   in kinds.items() for at, server in enumerate(alike))]
-            first = int(self.start * len(order))
-            self.orders[zone] = order[first:] + order[:first]
-
-    def of(self, now: float, asked: Decaying, unsound: set[str], warmth: Callable[[str], float]) -> set[str]:
+        orders = {z: alternating(group, lambda server: known[server].kind) for z, group in zones.items()}
+        first = {zone: int(self.start * len(order)) for zone, order in orders.items()}
+        self.orders = {zone: order[first[zone]:] + order[:first[zone]] for zone, order in orders.items()}
+
+    def of(self, now: float, asked: Decaying, unsound: set[str], warmth: Callable[..., float]) -> set[str]:
         rate = (asked.read(now) + 1) / (asked.span * (1.02 - math.exp((self.since - now) / asked.span)))
         most = max(self.least, math.ceil(rate * self.each)) if self.shared else math.inf
         found = set()
         for order in self.orders.values():
             had = 0.0
-            for server in (each for each in order if each not in unsound):
-                if had >= most:
-                    break
-                found.add(server)
-                had += warmth(server)
+            for server in order:
+                if had < most and server not in unsound:
+                    found.add(server)
+                    had += warmth(now, server)
         return found
 
 
@@ -193,12 +180,10 @@
         self.zone, self.chance, self.spill, self.few = zone, chance, spill, few
         self.well_over, self.skip = well_over, skip
         self.share, self.weight = 1.0, {}   # of the own zone; by zone, in what it does not take
-        self.cursor: dict[str, int] = {}
-        self.due: dict[str, Due] = {}   # by zone: whose turn it is, the longest first
-        self.turns: dict[str, float] = {}   # parts of a turn saved up by servers that get fewer turns
+        # By zone: where its walk stands, and whose turn it is, the longest first; by server: parts of a turn.
+        self.cursor, self.due, self.turns = {}, {}, {}
 
-    def weigh(self, groups: dict[str, list[str]], healthy: dict[str, float],
-              slowness: dict[str, float]) -> None:
+    def weigh(self, groups: dict[str, list], healthy: dict[str, float], slowness: dict[str, float]) -> None:
         """How much goes to the own zone: 1.4 x its healthy fraction, less while slower than the zones that
         would be drawn instead. The mean of all others hides an idle one behind the crowded."""
         self.weight = {z: max(0.01, healthy[z]) / slowness[z] ** 2 for z in groups}
@@ -208,8 +193,7 @@
             ratio = times / sum(drawn.values()) / slowness[self.zone] if drawn else 1.0
             self.share = self.spill * min(healthy[self.zone] / len(groups[self.zone]), ratio ** 3)
 
-    def zones(self, groups: dict[str, list[str]], mean: dict[str, float],
-              draw: Callable[[str], float]) -> list[str]:
+    def zones(self, groups: Iterable[str], mean: dict[str, float], draw: Callable[[str], float]) -> list[str]:
         """Zone groups, best first: the own up to its share, and not while it holds well over the others."""
         others = sorted((z for z in groups if z != self.zone), key=lambda z: -draw(z) ** (1 / self.weight[z]))
         own = [self.zone] if self.zone in groups else []
@@ -221,11 +205,9 @@
              part: Callable[[str], float], fits: Callable[[str], bool], key: str = "",
              only: list[str] | None = None) -> str | None:
         """The next in turn that fits and does not hold well over the group's mean; else the least laden. Slow
-        or small servers get a part of a turn each time round and go at a whole one. With a key, as
-        where servers remember keys, half the group is due at a time; the nearest to the key goes first."""
-        size, at = len(ring), self.cursor.get(zone)
-        if at is None:
-            at = self.cursor[zone] = int(self.chance.draw() * size)
+        ones get a part of a turn a round. With a key, half the group is due, the nearest to it first."""
+        size = len(ring)
+        at = self.cursor[zone] if zone in self.cursor else int(self.chance.draw() * size)
         most, spare, soon = max(self.few, self.skip * mean), None, {}
         due = self.due.setdefault(zone, Due())
         # Half of a large group comes to be due over several lookups: none must wait for thousands of turns.
@@ -265,8 +247,6 @@
 
 
 class Measures:
-    """Rates and times, as this sidecar saw them."""
-
     def __init__(self, now: float, categories: list[Category], span: float = 8.0, few: int = 3,
                  fair_time: float = 0.35, waste_price: float = 0.1) -> None:
         self.span, self.few, self.fair_time, self.waste_price = span, few, fair_time, waste_price
@@ -277,8 +257,8 @@
         self.done = {"": (Decaying(span), now)}   # by server, "" for all; and since when
         self.slow = {"": Mean(3.0, 0.2)}          # by server and zone; "": for all, by the expected time
         self.brisk = Low(0.2)                     # by the expected time: what an idle server takes
-        self.passed: dict[str, float] = {}        # by server: when the latest that was answered was sent
-        self.turn, self.heard = {}, {}            # by kind: part of a turn, and answers
+        # By server: when the latest that was answered was sent; by kind: part of a turn, and answers.
+        self.passed, self.turn, self.heard = {}, {}, {}
 
     def met(self, now: float, server: str, zone: str) -> None:
         self.done[server], self.slow[server] = (Decaying(self.span), now), Mean(12.0, most=12.0)
@@ -311,7 +291,6 @@
                 mean_of.add(now, min(took, category.expected_time) ** power)
 
     def overtaken(self, hand_off: HandOff) -> bool:
-        """Something that was sent to that server later has been answered."""
         return hand_off.sent < self.passed.get(hand_off.server, -math.inf)
 
     def _learn(self, kind: str, ratio: float) -> None:
@@ -329,8 +308,8 @@
         return rate * self.time_bound
 
     def room_in_all(self, now: float, part: float, spare: float, draw: float, used: int = 0) -> float:
-        """The same over all servers, where each is met too seldom to tell. Where even that is but a few, a
-        burst would fill it: a share of lookups, by chance, is let in, the smaller the longer answers take."""
+        """The same over all servers. Where it is but a few, a burst would fill it: a share of lookups, by
+        chance, is let in, the smaller the longer answers take."""
         room, floor = 2 * self.room(now) * part + spare, 5 * spare   # so many at each server crowd none
         let_in = draw < (part * self.fair() / self.slow[""].read(now)) ** (6 if used else 2)
         # One at each of its portion while answers are quick: fallen rates would keep it from the sound ones.
@@ -342,7 +321,6 @@
         return max(self.fair_time, 4 * self.brisk.value)
 
     def part_of_turn(self, now: float, entry: ListedServer, largest: float) -> float:
-        """Turns go as the speed: times of servers that are busy alike then become alike."""
         single = min(1.0, 1 / self.slow[entry.server].read(now) ** 3)
         return max(0.05, single * self.turn.get(entry.kind, 1.0)) * entry.size / largest
 
@@ -387,7 +365,6 @@
         return self.open(now, others) and self.suits(others, lookup.sent[number].server)
 
     def together(self, lookup: Lookup, one: str, other: str) -> bool:
-        """True where the two servers drop each other's repeats of this lookup."""
         a, b, scope = self.servers.known.get(one), self.servers.known.get(other), lookup.category.scope
         near = None not in (a, b) and a.zone == b.zone
         return scope == "all" or near and (scope == "zone" or a.cell == b.cell)
@@ -399,19 +376,17 @@
         return None if entry is None else self.servers.cells.get((entry.zone, entry.cell), [])
 
     def may_dismiss(self, lookup: Lookup) -> bool:
-        """A dismissal says that trying again is harmless."""
         return (lookup.category.effect is Effect.REDOABLE or not lookup.may_have_run()
                 or (lookup.category.effect is Effect.LABELLED and lookup.category.scope == "all"))
 
 
-class Balancer:
-    """Holds the lookups of one sidecar and joins the parts."""
-
+class Balancer(Flight):
     def __init__(self, now: float, seed: int, zone: str, sidecars: int, categories: list[Category],
                  customers: list[Customer], surplus_benefit: float, max_hand_offs: int, copies: bool,
                  calling_off: bool, longest_back_in: float, tick: float, asks: bool, keys_remembered: bool,
                  waste_price: float, cold: tuple[float, float, float], position: int = 0,
                  streams: int = 1) -> None:
+        super().__init__()
         chance = self.chance = Chance(seed)
         self.tick, self.longest_back_in, self.keys_remembered = tick, longest_back_in, keys_remembered
         self.calling_off, self.sidecars, self.surplus_benefit = calling_off, sidecars, surplus_benefit
@@ -421,31 +396,19 @@
         self.measures = Measures(now, categories, waste_price=waste_price)
         self.servers.turn = self.measures.turn
         self.gate = Gate(self.servers, max_hand_offs, copies)
-        self.lookups: dict[str, Lookup] = {}
-        self.waiting: dict[str, Lookup] = {}     # to be looked at by the next decisions
-        self.queue: dict[str, Lookup] = {}       # without room, to be looked at when some may have come free
-        self.alarms: list[tuple[float, str]] = []
-        self.out: dict[str, dict[tuple[str, int], HandOff]] = {}   # by server with any, the oldest first
-        self.held: dict[str, int] = {}             # of these, by server, what is not overdue
+        # All; to be looked at by the next decisions; without room, until some may have come free.
+        self.lookups, self.waiting, self.queue = {}, {}, {}
+        self.alarms, self.plan = [], None
         self.longest = max((c.abandon_time for c in categories), default=0.0)
-        self.worth = Mean(10.0, 0.0)
-        self.tries = Tries(categories)
+        self.worth, self.tries = Mean(10.0, 0.0), Tries(categories)
         # The list service does not grow with the sidecars: first calls are spread, later ones back off.
         self.spread, self.ask_again = min(5.0, 0.04 * sidecars), 0.5
         self.ask_at = now + chance.draw() * self.spread if asks else math.inf
-        # All floors together must not crowd a server; of a portion, the bound over all keeps them.
-        self.least = 3 if streams > 1 else max(1, round(4 / sidecars))
-        self.marks = Marks(longest=16.0 if streams > 1 else 4.0)
-        self.rotation = Rotation(zone, chance, few=min(2, self.least))
+        self.least = max(1, round(4 / sidecars))   # all floors together must not crowd a server
+        self.marks, self.rotation = Marks(), Rotation(zone, chance, few=min(2, self.least))
         self.portion, self.used = Portion(now, position, streams > 1), set()
-        self.next_look = self.view_until = now   # next_look: at the queue
-        # Kept up to date, so that a choice works out none of it: the rings of those that count as sound, by
-        # zone, and in which one each is; what they hold; what all hold, and the hushed ones; trials, by zone.
-        self.sound, self.ring_of, self.held_in = {}, {}, {}
-        self.flying = self.hushed_hold = 0
-        self.hushed, self.panic, self.touched, self.due, self.next_trial = set(), False, set(), {}, {}
-        self.open_at, self.full_for = now, {}   # when the parked are looked at; parts without room, by zone
-        self.plan: Iterator[Decision] | None = None
+        self.next_look = self.view_until = self.open_at = now   # at the queue, at all marks, at the parked
+        self.panic, self.touched, self.due, self.next_trial = False, set(), {}, {}   # trials, by zone
 
     def lookup_taken(self, now: float, id: str, category: str, time_left: float, customer: str = "",
                      key: str = "", again: bool = False) -> None:
@@ -454,9 +417,8 @@
         lookup = Lookup(id, kind, now + min(kind.expected_time - spent, time_left), now + time_left,
                         kind.benefit * self._share_left(now, customer) / self.measures.usual(now, kind),
                         self.chance.draw(), key if self.keys_remembered else "")
-        self.lookups[id] = lookup
+        self.lookups[id] = self.waiting[id] = lookup
         self.worth.add(now, lookup.worth)
-        self.waiting[id] = lookup
         heapq.heappush(self.alarms, (lookup.abandon_at - 2 * self.tick, id))
 
     def hand_off_ended(self, now: float, id: str, number: int, outcome: Outcome, closed: bool) -> None:
@@ -465,16 +427,10 @@
             return
         hand_off = lookup.sent[number]
         hand_off.outcome, server = outcome, hand_off.server
-        del self.out[server][(id, number)]
-        if not self.out[server]:
-            del self.out[server]
-        if not hand_off.late:
-            self._count(server, -1)
-        overdue = False
-        if outcome is Outcome.CALLED_OFF:
-            # Slow servers, whose lookups are called off, never time out: overdue or twice that is as bad.
-            twice = 2 * self.measures.usual(now, lookup.category) / self.servers.warmth(now, server)
-            overdue = now > min(hand_off.overdue, hand_off.sent + twice)
+        self._back(hand_off, (id, number))
+        # Slow servers, whose lookups are called off, never time out: overdue or twice that is as bad.
+        twice = 2 * self.measures.usual(now, lookup.category) / self.servers.warmth(now, server)
+        overdue = outcome is Outcome.CALLED_OFF and now > min(hand_off.overdue, hand_off.sent + twice)
         self.measures.ended(now, hand_off, lookup.category)
         if outcome is Outcome.DONE and hand_off.kind is not None and server in self.servers.known:
             self.servers.served[hand_off.zone].add(now)
@@ -491,13 +447,12 @@
         else:
             self.waiting[id] = lookup   # to go on, or to call off its other copy
 
-    def _judge(self, now: float, lookup: Lookup, hand_off: HandOff, failure: bool | None,
-               weight: int = 1) -> None:
+    def _judge(self, now: float, lookup: Lookup, hand_off: HandOff, failed: bool | None, weight=1) -> None:
         server, pair = hand_off.server, (hand_off.server, lookup.category.name)
         hand_off.judged = True
         for what in (server, pair) if len(self.categories) > 1 else (server,):
             if what in self.marks.of:
-                self.marks.record(now, what, failure, hand_off.trial == what, weight)
+                self.marks.record(now, what, failed, hand_off.trial == what, weight)
         if self.marks.down(server) or self.marks.down(pair) or hand_off.trial:
             self.view_until = now
             self.touched.add(server)
@@ -521,9 +476,8 @@
             self.lookups[id].streaming = True
 
     def client_left(self, now: float, id: str) -> None:
-        if id in self.lookups:
-            self.lookups[id].over = True
-            self.waiting[id] = self.lookups[id]   # to call off what is still out
+        if (lookup := self.lookups.get(id)) is not None:
+            lookup.over, self.waiting[id] = True, lookup   # to call off what is still out
 
     def next_decision(self, now: float) -> Decision | None:
         if not (self.plan or self.waiting or self.queue or now >= min(self.ask_at, self.view_until)
@@ -547,17 +501,13 @@
         if now >= self.view_until:
             self._look(now)
         while self.alarms and self.alarms[0][0] <= now + 1e-6:
-            lookup = self.lookups.get(heapq.heappop(self.alarms)[1])
-            if lookup is not None:
+            if (lookup := self.lookups.get(heapq.heappop(self.alarms)[1])) is not None:
                 self._let_go(now, lookup)
-                if not lookup.over:
-                    self.waiting[lookup.id] = lookup
+                self.waiting |= {} if lookup.over else {lookup.id: lookup}
         if now >= self.next_look:   # not for each lookup that comes: in a burst that would take all of a core
             self.waiting, self.queue, self.next_look = self.queue | self.waiting, {}, now + 4 * self.tick
         waiting, self.waiting = self.waiting.values(), {}
-        if len(waiting) > 1:
-            waiting = sorted(waiting, key=lambda each: (-each.worth, each.expected_at))   # most worth first
-        for lookup in waiting:
+        for lookup in sorted(waiting, key=lambda each: (-each.worth, each.expected_at)):   # most worth first
             if lookup.over:
                 yield from self._close(lookup)
             if lookup.over or lookup.streaming:
@@ -576,7 +526,6 @@
                 yield from self._give_up(now, lookup)
 
     def _too_late(self, now: float, lookup: Lookup) -> bool:
-        """Nothing is to be earned any more, or the client is about to give up."""
         return now + 1e-6 >= min(lookup.useful_until, lookup.abandon_at - 2 * self.tick)
 
     def _lost(self, now: float, lookup: Lookup) -> bool:
@@ -584,12 +533,10 @@
         return now + 1e-6 >= lookup.expected_at and all(self._dead(h) for h in lookup.out())
 
     def _dead(self, hand_off: HandOff) -> bool:
-        """Overtaken where lookups share connections, or at a server that looks dead."""
         return hand_off.late and self.portion.shared or self.marks.down(hand_off.server) \
             or hand_off.server in self.hushed
 
     def _worth_waiting(self, now: float, lookup: Lookup, ahead: int) -> bool:
-        """Queue only what will mostly be answered in time."""
         mean = self.measures.usual(now, lookup.category)
         in_time = now + mean * ((ahead + 1) / max(1, self._in_flight()) + 1.5) < lookup.expected_at
         return in_time and not self._too_late(now, lookup) and self.gate.open(now, lookup)
@@ -627,9 +574,9 @@
         # Where several are full most are: each more costs time, and the client is asked to come back.
         if self.portion.shared and sum(h.outcome is Outcome.FULL for h in lookup.sent) >= 5 * part - 2:
             return None
-        spare = len(self.servers.ready) / self.sidecars
-        if not lookup.sent and self._in_flight() >= self.measures.room_in_all(
-                now, part, spare, lookup.draw, len(self.used) * self.portion.shared):
+        spare, used = len(self.servers.ready) / self.sidecars, len(self.used) * self.portion.shared
+        room = self.measures.room_in_all(now, part, spare, lookup.draw, used)
+        if not lookup.sent and self._in_flight() >= room:
             return None
         mean = {z: self.held_in[z] / max(1, len(ring)) for z, ring in self.sound.items()}
         zones = self.rotation.zones(self.servers.zones, mean, lambda z: self._draw(lookup, z))
@@ -649,8 +596,7 @@
             if not self.gate.lets(now, lookup, server):
                 return self._park(server, large and not lookup.sent)
             held, room = self._held(server), self.measures.room(now, server)
-            full = held >= max(self.least, room)
-            return held < max(self.least, part * room) or self._park(server, large and full)
+            return held < max(self.least, part * room) or self._park(server, large and held >= room)
 
         def part_of_turn(server: str) -> float:
             sound = 1.0 - self.marks.of[server, name].verdicts.read(now, 0.0)
@@ -668,47 +614,18 @@
                 self.full_for[zone] = part
         return None
 
-    def _park(self, server: str, worth: bool) -> bool:
-        """Passes over it, until it is opened again, where it would be walked past time and again; False."""
-        if worth and server in self.ring_of:
-            self.sound[self.ring_of[server]].park(server)
-        return False
-
     def _let_go(self, now: float, lookup: Lookup) -> None:
-        """Guards against lost answers that fill all room until their clients give up: overdue, and overtaken
-        by what was sent there later, a hand-off counts as failed."""
+        """Guards against lost answers that fill all room: overdue and overtaken, a hand-off has failed."""
         for hand_off in lookup.out():
             if not hand_off.late and now >= hand_off.overdue and self.measures.overtaken(hand_off):
                 hand_off.late = True
                 self._count(hand_off.server, -1)
                 self._judge(now, lookup, hand_off, True)
 
-    def _count(self, server: str, change: int) -> None:
-        """A hand-off more or less at that server: what it held may have parked it, so it is opened again."""
-        self.flying += change
-        self.held[server] = self.held.get(server, 0) + change
-        if not self.held[server]:
-            del self.held[server]
-        self.hushed_hold += change * (server in self.hushed)
-        if (zone := self.ring_of.get(server)) is not None:
-            self.held_in[zone] += change
-            if change < 0:
-                self.sound[zone].unpark(server)
-                self.full_for.pop(zone, None)
-
     def _sort_in(self, server: str) -> None:
-        """Into the ring that it belongs in now, or into none."""
         zone = self.servers.known[server].zone if server in self.used else None
-        old = self.ring_of.pop(server, None)
-        if old is not None and old != zone:
-            self.sound[old].drop(server)
-            self.held_in[old] -= self._held(server)
-            self.rotation.due.get(old, Due()).remove(server)
-        if zone is not None:
-            self.ring_of[server] = zone
-            if old != zone:
-                self.sound.setdefault(zone, Ring()).add(server)
-                self.held_in[zone] = self.held_in.get(zone, 0) + self._held(server)
+        if (left := self._place(server, zone)) is not None:
+            self.rotation.due.get(left, Due()).remove(server)
 
     def _look(self, now: float) -> None:
         """Which servers and zones count as healthy; kept until a mark or the list changes, or a moment."""
@@ -718,8 +635,7 @@
         panic = self.panic = self.marks.in_panic(ready)
         silent = {s for s in self.out if self._silent(now, s)}
         self.hushed = silent if len(silent) <= (1 - self.marks.panic) * len(ready) else set()
-        used = self.portion.of(now, self.servers.asked, set() if panic else marked,
-                               lambda server: self.servers.warmth(now, server))
+        used = self.portion.of(now, self.servers.asked, set() if panic else marked, self.servers.warmth)
         self.servers.use(now, used, used - self.used)
         self.used, self.touched = used, self.touched | used ^ self.used
         for server in sorted(self.touched):
@@ -727,11 +643,9 @@
         self.touched.clear()
         self.sound = {z: self.sound.get(z) or Ring() for z in groups}
         self.held_in = {z: self.held_in.get(z, 0) for z in groups}
-        cold = {z: 0.0 for z in groups}   # what the cold ones lack
-        for server in self.servers.cold:
-            if (zone := self.ring_of.get(server)) is not None:
-                cold[zone] += 1.0 - self.servers.warmth(now, server)
-        self.healthy = {z: len(ring) - cold[z] for z, ring in self.sound.items()}
+        self.healthy = {z: float(len(ring)) for z, ring in self.sound.items()}
+        for server in sorted(self.ring_of.keys() & self.servers.cold.keys()):   # less what the cold ones lack
+            self.healthy[self.ring_of[server]] -= 1.0 - self.servers.warmth(now, server)
         self.due, self.next_trial = {}, {}
         for server in () if panic else sorted(marked & ready):
             zone, mark = self.servers.known[server].zone, self.marks.of[server]
@@ -756,9 +670,7 @@
 
     def _forget(self, now: float) -> None:
         """Guards against growth where servers are ever new: of one that no lookup has met nothing stays."""
-        gone = itertools.islice(self.servers.gone.items(), 300)   # a whole fleet may go at once
-        over = [s for s, since in gone if s not in self.out and now > since + self.longest]
-        for server in over:
+        for server in self.servers.over(now - self.longest, self.out):
             self.servers.forget(server)
             self.marks.met(server, self.categories, gone=True)
             for by_id in (self.servers.tokens, self.measures.done, self.measures.slow, self.measures.passed,
@@ -766,40 +678,29 @@
                 by_id.pop(server, None)
 
     def _draw(self, lookup: Lookup, label: str) -> float:
-        """By chance; where servers remember keys, the same for the same key at all sidecars."""
         return zlib.crc32(f"{lookup.key}:{label}".encode()) / 2**32 if lookup.key else self.chance.draw()
 
-    def _held(self, server: str) -> int:
-        return self.held.get(server, 0)
-
-    def _in_flight(self) -> int:
-        """Over all servers; what hangs at silent ones takes no room from the rest."""
-        return self.flying - self.hushed_hold
-
     def _silent(self, now: float, server: str) -> bool:
-        """Guards against hung servers before their time-outs are counted, above all on a quiet sidecar: with
-        a hand-off out far beyond its usual time and nothing back since, a server gets nothing more."""
-        first = next(iter(self.out[server].values()))
-        return now > first.overdue and not self.measures.overtaken(first)
+        """Guards against hung servers before their time-outs are counted: with a hand-off overdue, and
+        nothing back that was sent later, a server gets nothing more."""
+        first = next((h for h in self.out[server].values() if not h.late), None)
+        return first is not None and now > first.overdue and not self.measures.overtaken(first)
 
     def _given_up_on(self, now: float, lookup: Lookup) -> bool:
-        """Moves on only from a server that looks dead: what is merely slow, done twice, slows the rest."""
-        last = lookup.out()[-1]
+        last = lookup.out()[-1]   # what is merely slow is not done twice: that slows the rest
         return now >= last.overdue and self._dead(last)
 
     def _hand_off(self, now: float, lookup: Lookup, server: str) -> Decision:
         self.servers.spend(now, server)
         entry, warm = self.servers.known[server], self.servers.warmth(now, server) == 1.0
-        whats = server, (server, lookup.category.name)
-        trial = next((what for what in whats if self.marks.down(what)), None)
+        trial = next(filter(self.marks.down, (server, (server, lookup.category.name))), None)
         hand_off = HandOff(server, entry.zone, entry.kind if warm else None, now, trial)
         if trial is not None:
             self.marks.of[trial].trial_out = True
         lookup.sent.append(hand_off)
         overdue = self.measures.overdue(now, lookup.category)
         hand_off.overdue = now + overdue / self.servers.warmth(now, server)   # cold is slow, not hung
-        self.out.setdefault(server, {})[(lookup.id, len(lookup.sent) - 1)] = hand_off
-        self._count(server, 1)
+        self._sent(hand_off, (lookup.id, len(lookup.sent) - 1))
         # Only a time-out ends it where it can neither be called off nor have a copy.
         may_wait = self.gate.copies or self.calling_off
         end = min(lookup.abandon_at - self.tick, math.inf if may_wait else hand_off.overdue)
@@ -808,7 +709,7 @@
         return Decision(Act.HAND_OFF, lookup.id, server, max(end - now, self.tick))
 
     def _share_left(self, now: float, customer: str) -> float:
-        """1 within the customer's share; less beyond it, as this sidecar sees its own part of the traffic."""
+        """1 within the customer's share; less beyond it, by this sidecar's part of the traffic."""
         if customer not in self.customers:   # who has no share has none to be over
             return 1.0
         entry, sent = self.customers[customer]
--- a/foxspread/members.py
+++ b/foxspread/members.py
@@ -3,8 +3,9 @@
 """
 
 from bisect import bisect_left, insort
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import replace
+from itertools import islice
 
 from foxspread.model import ListedServer, Readiness
 from foxspread.rings import Sizes
@@ -93,6 +94,10 @@
             del self.cold[server]
         self.warm_sizes[entry.zone].add(entry.size, -1 if cold else 1)
 
+    def over(self, before: float, out: Container[str]) -> list[str]:
+        """Those gone since before then, with nothing out; of some only, for a whole fleet may go at once."""
+        return [s for s, since in islice(self.gone.items(), 300) if s not in out and since < before]
+
     def forget(self, server: str) -> None:
         """Of one that is gone nothing stays."""
         self.gone.pop(server, None)
--- a/foxspread/rings.py
+++ b/foxspread/rings.py
@@ -6,7 +6,9 @@
 import heapq
 import zlib
 from bisect import bisect_left, insort
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+
+from foxspread.model import HandOff
 
 
 class Ring:
@@ -146,3 +148,79 @@
 
     def largest(self, usual: float) -> float:
         return max(self.count, default=usual)
+
+
+class Flight:
+    """What is in flight, and the rings of servers that it is counted by: kept up to date on each event, so
+    that a choice works out none of it. Bookkeeping of the decisions without a decision in it."""
+
+    def __init__(self) -> None:
+        self.sound: dict[str, Ring] = {}        # those that count as sound, by zone
+        self.ring_of: dict[str, str] = {}       # in which of these each is
+        self.held: dict[str, int] = {}          # in flight by server, where not given up
+        self.held_in: dict[str, int] = {}       # by ring
+        self.flying = self.hushed_hold = 0      # over all, and at the silent ones
+        self.hushed: set[str] = set()
+        self.full_for: dict[str, float] = {}    # parts of the room that found none, by zone
+        self.out: dict[str, dict[tuple[str, int], HandOff]] = {}   # by server with any, the oldest first
+
+    def _sent(self, hand_off: HandOff, key: tuple[str, int]) -> None:
+        self.out.setdefault(hand_off.server, {})[key] = hand_off
+        self._count(hand_off.server, 1)
+
+    def _back(self, hand_off: HandOff, key: tuple[str, int]) -> None:
+        out = self.out[hand_off.server]
+        del out[key]
+        if not out:
+            del self.out[hand_off.server]
+        if not hand_off.late:
+            self._count(hand_off.server, -1)
+
+    def _held(self, server: str) -> int:
+        return self.held.get(server, 0)
+
+    def _in_flight(self) -> int:
+        """Over all servers; what hangs at silent ones takes no room from the rest."""
+        return self.flying - self.hushed_hold
+
+    def _park(self, server: str, worth: bool) -> bool:
+        """Passes over it, until it is opened again, where it would be walked past time and again; False."""
+        if worth and server in self.ring_of:
+            self.sound[self.ring_of[server]].park(server)
+        return False
+
+    def _count(self, server: str, change: int) -> None:
+        """A hand-off more or less at that server: what it held may have parked it, so it is opened again."""
+        self.flying += change
+        self.held[server] = self.held.get(server, 0) + change
+        if not self.held[server]:
+            del self.held[server]
+        self.hushed_hold += change * (server in self.hushed)
+        if (zone := self.ring_of.get(server)) is not None:
+            self.held_in[zone] += change
+            if change < 0:
+                self.sound[zone].unpark(server)
+                self.full_for.pop(zone, None)
+
+    def _place(self, server: str, zone: str | None) -> str | None:
+        """Into that ring, or into none; returns the one that it has left."""
+        old = self.ring_of.pop(server, None)
+        if old is not None and old != zone:
+            self.sound[old].drop(server)
+            self.held_in[old] -= self._held(server)
+        if zone is not None:
+            self.ring_of[server] = zone
+            if old != zone:
+                self.sound.setdefault(zone, Ring()).add(server)
+                self.held_in[zone] = self.held_in.get(zone, 0) + self._held(server)
+        return old if old != zone else None
+
+
+def alternating(names: list[str], kind_of: Callable[[str], str]) -> list[str]:
+    """One order that all who know the names come to, in which the kinds alternate by their shares."""
+    kinds: dict[str, list[str]] = {}
+    for name in sorted(names, key=lambda each: zlib.crc32(each.encode())):
+        kinds.setdefault(kind_of(name), []).append(name)
+    places = [((at + 0.5) / len(alike), kind, name) for kind, alike in kinds.items()
+              for at, name in enumerate(alike)]
+    return [name for _, _, name in sorted(places)]
--- a/foxspread/sums.py
+++ b/foxspread/sums.py
@@ -97,3 +97,11 @@
         """Of several together."""
         sums = [each.sums(now) for each in several]
         return (sum(total for total, _ in sums) + usual) / (sum(count for _, count in sums) + 1.0)
+
+    @staticmethod
+    def better_half(now: float, several: list["Mean"]) -> tuple[float, float]:
+        """Total and count of those with the lower means, of the ones that hold anything worth the name."""
+        sums = sorted((total / count, total, count) for total, count in (each.sums(now) for each in several)
+                      if count >= 0.5)
+        half = sums[:(len(sums) + 1) // 2]
+        return sum(total for _, total, _ in half), sum(count for _, _, count in half)
--- a/tests/test_portion.py
+++ b/tests/test_portion.py
@@ -11,7 +11,7 @@
 KINDS = ["fast", "slow", "slow"]
 
 
-def warm(server):
+def warm(now, server):
     return 1.0
 
 
@@ -25,7 +25,7 @@
 
 class TestPortion(unittest.TestCase):
     def test_hundreds_of_sidecars_fill_no_server_s_table_and_miss_none(self):
-        """Guards against one connection from each sidecar to each server: on a full table sound servers look dead."""
+        """Guards against a connection from each sidecar to each: on a full table sound servers look dead."""
         names = [f"{n:03}" for n in range(60)]
         count = Counter()
         for position in range(300):
