--- a/foxspread/config.py
+++ b/foxspread/config.py
@@ -67,6 +67,7 @@
     decisions: dict[str, Any]      # keyword arguments of the balancer
     connect_time: float            # a connection that is not up by then never comes up
     idle_time: float               # servers close what stands idle for longer
+    learnt: str                    # file of what an instance has learnt, read at its start; "": none
     list_age: float                # a list that was not asked for within this counts as known all the same
 
 
@@ -103,6 +104,12 @@
             raise ConfigError(f"'{self.name(key)}' must be a number from {least:g} on, not {show(value)}")
         return value
 
+    def whole(self, key: str, default: int, least: int = 0) -> int:
+        value = self.number(key, default, least)
+        if value != int(value):
+            raise ConfigError(f"'{self.name(key)}' must be a whole number, not {show(value)}")
+        return int(value)
+
     def seconds(self, key: str, default: float = 0.0) -> float:
         return self.number(key + "_us", default * 1e6) / 1e6
 
@@ -129,10 +136,15 @@
 def settings(options: Section, seed: int) -> dict[str, Any]:
     """The settings as keyword arguments of the balancer."""
     limits, contract = options.section("limits"), options.section("contract")
+    siblings, streams = max(1, options.whole("siblings", 1)), limits.whole("multiplex", 1, 1)
+    # Guards against two sidecars, or none, at one place of the fleet; where all use all of it nothing is asked.
+    if (position := options.whole("position", 0)) >= siblings and streams > 1:
+        raise ConfigError(f"'{options.name('position')}' must be below '{options.name('siblings')}' ({siblings}), "
+                          f"not {position}")
     return {
         "seed": seed,
         "zone": options.text("az", ""),
-        "sidecars": max(1, int(options.number("siblings", 1))),
+        "sidecars": siblings,
         "categories": [category(row) for row in options.sections("categories")],
         "customers": [Customer(row.text("name"), row.number("share", 0.0), row.number("quota_per_s", 0.0))
                       for row in options.sections("tenants")],
@@ -145,8 +157,8 @@
         "keys_remembered": options.section("specifics").flag("warm_keys"),
         "waste_price": options.section("tariffs").number("waste", 0.0),
         "asks": options.text("discovery", "push") == "ask",
-        "position": int(options.number("position", 0)),
-        "streams": int(limits.number("multiplex", 1)),
+        "position": position,
+        "streams": streams,
         "cold": (contract.number("cold_from", 1.0), contract.seconds("cold"),
                  contract.number("fall_multiple", 1.0)),
     }
@@ -219,5 +231,5 @@
         list_part(told.values.get("known") or {}, "known"),
         # A pushed list comes by the same watch as one that must be asked for: on sockets both are asked.
         settings(options, seed(told.values.get("seed", ""))) | {"asks": True},
-        allowed.seconds("connect_timeout", 0.25), allowed.seconds("conn_idle", 10.0),
+        allowed.seconds("connect_timeout", 0.25), allowed.seconds("conn_idle", 10.0), told.text("learnt", ""),
         options.section("contract").seconds("ask_within", 10.0))
--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -23,16 +23,14 @@
 
     def __init__(self, cold_from: float, cold_time: float, fall_multiple: float, chance: Chance) -> None:
         super().__init__(cold_from, cold_time)
-        # Over what warm servers do; the rest is for small machines and bursts.
-        self.headroom = min(2.0, 0.6 * fall_multiple)
+        self.headroom = min(2.0, 0.6 * fall_multiple)   # the rest is for small machines and bursts
         self.chance = chance
-        # Answers of warm servers and sizes of those in use, by zone; of cold ones, what is in hand since when.
+        # Answers of warm servers and sizes of those in use, by zone; of cold ones, what is in hand, and when.
         self.served, self.in_use, self.tokens = {}, {}, {}
-        self.turn: dict[str, float] = {}   # by kind: what it does, by the fastest
+        self.turn, self.least = {}, 1.0   # by kind: what it does; of warm ones, counted as at least
         self.asked = Decaying(10.0)        # lookups taken
 
     def update(self, now: float, entries: Iterable[ListedServer], whole: bool) -> tuple[list[str], list[str]]:
-        """Takes a list or changes; returns who is new or has started anew, and who is told otherwise."""
         fresh, touched = self.take(now, entries, whole)
         for server in fresh:   # a first share at random, so that the sidecars do not all send at once
             self.tokens[server] = (self.chance.draw() * 0.9, now)
@@ -40,12 +38,12 @@
             self.served.setdefault(self.known[server].zone, Decaying(10.0))
         return fresh, touched
 
-    def use(self, now: float, used: set[str], new: set[str]) -> None:
+    def use(self, now: float, used: set[str], new: set[str], size: float) -> None:
         """Which servers it sends to. All who turn to a cold one when another drains would have saved up a
         hand-off, and send it at once: it starts anew for them."""
         for server in sorted(self.cold.keys() & new):
             self.tokens[server] = (self.chance.draw() * 0.9, now)
-        self.in_use = dict.fromkeys(self.warm_sizes, 0.0)
+        self.in_use, self.least = dict.fromkeys(self.warm_sizes, 0.0), size
         for entry in (self.known[server] for server in used if server not in self.cold):
             self.in_use[entry.zone] += entry.size
 
@@ -56,7 +54,8 @@
         if not self.warm_sizes[zones[0]].sum():
             zones = [zone for zone in self.zones if self.warm_sizes[zone].sum() > 0]
         if zones:
-            usual = sum(self.served[z].read(now) for z in zones) / max(1.0, sum(map(self.in_use.get, zones)))
+            warm = max(self.least, sum(map(self.in_use.get, zones)))
+            usual = sum(self.served[z].read(now) for z in zones) / warm
         else:   # all just started: what is asked for, spread over them, stands in for what was done
             usual = self.asked.read(now) / self.sizes.sum()
         entry = self.known[server]
@@ -161,7 +160,8 @@
 
     def of(self, now: float, asked: Decaying, unsound: set[str], warmth: Callable[..., float]) -> set[str]:
         rate = (asked.read(now) + 1) / (asked.span * (1.02 - math.exp((self.since - now) / asked.span)))
-        most = max(self.least, math.ceil(rate * self.each)) if self.shared else math.inf
+        self.size = max(self.least, math.ceil(rate * self.each)) if self.shared else 1.0
+        most = self.size if self.shared else math.inf
         found = set()
         for order in self.orders.values():
             had = 0.0
@@ -631,12 +631,12 @@
         """Which servers and zones count as healthy; kept until a mark or the list changes, or a moment."""
         self._forget(now)
         groups, ready, marked = self.servers.zones, self.servers.ready, self.marks.marked
-        # Panic is of the whole fleet: judged by zone, a zone's lone hung server would get all its lookups.
-        panic = self.panic = self.marks.in_panic(ready)
+        panic = self.panic = self.marks.in_panic(ready)   # by zone, a lone hung one would get all its lookups
         silent = {s for s in self.out if self._silent(now, s)}
         self.hushed = silent if len(silent) <= (1 - self.marks.panic) * len(ready) else set()
         used = self.portion.of(now, self.servers.asked, set() if panic else marked, self.servers.warmth)
-        self.servers.use(now, used, used - self.used)
+        # By its size: what warm ones did while there were more must not be taken for what each does.
+        self.servers.use(now, used, used - self.used, self.portion.size)
         self.used, self.touched = used, self.touched | used ^ self.used
         for server in sorted(self.touched):
             self._sort_in(server)
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -1,13 +1,16 @@
 """Joins the parts: clients' requests go to the facade, its steps are carried out; the clock and the end."""
 
 import asyncio
+import json
 import math
+import os
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from loguru import logger
 
+from foxspread.carry import learnt, take_over
 from foxspread.config import Config, ListPart
 from foxspread.facade import Answer, CallOff, Facade, Fault, Outcome, Send, Step, Subscribe
 from foxspread.net import http
@@ -124,6 +127,8 @@
     async def run(self, stop: asyncio.Event) -> None:
         self.clock.last = self.clock()   # however long the start took, it was no pause
         self._listed(replace(self.config.known, whole=True))
+        if self.config.learnt:
+            self._take_over(self.config.learnt)
         self.listener.resume()
         tasks = [self.loop.create_task(each) for each in (self._sweep(), self._beat())]
         logger.info("start name={} listen={} servers={}", self.config.name, self.listener.address,
@@ -161,8 +166,31 @@
         await asyncio.gather(*self.out.values(), return_exceptions=True)
         for place in list(self.pool.idle):
             self.pool.drop(place, Reason.SERVER_STOP)
+        if self.config.learnt:
+            self._leave_behind(self.config.learnt)
         logger.info("stopped lookups={}", len(self.held))
 
+    def _take_over(self, path: str) -> None:
+        """What another instance has learnt, or this one before its restart. Without it it starts afresh."""
+        try:
+            with open(path, encoding="utf-8") as file:
+                marks = take_over(self.facade.balancer, self.clock(), json.loads(file.read(1 << 20)))
+        except FileNotFoundError:
+            return
+        except (OSError, ValueError) as error:
+            logger.warning("'learnt': {} is left out: {}", path, error)
+        else:
+            logger.info("learnt marks={}", marks)
+
+    def _leave_behind(self, path: str) -> None:
+        """Written aside and renamed: who reads it finds all of the old or all of the new."""
+        try:
+            with open(path + ".new", "w", encoding="utf-8") as file:
+                json.dump(learnt(self.facade.balancer), file)
+            os.replace(path + ".new", path)
+        except OSError as error:
+            logger.warning("'learnt': {} is not written: {}", path, error)
+
     async def _sweep(self) -> None:
         turns = 0
         while True:
