--- a/foxspread/carry.py
+++ b/foxspread/carry.py
@@ -31,7 +31,7 @@
 
 def take_over(it: Learner, now: float, told: Any) -> int:
     """After the first list. Returns how many marks stand again; raises ValueError on what is no record,
-    having taken nothing. A mark stands for its spell at the longest, however wrong the clock that wrote it."""
+    having taken nothing. A mark stands for its spell at the longest, however wrong a clock wrote it."""
     try:
         if told["version"] != 1:
             raise ValueError(f"version {told['version']!r} is not known")
--- a/foxspread/config.py
+++ b/foxspread/config.py
@@ -137,10 +137,10 @@
     """The settings as keyword arguments of the balancer."""
     limits, contract = options.section("limits"), options.section("contract")
     siblings, streams = max(1, options.whole("siblings", 1)), limits.whole("multiplex", 1, 1)
-    # Guards against two sidecars, or none, at one place of the fleet; where all use all of it nothing is asked.
+    # Guards against two sidecars, or none, at one place of the fleet; where all use all, it is not read.
     if (position := options.whole("position", 0)) >= siblings and streams > 1:
-        raise ConfigError(f"'{options.name('position')}' must be below '{options.name('siblings')}' ({siblings}), "
-                          f"not {position}")
+        raise ConfigError(f"'{options.name('position')}' must be below '{options.name('siblings')}' "
+                          f"({siblings}), not {position}")
     return {
         "seed": seed,
         "zone": options.text("az", ""),
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -81,7 +81,8 @@
 
     def test_what_is_no_record_is_refused_whole(self):
         for bad in ([], {}, {"version": 2, "marks": [], "turns": {}},
-                    {"version": 1, "marks": [{}], "turns": {}}, {"version": 1, "marks": 3, "turns": {"k": 0.2}}):
+                    {"version": 1, "marks": [{}], "turns": {}},
+                    {"version": 1, "marks": 3, "turns": {"k": 0.2}}):
             it = new()
             with self.subTest(bad), self.assertRaises(ValueError):
                 take_over(it, 100.0, bad)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -551,6 +551,28 @@
                     data = LOOKUP.replace(b"t1", b"t%d" % number)
                     self.assertIn(b" 200 ", await ask(it.listener.address, data))
 
+    @on_loop
+    async def test_what_one_has_learnt_the_next_takes_over(self):
+        """Guards the first seconds after a switch: the lookup must not go to the server that was lost."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = str(pathlib.Path(folder, "learnt.json"))
+            async with StandIn(OK) as server:
+                gone = mock.Mock(address=refusing())
+                old = self.sidecar(gone, server, learnt=path)
+                while not old.facade.balancer.marks.marked:
+                    lookup = LOOKUP.replace(b"t1", os.urandom(4).hex().encode())
+                    await ask(old.listener.address, lookup)
+                old.stop.set()
+                await old.running
+                new = self.sidecar(gone, server, learnt=path)
+                await asyncio.sleep(0)
+                self.assertEqual(new.facade.balancer.marks.marked, {"s0"})
+            pathlib.Path(path).write_text("[")
+            with mock.patch("foxspread.net.sidecar.logger") as logger:
+                self.sidecar(learnt=path)
+                await asyncio.sleep(0)
+            self.assertIn("is left out", logger.warning.call_args.args[0])
+
     @on_loop
     async def test_what_is_left_out_of_a_list_is_logged(self):
         it = self.sidecar()
