--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -537,6 +537,8 @@
             or hand_off.server in self.hushed
 
     def _worth_waiting(self, now: float, lookup: Lookup, ahead: int) -> bool:
+        if self.portion.shared and lookup.sent:   # turned away: its client is told at once, not kept waiting
+            return False
         mean = self.measures.usual(now, lookup.category)
         in_time = now + mean * ((ahead + 1) / max(1, self._in_flight()) + 1.5) < lookup.expected_at
         return in_time and not self._too_late(now, lookup) and self.gate.open(now, lookup)
@@ -635,8 +637,7 @@
         silent = {s for s in self.out if self._silent(now, s)}
         self.hushed = silent if len(silent) <= (1 - self.marks.panic) * len(ready) else set()
         used = self.portion.of(now, self.servers.asked, set() if panic else marked, self.servers.warmth)
-        # By its size: what warm ones did while there were more must not be taken for what each does.
-        self.servers.use(now, used, used - self.used, self.portion.size)
+        self.servers.use(now, used, used - self.used, self.portion.size)   # what fewer do now, more did
         self.used, self.touched = used, self.touched | used ^ self.used
         for server in sorted(self.touched):
             self._sort_in(server)
@@ -709,7 +710,6 @@
         return Decision(Act.HAND_OFF, lookup.id, server, max(end - now, self.tick))
 
     def _share_left(self, now: float, customer: str) -> float:
-        """1 within the customer's share; less beyond it, by this sidecar's part of the traffic."""
         if customer not in self.customers:   # who has no share has none to be over
             return 1.0
         entry, sent = self.customers[customer]
