A new version takes over under load: one owner at a time, over a socket in TMPDIR

Change: net/handover.py (EDGE_PASSED_SOCKET checked; record, `serving`, calls by hand at either door in both, ids taken told), carry.py writes and reads the whole state of the decisions, the predecessor leaves the cold budget with the record, accepting and idle server connections with the word, tells each client that its next answer is the last, and ends when nobody is left. Its descriptors come off the successor's until then.

--- a/foxspread/__main__.py
+++ b/foxspread/__main__.py
@@ -52,6 +52,9 @@
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(told, added))
+    except config.ConfigError as error:   # what shows only in the descriptor passed
+        print(f"foxspread: {error}", file=sys.stderr)
+        return 2
     except OSError as error:   # the address cannot be had
         print(f"foxspread: {error.strerror or error}", file=sys.stderr)
         return 1
--- a/foxspread/carry.py
+++ b/foxspread/carry.py
@@ -1,11 +1,14 @@
-"""What an instance has learnt of the servers and still means the same for the next one: written and read as
-plain values (JSON). Bookkeeping without a decision; docs/migration.md says what carries over and why.
+"""What an instance has learnt of the servers and still means the same for the next one, and the whole state
+that a successor beside it goes on from: written and read as plain values (JSON). Bookkeeping, no decision;
+docs/migration.md and docs/design/handover.md say what carries over and why.
 """
 
 import math
+from collections.abc import Iterable
 from typing import Any, Protocol
 
-from foxspread.model import Mark
+from foxspread.model import ListedServer, Mark
+from foxspread.sums import Decaying, Mean
 
 MOST = 4000   # marks in a record, those that stand longest first
 
@@ -19,6 +22,10 @@
     measures: Any
     touched: set[str]
     view_until: float
+    tries: Any
+    worth: Mean
+
+    def servers_listed(self, now: float, entries: Iterable[ListedServer], whole: bool) -> None: ...
 
 
 def learnt(it: Learner) -> dict[str, Any]:
@@ -63,3 +70,76 @@
             count += 1
     it.view_until = now
     return count
+
+
+def state(it: Learner, now: float) -> dict[str, Any]:
+    """For a successor that starts beside it at this moment: what it has learnt, and what rules rest on."""
+    servers, measures = it.servers, it.measures
+    return learnt(it) | {
+        "by_hand": list(servers.by_hand), "back": dict(servers.back), "awaited": dict(servers.awaited),
+        "tokens": {each: servers.tokens[each] for each in servers.cold},
+        "asked": servers.asked.read(now), "worth": it.worth.sums(now),
+        "served": {zone: each.read(now) for zone, each in servers.served.items()},
+        "done": {server: (each.read(now), since) for server, (each, since) in measures.done.items()},
+        "slow": {name: each.sums(now) for name, each in measures.slow.items()},
+        "brisk": (measures.brisk.value, measures.brisk.count), "heard": dict(measures.heard),
+        "times": {name: [each.sums(now) for each in both] for name, both in measures.times.items()},
+        "first": {name: each.sums(now) for name, each in it.tries.first.items()}}
+
+
+def restore(it: Learner, now: float, told: Any, entries: Iterable[ListedServer]) -> int:
+    """With the predecessor's whole list. Returns how many marks stand; ValueError, with nothing taken, where
+    it is no such state. What names a server or category that is not there is left out."""
+    try:
+        by_hand = [str(each) for each in told["by_hand"]]
+        back, awaited, served = (numbers(told[key]) for key in ("back", "awaited", "served"))
+        tokens, done, slow, first = (pairs(told[key]) for key in ("tokens", "done", "slow", "first"))
+        times = {str(name): [pair(each) for each in both] for name, both in told["times"].items()}
+        brisk, worth, asked = pair(told["brisk"]), pair(told["worth"]), number(told["asked"])
+        heard = {str(kind): int(number(count)) for kind, count in told["heard"].items()}
+        if any(len(both) != 2 for both in times.values()) or told["version"] != 1:
+            raise ValueError("version or times")
+    except (KeyError, TypeError, AttributeError, OverflowError) as error:
+        raise ValueError(f"not a state: {error!r}") from None
+    servers, measures = it.servers, it.measures
+    servers.by_hand.update(dict.fromkeys(by_hand))
+    for server, at in back.items():
+        servers.back.put(server, at)
+    it.servers_listed(now, entries, True)
+    servers.tokens.update({each: held for each, held in tokens.items() if each in servers.cold})
+    servers.awaited.update({each: at for each, at in awaited.items() if each in servers.known})
+    servers.asked.value = asked
+    for zone, value in served.items():
+        servers.served[zone].value = value
+    for server, (value, since) in done.items():
+        if server in measures.done:
+            measures.done[server] = Decaying(measures.span, value), min(now, since)
+    for of, values in ((measures.slow, slow), (it.tries.first, first)):
+        for name, sums in values.items():
+            if name in of:
+                set_mean(of[name], sums)
+    for name, both in times.items():
+        for mean, sums in zip(measures.times.get(name, ()), both):
+            set_mean(mean, sums)
+    set_mean(it.worth, worth)
+    measures.brisk.value, measures.brisk.count = max(1e-6, brisk[0]), int(brisk[1])
+    count = take_over(it, now, told)
+    measures.heard.update(heard)
+    return count
+
+
+def set_mean(mean: Mean, sums: tuple[float, float]) -> None:
+    mean.total, mean.count = sums
+
+
+def pair(value: Any) -> tuple[float, float]:
+    one, other = value
+    return number(one), number(other)
+
+
+def pairs(values: Any) -> dict[str, tuple[float, float]]:
+    return {str(key): pair(value) for key, value in values.items()}
+
+
+def numbers(values: Any) -> dict[str, float]:
+    return {str(key): number(value) for key, value in values.items()}
--- a/foxspread/config.py
+++ b/foxspread/config.py
@@ -69,6 +69,7 @@
     idle_time: float               # servers close what stands idle for longer
     list_age: float                # a list that was not asked for within this counts as known all the same
     operator: Address | None = None    # where operators call; None: there is no such door
+    passed: int | None = None      # descriptor of a listening socket that the platform holds
 
 
 class Section:
@@ -193,6 +194,12 @@
     return NamedServer(listed, address(row.text("addr"), row.name("addr")))
 
 
+def passed_socket(text: str | None) -> int | None:
+    if text and not (text.isascii() and text.isdigit() and len(text) < 7):
+        raise ConfigError(f"'EDGE_PASSED_SOCKET' must be the number of a descriptor, not {show(text)}")
+    return int(text) if text else None
+
+
 def seed(value: Any) -> int:
     """Sixteen hex digits, or whatever else serves as one."""
     try:
@@ -234,4 +241,4 @@
         settings(options, seed(told.values.get("seed", ""))) | {"asks": True},
         allowed.seconds("connect_timeout", 0.25), allowed.seconds("conn_idle", 10.0),
         options.section("contract").seconds("ask_within", 10.0),
-        address(*one("operator")) if has_door else None)
+        address(*one("operator")) if has_door else None, passed_socket(environ.get("EDGE_PASSED_SOCKET")))
--- a/foxspread/facade.py
+++ b/foxspread/facade.py
@@ -74,6 +74,9 @@
     def call_back(self, now: float, server: str) -> bool:
         return self.balancer.by_hand(now, server, False)
 
+    def entries(self, servers: Iterable[str]) -> list[ListedServer]:
+        return [self.balancer.servers.known[each] for each in servers]
+
     def avoided(self) -> int:
         """How many of the listed servers get nothing now but trials, by hand or by what they did."""
         it = self.balancer
@@ -142,6 +145,18 @@
         """What still means the same to the next instance (foxspread/carry.py)."""
         return carry.learnt(self.balancer)
 
+    def state(self, now: float) -> dict[str, Any]:
+        """All that a successor beside us needs."""
+        return carry.state(self.balancer, now)
+
+    def restore(self, now: float, told: Any, entries: Iterable[ListedServer]) -> int:
+        """The state of a predecessor, with its list; as `take_over`."""
+        return carry.restore(self.balancer, now, told, entries)
+
+    def yields(self, on: bool) -> None:
+        """Nothing more to cold servers: the budget that all keep together is a successor's."""
+        self.balancer.servers.yielded = on
+
     def take_over(self, now: float, told: Any) -> int:
         """After the first list: how many marks stand again. ValueError where that is no record."""
         return carry.take_over(self.balancer, now, told)
--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -29,7 +29,7 @@
         self.served, self.in_use, self.tokens = defaultdict(lambda: Decaying(10.0)), None, {}
         # By kind: what it does; as how many the warm ones count at least; lookups taken.
         self.turn, self.least, self.asked = {}, 0.0, Decaying(10.0)
-        self.awaited, self.soon = {}, 0.25   # called back by hand: from when each awaits a lookup; how soon
+        self.awaited, self.soon, self.yielded = {}, 0.25, False   # back by hand: from when it awaits a lookup
 
     def update(self, now: float, entries: Iterable[ListedServer], whole: bool) -> tuple[list[str], list[str]]:
         fresh, touched = self.take(now, entries, whole)
@@ -64,7 +64,7 @@
         rate = max(self.allowance(now, server), self.soon * (server in self.awaited))   # a first one soon
         held = min(1.0, held + (now - at) * rate)   # no savings: never a burst
         self.tokens[server] = (held, now)
-        return held >= 1.0
+        return held >= 1.0 and not self.yielded   # a successor has the budget
 
     def spend(self, now: float, server: str) -> None:
         if self.warmth(now, server) < 1.0:
--- a/foxspread/net/listener.py
+++ b/foxspread/net/listener.py
@@ -186,12 +186,13 @@
     idle for `idle_most` ends, one that never had a lookup after `patience`. `most` clients at once."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, front: Front,
-                 descriptors: Descriptors, patience: float = 2.4, idle_most: float = 10.0) -> None:
+                 descriptors: Descriptors, patience: float = 2.4, idle_most: float = 10.0,
+                 passed: socket.socket | None = None) -> None:
         self.loop, self.front, self.descriptors, self.patience = loop, front, descriptors, patience
         self.idle_most = idle_most
         self.clients: dict[Client, asyncio.Task] = {}
         self.accepting = False
-        self.sock = listening(address, "listen", 1024)
+        self.sock = passed or listening(address, "listen", 1024)
         self.address = Address(*self.sock.getsockname()[:2])
         # Those that are no usual clients yield before the pool's connections, the others after them.
         descriptors.givers.insert(0, self._retire_silent)
@@ -283,6 +284,14 @@
         for client in list(self.clients):
             client.retire(Reason.STOPPING)
 
+    def leave(self) -> None:
+        """A successor accepts here from now on; no connection is cut, each is told that its next answer is
+        the last. The socket is shared: let go of, and never shut down."""
+        self.pause()
+        self.sock.close()
+        for client in self.clients:
+            client.retired = client.retired or Reason.HANDED_OVER
+
     def close(self) -> None:
         """Takes what still waits to be accepted, then refuses: a lookup in there counts as taken."""
         if self.accepting:
--- a/foxspread/net/operations.py
+++ b/foxspread/net/operations.py
@@ -23,6 +23,7 @@
 CALLERS = 8   # at once; where all are there, the one that has waited longest for its own bytes makes way
 MOST = CALLERS + 2   # descriptors: theirs, the one of the door, and one that is just accepted
 PATIENCE = 3.0   # for a whole call, and for the answer to be taken
+SETTLED_WAIT = 0.7   # for who owns what, where a call comes in the midst of a handover
 PUT = re.compile(r"/servers/([^/]+)/(maint|ready)")
 
 
@@ -78,8 +79,11 @@
         server = unquote(found[1], errors="strict")
     except UnicodeDecodeError:
         return Verdict(400, b"the server's id is not UTF-8\n")
-    if await operated.by_hand(server, found[2] == "maint"):
-        return Verdict(200, b"out\n" if found[2] == "maint" else b"back\n")
+    try:
+        if await operated.by_hand(server, found[2] == "maint"):
+            return Verdict(200, b"out\n" if found[2] == "maint" else b"back\n")
+    except TimeoutError:
+        return Verdict(503, b"another process of this sidecar does not answer: call again\n")
     return Verdict(404, b"no such server, or too many are out\n")
 
 
--- a/foxspread/net/pool.py
+++ b/foxspread/net/pool.py
@@ -35,6 +35,10 @@
         self.used += 1
         return True
 
+    def lend(self, count: int) -> None:
+        """To another process under the same limit; less than 0: they are back."""
+        self.most -= count
+
     def give_back(self) -> None:
         self.used -= 1
         self.freed()
@@ -136,6 +140,7 @@
         self.idle_most = 0.7 * idle_time
         self.idle: dict[Place, list[Connection]] = {}   # the newest last
         self.left: dict[Place, float] = {}   # of what is gone, since when: what is out there must not be kept
+        self.closing = False   # what is idle is needed by another process under the same limits
         descriptors.givers.append(self.close_oldest)
 
     def reuse(self, place: Place) -> Connection | None:
@@ -186,6 +191,8 @@
     def keep(self, connection: Connection) -> None:
         if connection.place in self.left:
             return connection.close(Reason.SERVER_MOVED)
+        if self.closing:
+            return connection.close(Reason.SERVER_STOP)
         connection.idle_since = self.loop.time()
         self.idle.setdefault(connection.place, []).append(connection)
 
@@ -202,6 +209,12 @@
         for connection in self.idle.pop(place, []):
             connection.close(reason)
 
+    def close_idle(self) -> None:
+        """Now, and from now on."""
+        self.closing = True
+        for place in list(self.idle):
+            self.drop(place, Reason.SERVER_STOP)
+
     def sweep(self) -> None:
         """Closes what has been idle for too long or was closed by its server."""
         limit = self.loop.time() - self.idle_most
--- a/foxspread/net/reasons.py
+++ b/foxspread/net/reasons.py
@@ -14,6 +14,7 @@
     CLIENT_ROOM = "C-ROOM"           # closed while idle, for want of descriptors
     CLIENT_IDLE = "C-IDLE"           # idle for too long
     STOPPING = "C-STOP"              # closed while idle, because the sidecar ends
+    HANDED_OVER = "C-NEXT"           # after an answer, because a successor serves from now on
     CLIENT_FAULT = "C-FAULT"         # an exception in the sidecar; the line before it tells which
     # Of connections to servers.
     SERVER_REFUSED = "S-REFUSED"     # no connection came about
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -4,18 +4,20 @@
 import json
 import math
 import os
+import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from typing import Any
 
 from loguru import logger
 
-from foxspread.config import Config, ListPart
+from foxspread.config import Config, ConfigError, ListPart, list_part
 from foxspread.facade import Answer, CallOff, Facade, Fault, Outcome, Send, Step, Subscribe
 from foxspread.net import http, operations
 from foxspread.net.discovery import Discovery
 from foxspread.net.hand_off import Ending, HandOff
+from foxspread.net.handover import Handover, inherited
 from foxspread.net.listener import Front, Listener, Reply, Ticket
 from foxspread.net.pool import Descriptors, Place, Pool
 from foxspread.net.reasons import Reason
@@ -30,9 +32,15 @@
 BASE_MB = 32   # what the process takes with no connection, and something to spare
 ID_SPELL = 16   # sweeps, of a quarter of a second: an id is known for one to two spells
 LEARNT_MOST = 1 << 20   # characters of the file of what was learnt: it is read before anything is served
+START_MOST = 3.0   # a successor has 6 s in all to say yes
 SPARE = 0.004   # the last moment for an answer, before its client gives up
 
 
+def handover_path(name: str) -> str:
+    safe = "".join(each if each.isalnum() or each in "._-" else f"%{ord(each):x}" for each in name)
+    return os.path.join(os.environ.get("TMPDIR") or tempfile.gettempdir(), f"foxspread-{safe}.sock")
+
+
 class Clock:
     """Unix time, as servers' starts are told, that never jumps; and whether the process stood still.
 
@@ -122,21 +130,28 @@
         self.pool = Pool(loop, descriptors, config.connect_time, config.idle_time)
         self.discovery = Discovery(loop, config.discovery, config.known.version, self._listed,
                                    self._list_failed, silence=min(SILENCE, config.list_age / 2))
-        self.listener = Listener(loop, config.listen, self, descriptors)
+        passed = None if config.passed is None else inherited(config.passed, config.listen)
+        self.listener = Listener(loop, config.listen, self, descriptors, passed=passed)
+        self.handover = passed and Handover(loop, handover_path(config.name), self)
+        self.lent = 0   # descriptors that a predecessor holds
+        self.left_to_successor, self.stop = False, asyncio.Event()
         self.counts = operations.Counts(self.facade.categories)
         self.door = operations.Door(loop, config.operator, self) if config.operator else None
 
     # Start and end.
 
     async def run(self, stop: asyncio.Event) -> None:
+        self.stop = stop
         self.clock.last = self.clock()   # however long the start took, it was no pause
         self._listed(replace(self.config.known, whole=True))
         if self.learnt:
             self._take_over(self.learnt)
-        self.listener.resume()
         if self.door:
             self.door.open()
-        tasks = [self.loop.create_task(each) for each in (self._sweep(), self._beat())]
+        if not self.handover:
+            self.listener.resume()
+        works = (self._sweep(), self._beat(), *([self._succeed()] if self.handover else []))
+        tasks = [self.loop.create_task(each) for each in works]
         logger.info("start name={} listen={} servers={}", self.config.name, self.listener.address,
                     len(self.places))
         await stop.wait()
@@ -175,6 +190,8 @@
             self.pool.drop(place, Reason.SERVER_STOP)
         if self.learnt:
             self._leave_behind(self.learnt)
+        if self.handover:
+            await self.handover.close()
         if self.door:
             self.door.close()
         logger.info("stopped lookups={}", len(self.held))
@@ -211,6 +228,8 @@
             turns += 1
             if turns % 4 == 0:
                 self.pool.sweep()
+            if self.left_to_successor and not self.listener.clients and not self.held:
+                self.stop.set()   # nobody is left: the old process may leave early
             if turns % ID_SPELL == 0:
                 self.taken_lately = set(), self.taken_lately[0]
 
@@ -248,6 +267,8 @@
         now = self.clock()
         time_left -= now - message.began   # it runs from the client's sending
         self.taken_lately[0].add(id)
+        if self.handover:
+            self.handover.taken(id)
         held = self.held[id] = Held(self.loop.create_future(), id, category, message)
         held.guard = self.loop.call_later(max(0.0, time_left - SPARE), self._overdue, id)
         if not self._decide(self._pick, id, category, max(0.0, time_left), message.text(b"x-org"),
@@ -298,8 +319,10 @@
     # Operators.
 
     def healthy(self) -> bool:
-        self.served = self.served or self.facade.can_serve() and self._start_paid_for()
-        return self.served and not self.stopping
+        settled = self.handover is None or self.handover.settled.is_set()   # paid for by then
+        self.served = self.served or self.facade.can_serve() and settled and (
+            self.handover is not None or self._start_paid_for())
+        return self.served and not self.stopping and not self.left_to_successor
 
     def figures(self) -> dict[str, Any]:
         return {"results": self.counts.results, "forwards": self.counts.forwards,
@@ -308,6 +331,14 @@
 
     async def by_hand(self, server: str, out: bool) -> bool:
         """Out or back; in force when this returns. False: nobody has that id, or too many are out."""
+        if self.handover is None:
+            return self.turned(server, out)
+        async with asyncio.timeout(operations.SETTLED_WAIT):
+            await self.handover.settled.wait()
+        yes = self.turned(server, out)
+        return await self.handover.tell(server, out) or yes
+
+    def turned(self, server: str, out: bool) -> bool:
         call = self.facade.take_out if out else self.facade.call_back
         if not call(self.clock(), server):
             return False
@@ -317,6 +348,63 @@
         self._decide(self.facade.tick)
         return True
 
+    # A new version under load.
+
+    async def _succeed(self) -> None:
+        while self.handover.predecessor_there() and not self._start_paid_for() \
+                and self.clock() - self.born < START_MOST:
+            await asyncio.sleep(0.02)   # what is taken while the start is held up for would be lost
+        try:
+            await self.handover.start()
+        except Exception:
+            logger.exception("handover")
+            self.begin()
+            self.handover.settled.set()
+
+    def state(self) -> dict[str, Any]:
+        rows = [{"id": each.server, "addr": str(self.places[each.server].address), "zone": each.zone,
+                 "cell": each.cell, "state": each.readiness.value, "weight": each.size,
+                 "started_ms": each.started * 1e3, "kind": each.kind}
+                for each in self.facade.entries(self.places)]
+        return {"list": {"version": self.discovery.version or 0, "full": True, "servers": rows},
+                "counts_from": self.discovery.version, "taken": list(set().union(*self.taken_lately)),
+                "descriptors": self.pool.descriptors.used, "decisions": self.facade.state(self.clock())}
+
+    def restore(self, state: Any) -> None:
+        try:
+            part, ids = list_part(state["list"], "list"), set(map(str, state["taken"]))
+            lent, version = int(state["descriptors"]), state["counts_from"]
+            self._placed(replace(part, whole=True))
+            listed = [each.listed for each in part.servers]
+            marks = self.facade.restore(self.clock(), state["decisions"], listed)
+        except (ConfigError, KeyError, TypeError, OverflowError) as error:
+            raise ValueError(f"not a state: {error!r}") from None
+        self.discovery.version = version if isinstance(version, int) else None
+        self.taken_elsewhere(ids)
+        self.lent = min(max(0, lent), self.pool.descriptors.most - 8)
+        self.pool.descriptors.lend(self.lent)
+        logger.info("taken over servers={} marks={} ids={}", len(part.servers), marks, len(ids))
+        self._decide(self.facade.tick)
+
+    def yields(self, on: bool) -> None:
+        self.facade.yields(on)
+
+    def begin(self) -> None:
+        self.listener.resume()
+
+    def leave(self) -> None:
+        logger.info("a successor serves, lookups={}", len(self.held))
+        self.left_to_successor = True
+        self.listener.leave()
+        self.pool.close_idle()
+
+    def alone(self) -> None:
+        self.pool.descriptors.lend(-self.lent)
+        self.lent = 0
+
+    def taken_elsewhere(self, ids: Iterable[str]) -> None:
+        self.taken_lately[0].update(ids)
+
     # Decisions.
 
     def _decide(self, call: Callable[..., list[Step]], *args) -> bool:
@@ -405,6 +493,10 @@
     # The list of servers.
 
     def _listed(self, part: ListPart) -> None:
+        self._placed(part)
+        self._decide(self.facade.listed, [each.listed for each in part.servers], part.whole)
+
+    def _placed(self, part: ListPart) -> None:
         for fault in part.faults:
             logger.warning("left out of the list: {}", fault)
         # Guards against growth, and against mixing up two servers, one after the other at the same address.
@@ -418,7 +510,6 @@
         for place in found.values():
             self.pool.welcome(place)
         self.places |= found
-        self._decide(self.facade.listed, [each.listed for each in part.servers], part.whole)
 
     def _list_failed(self) -> None:
         self._decide(self.facade.list_failed)
