A cold server's share goes by what warm ones of its own kind do

Checked: a line a second of what the decisions hold. Ruled out: the handover (state taken over, no request ended at the door), room over all (free), silent and marked servers (one), the calls by hand (none late or unused). The kind's turn was 0.05, its floor: `standard` is the less preferred kind, though its servers did 20 to 32 a second against 55 at the fast one; ServerList.allowance took that for its capacity since the move. Change: what is done is kept by zone and kind; a cold server's share goes by warm ones of its zone and kind, else by others at half at the least.

--- a/foxspread/carry.py
+++ b/foxspread/carry.py
@@ -79,7 +79,7 @@
         "by_hand": list(servers.by_hand), "back": dict(servers.back), "awaited": dict(servers.awaited),
         "tokens": {each: servers.tokens[each] for each in servers.cold},
         "asked": servers.asked.read(now), "worth": it.worth.sums(now),
-        "served": {zone: each.read(now) for zone, each in servers.served.items()},
+        "served": [(*group, each.read(now)) for group, each in servers.served.items()],
         "done": {server: (each.read(now), since) for server, (each, since) in measures.done.items()},
         "slow": {name: each.sums(now) for name, each in measures.slow.items()},
         "brisk": (measures.brisk.value, measures.brisk.count), "heard": dict(measures.heard),
@@ -92,7 +92,8 @@
     it is no such state. What names a server or category that is not there is left out."""
     try:
         by_hand = [str(each) for each in told["by_hand"]]
-        back, awaited, served = (numbers(told[key]) for key in ("back", "awaited", "served"))
+        served = [((str(zone), str(kind)), number(value)) for zone, kind, value in told["served"]]
+        back, awaited = (numbers(told[key]) for key in ("back", "awaited"))
         tokens, done, slow, first = (pairs(told[key]) for key in ("tokens", "done", "slow", "first"))
         times = {str(name): [pair(each) for each in both] for name, both in told["times"].items()}
         brisk, worth, asked = pair(told["brisk"]), pair(told["worth"]), number(told["asked"])
@@ -109,8 +110,8 @@
     servers.tokens.update({each: held for each, held in tokens.items() if each in servers.cold})
     servers.awaited.update({each: at for each, at in awaited.items() if each in servers.known})
     servers.asked.value = asked
-    for zone, value in served.items():
-        servers.served[zone].value = value
+    for group, value in served:
+        servers.served[group].value = value
     for server, (value, since) in done.items():
         if server in measures.done:
             measures.done[server] = Decaying(measures.span, value), min(now, since)
--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -25,7 +25,7 @@
     def __init__(self, cold_from: float, cold_time: float, fall_multiple: float, chance: Chance) -> None:
         super().__init__(cold_from, cold_time)
         self.headroom, self.chance = min(2.0, 0.6 * fall_multiple), chance   # the rest is for bursts
-        # Answers of warm servers and sizes of those in use, by zone; of cold ones, what is in hand, and when.
+        # By zone and kind: answers of warm servers, sizes of those in use; of cold ones, what is in hand.
         self.served, self.in_use, self.tokens = defaultdict(lambda: Decaying(10.0)), None, {}
         # By kind: what it does; as how many the warm ones count at least; lookups taken.
         self.turn, self.least, self.asked = {}, 0.0, Decaying(10.0)
@@ -43,18 +43,19 @@
             self.tokens[server] = (self.chance.draw() * 0.9, now)
         self.in_use, self.least = dict.fromkeys(self.warm_sizes, 0.0), size
         for entry in (self.known[server] for server in used if server not in self.cold):
-            self.in_use[entry.zone] += entry.size
+            self.in_use[entry.zone, entry.kind] += entry.size
 
     def allowance(self, now: float, server: str) -> float:
         """Hand-offs a second for a cold server: a share of what warm ones do, not of what they are sent."""
         entry = self.known[server]
-        zones = [entry.zone] if self.warm_sizes[entry.zone].sum() else \
-            [zone for zone in self.zones if self.warm_sizes[zone].sum() > 0]
-        warm = sum(self.in_use[z] if self.in_use else self.warm_sizes[z].sum() for z in zones)
+        warm = self.in_use or {each: sizes.sum() for each, sizes in self.warm_sizes.items()}
+        groups, turn = [(entry.zone, entry.kind)], 1.0
+        if self.in_use or not warm.get(groups[0]):   # other kinds may be preferred to it by far, and do more
+            turn = max(0.0 if self.in_use else 0.5, self.turn.get(entry.kind, 1.0))
+            groups = [g for g in warm if g[0] == entry.zone and warm[g]] or [g for g in warm if warm[g]]
         # Where all have just started, what is asked for, spread over them, stands in for what was done.
-        usual = sum(self.served[z].read(now) for z in zones) / max(self.least, warm) if zones \
-            else self.asked.read(now) / self.sizes.sum()
-        turn = self.turn.get(entry.kind, 1.0)
+        usual = sum(self.served[g].read(now) for g in groups) / max(self.least, sum(map(warm.get, groups))) \
+            if groups else self.asked.read(now) / self.sizes.sum()
         return self.headroom * self.warmth(now, server) * usual / 10.0 * entry.size * turn
 
     def has_budget(self, now: float, server: str) -> bool:
@@ -386,8 +387,7 @@
         self.servers.turn, self.servers.orders = self.measures.turn, {} if streams > 1 else None
         self.servers.soon = min(0.25, 2 / sidecars)   # all sidecars together must not push it over
         self.gate = Gate(self.servers, max_hand_offs, copies)
-        # All; to be looked at by the next decisions; without room, until some may have come free.
-        self.lookups, self.waiting, self.queue = {}, {}, {}
+        self.lookups, self.waiting, self.queue = {}, {}, {}   # all; to be looked at; without room so far
         self.longest = max((c.abandon_time for c in categories), default=0.0)
         self.worth, self.tries, self.alarms, self.plan = Mean(10.0, 0.0), Tries(categories), [], None
         # The list service does not grow with the sidecars: first calls are spread, later ones back off.
@@ -422,7 +422,7 @@
         overdue = outcome is Outcome.CALLED_OFF and now > min(hand_off.overdue, hand_off.sent + twice)
         self.measures.ended(now, hand_off, lookup.category)
         if outcome is Outcome.DONE and hand_off.kind is not None:
-            self.servers.served[hand_off.zone].add(now)
+            self.servers.served[hand_off.zone, hand_off.kind].add(now)
         # A failed connection is the server's own: in a lost zone, three for each would use up all hand-offs.
         weight = self.marks.max_fails if outcome is Outcome.UNCONNECTED else 1
         late = outcome is Outcome.DONE and now > lookup.expected_at   # most of its benefit is gone
--- a/foxspread/members.py
+++ b/foxspread/members.py
@@ -23,7 +23,7 @@
         self.ready: set[str] = set()
         self.cold: dict[str, None] = {}                    # ready, and not warm when last listed
         self.sizes = Sizes()                               # of the ready ones
-        self.warm_sizes: dict[str, Sizes] = {}             # of those that are not cold, by zone
+        self.warm_sizes: dict[tuple[str, str], Sizes] = {}   # of those that are not cold, by zone and kind
         self.largest = 1.0
         self.gone: dict[str, float] = {}                   # since when
         self.by_hand: dict[str, None] = {}                 # out until called back, listed or not
@@ -86,7 +86,7 @@
         if server in self.ready:
             self._take_out(server)
         self.known[server] = entry
-        self.warm_sizes.setdefault(entry.zone, Sizes())
+        self.warm_sizes.setdefault((entry.zone, entry.kind), Sizes())
         if self._usable(entry):
             self._put_in(now, entry)
         if entry.readiness is Readiness.GONE:
@@ -102,7 +102,7 @@
         if self.orders is not None:
             self.orders.setdefault(entry.zone, Alternating()).add(server, entry.kind)
         self.sizes.add(entry.size)
-        self.warm_sizes[entry.zone].add(entry.size)
+        self.warm_sizes[entry.zone, entry.kind].add(entry.size)
         if self.warmth(now, server) < 1.0:
             self._set_cold(server, True)
 
@@ -114,7 +114,7 @@
         if self.orders is not None:
             self.orders[entry.zone].drop(server, entry.kind)
         self.sizes.add(entry.size, -1)
-        self.warm_sizes[entry.zone].add(entry.size, -1)
+        self.warm_sizes[entry.zone, entry.kind].add(entry.size, -1)
         for groups, key in ((self.zones, entry.zone), (self.cells, (entry.zone, entry.cell))):
             del groups[key][bisect_left(groups[key], server)]
             if not groups[key]:
@@ -126,7 +126,7 @@
             self.cold[server] = None
         else:
             del self.cold[server]
-        self.warm_sizes[entry.zone].add(entry.size, -1 if cold else 1)
+        self.warm_sizes[entry.zone, entry.kind].add(entry.size, -1 if cold else 1)
 
     def over(self, before: float, out: Container[str]) -> list[str]:
         """Those gone since before then, with nothing out; of some only, for a whole fleet may go at once."""
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -205,7 +205,7 @@
         for step in range(1000):   # ten a second to each warm server
             now = 100 + step / 100
             if step % 10 == 0:
-                it.served["a"].add(now, 3.0)
+                it.served["a", ""].add(now, 3.0)
             if it.has_budget(now, "s4"):
                 it.spend(now, "s4")
                 sent.append(now)
@@ -225,13 +225,24 @@
                     it.update(now, servers(["cold"], started=110.0), False)
                 cold = step >= 20 and it.has_budget(now, "cold")
                 sent += [now] * cold
-                it.spend(now, "cold") if cold else it.served["a"].add(now)
+                it.spend(now, "cold") if cold else it.served["a", ""].add(now)
         warm_rate = 300 * 2 / 20
         for start in (110.0, 112.0, 115.0, 118.0):
             capacity = warm_rate * (0.13 + 0.87 * (start - 110.0) / 23.0)
             self.assertLess(sum(start <= at < start + 2 for at in sent), 2 * 2.5 * capacity)
         self.assertGreater(len(sent), 50)
 
+    def test_a_cold_servers_share_follows_what_its_kind_does_however_little_it_is_preferred(self):
+        warm = [*servers(["f1"], kind="fast"), *servers(["s1", "s2"], kind="slow")]
+        it = ServerList(0.1, 20.0, 2.5, Chance(1))
+        it.update(100.0, [*warm, *servers(["s3"], started=100.0, kind="slow")], True)
+        it.turn = {"fast": 1.0, "slow": 0.05}
+        for kind, count in (("fast", 400.0), ("slow", 400.0)):
+            it.served["a", kind].add(110.0, count)
+        self.assertAlmostEqual(it.allowance(110.0, "s3"), 1.5 * it.warmth(110.0, "s3") * 20.0)
+        it.update(110.0, [*warm[:1], *servers(["s3"], started=100.0, kind="slow")], True)   # of others: half
+        self.assertAlmostEqual(it.allowance(110.0, "s3"), 1.5 * it.warmth(110.0, "s3") * 20.0)
+
     def test_all_just_started_still_get_something(self):
         it = ServerList(0.1, 20.0, 2.5, Chance(1))
         it.update(100.0, servers(started=100.0), True)
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -131,7 +131,7 @@
             sent = 0
             for seed in range(60):
                 it = balancer([*servers(), *servers(["t"], started=100.0)], seed=seed).servers
-                it.served["a"].add(107.0, 40.0)
+                it.served["a", ""].add(107.0, 40.0)
                 it.tokens["t"], it.turn[""] = (1.0, 107.0), pace   # saved up
                 it.use(108.0, {"s1", "t"}, {"t"}, size)
                 sent += 60 * it.has_budget(108.0, "t") + it.has_budget(108.25, "t")
