Long bodies and answers pass through, one window each way

An answer that breaks off half-way resets its client (C-CUT). Times count from a lookup's last byte. In the module: body_passes. While a body that is not kept comes, its lookup's time stands still, it holds no room and makes no server slow; afterwards it goes nowhere else. A streamed answer of the simulator (no site has them any more) is told to the decisions as a body that passes; the lab's mutant follows _dead.

--- a/foxspread/facade.py
+++ b/foxspread/facade.py
@@ -103,6 +103,10 @@
         self.balancer.hand_off_ended(now, id, number, outcome, closed=False)
         return []
 
+    def body_passes(self, now: float, id: str, number: int, gone: bool) -> float:
+        """What is not kept of a lookup's body begins to go out, or has gone. Returns the time left to it."""
+        return self.balancer.body_passes(now, id, number, gone)
+
     def left(self, now: float, id: str) -> list[Step]:
         """The client has gone away."""
         self.balancer.client_left(now, id)
--- a/foxspread/lab/mutants.py
+++ b/foxspread/lab/mutants.py
@@ -97,7 +97,7 @@
 
 def _no_bound(facade: Facade) -> None:
     facade.balancer.gate.max_hand_offs = 1000
-    facade.balancer._given_up_on = lambda now, lookup: True
+    facade.balancer._dead = lambda now, hand_off: True
 
 
 class AnswersTwice(virtual.Sidecar):
--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -53,9 +53,8 @@
         if self.in_use or not warm.get(groups[0]):   # other kinds may be preferred to it by far, and do more
             turn = max(0.0 if self.in_use else 0.5, self.turn.get(entry.kind, 1.0))
             groups = [g for g in warm if g[0] == entry.zone and warm[g]] or [g for g in warm if warm[g]]
-        # Where all have just started, what is asked for, spread over them, stands in for what was done.
         usual = sum(self.served[g].read(now) for g in groups) / max(self.least, sum(map(warm.get, groups))) \
-            if groups else self.asked.read(now) / self.sizes.sum()
+            if groups else self.asked.read(now) / self.sizes.sum()   # all have just started
         return self.headroom * self.warmth(now, server) * usual / 10.0 * entry.size * turn
 
     def has_budget(self, now: float, server: str) -> bool:
@@ -113,11 +112,9 @@
         many = mark.note(now, failure, weight, self.fail_timeout) >= self.max_fails
         # A dead server must not pass for one of many that fail: several failed connections are its own doing.
         if many and (weight > 1 and mark.streak >= 2 * self.max_fails or self._worse(now, what, recent)):
-            # A busy sidecar can afford trials sooner: those of all servers may take one lookup of fifty.
             seldom = 500.0 * (1 + len(self.marked)) / max(1.0, self.verdicts.sums(now)[1])
-            spell = max(self.spell / 8, min(self.spell, seldom))
-            # Flapping: a server that fails again soon after its trials stays away for longer each time.
-            again = now - mark.readmitted < 3 * self.fail_timeout
+            spell = max(self.spell / 8, min(self.spell, seldom))   # trials may take one lookup of fifty
+            again = now - mark.readmitted < 3 * self.fail_timeout   # flapping: away for longer each time
             mark.spell = min(mark.spell * 2, 4 * spell) if again else spell
             mark.until, mark.passes = now + mark.spell, 0
             self.marked.add(what)
@@ -204,8 +201,7 @@
         at = self.cursor[zone] if zone in self.cursor else int(self.chance.draw() * size)
         most, spare, soon = max(self.few, self.skip * mean), None, {}
         due = self.due.setdefault(zone, Due())
-        # Half of a large group comes to be due over several lookups: none must wait for thousands of turns.
-        wanted = min(size // 2, len(due) + 64) if key else 1
+        wanted = min(size // 2, len(due) + 64) if key else 1   # no lookup waits for thousands of turns
         if size and len(due) < max(1, wanted):
             start = at % size
             self.cursor[zone] = start
@@ -304,8 +300,7 @@
         """The same over all; where that is but a few, a share by chance, the smaller the longer they take."""
         room, floor = 2 * self.room(now) * part + spare, 5 * spare   # so many at each server crowd none
         let_in = draw < (part * self.fair() / self.slow[""].read(now)) ** (6 if used else 2)
-        # One at each of its portion while answers are quick: fallen rates would keep it from the sound ones.
-        few = max(self.few, floor, used)
+        few = max(self.few, floor, used)   # one at each of its portion, however low rates have fallen
         return max(room, floor, used * let_in) if room >= self.few else few * let_in
 
     def fair(self) -> float:
@@ -336,7 +331,7 @@
     def open(self, now: float, lookup: Lookup) -> bool:
         """May this lookup be handed off at all? One answer each, nothing after it, copies where allowed."""
         ran = lookup.may_have_run()
-        if lookup.over or lookup.streaming or now >= lookup.abandon_at \
+        if lookup.over or lookup.spent or now >= lookup.abandon_at \
                 or len(lookup.sent) >= self.max_hand_offs or (lookup.out() and not self.copies):
             return False
         if ran and lookup.category.effect is Effect.LABELLED:
@@ -415,7 +410,7 @@
         if lookup is None or number >= len(lookup.sent) or lookup.sent[number].outcome is not None:
             return
         hand_off = lookup.sent[number]
-        hand_off.outcome, server = outcome, hand_off.server
+        hand_off.outcome, lookup.coming, server = outcome, False, hand_off.server
         self._back(hand_off, (id, number))
         # Slow servers, whose lookups are called off, never time out: overdue or twice that is as bad.
         twice = 2 * self.measures.usual(now, lookup.category) / self.servers.warmth(now, server)
@@ -457,17 +452,24 @@
         and gets a trial soon. False where nobody has that id, or too many are out."""
         if entries := self.servers.turn_by_hand(now, server, out):
             self.servers_listed(now, entries, False)
-            if not out:
-                self.servers.awaited[server] = now + self.chance.draw()
+            self.servers.awaited.update({} if out else {server: now + self.chance.draw()})
         return entries is not None
 
     def list_call_failed(self, now: float) -> None:
         self.ask_at = now + self.ask_again * (0.5 + self.chance.draw())
         self.ask_again = min(max(4.0, 2 * self.spread), 2 * self.ask_again)
 
-    def answer_started(self, now: float, id: str) -> None:
-        if id in self.lookups:
-            self.lookups[id].streaming = True
+    def body_passes(self, now: float, id: str, number: int, gone: bool) -> float:
+        """A body that is not kept begins to go out, or has gone: its time stands still in between."""
+        lookup = self.lookups[id]
+        hand_off, lookup.spent, lookup.coming = lookup.sent[number], True, not gone
+        took, hand_off.overdue, hand_off.late = now - hand_off.sent, math.inf, not gone   # nor slow, nor full
+        self._count(hand_off.server, 1 if gone else -1)
+        if gone:
+            hand_off.sent = now
+            lookup.expected_at, lookup.abandon_at = lookup.expected_at + took, lookup.abandon_at + took
+            self._watch(now, lookup, hand_off)
+        return lookup.abandon_at - now
 
     def client_left(self, now: float, id: str) -> None:
         if (lookup := self.lookups.get(id)) is not None:
@@ -505,7 +507,7 @@
         for lookup in sorted(waiting, key=lambda each: (-each.worth, each.expected_at)):   # most worth first
             if lookup.over:
                 yield from self._close(lookup)
-            if lookup.over or lookup.streaming:
+            if lookup.over or lookup.coming:
                 continue
             server = self._choose(now, lookup) if not self.queue or lookup.sent else None
             if server is not None:
@@ -559,25 +561,22 @@
                 yield Decision(Act.CALL_OFF, lookup.id, number=number)
 
     def _choose(self, now: float, lookup: Lookup) -> str | None:
-        # Carried over: only if the time left exceeds what it should take; a first one needs half of it all.
-        most = math.inf if lookup.sent else lookup.category.expected_time / 2
+        most = math.inf if lookup.sent else lookup.category.expected_time / 2   # a first one needs half of it
         short = lookup.useful_until - now <= min(most, self.measures.usual(now, lookup.category))
         if short or self._too_late(now, lookup) or not self.gate.open(now, lookup) \
                 or (lookup.out() and not self._dead(now, lookup.out()[-1])):
             return None
-        # What is worth less than usual gets a smaller part of the room, so that it yields first when short.
-        part = min(1.0, 0.5 + 0.5 * lookup.worth / max(1e-9, self.worth.read(now)))
-        # Where several are full most are: each more costs time, and the client is asked to come back.
+        part = min(1.0, 0.5 + 0.5 * lookup.worth / max(1e-9, self.worth.read(now)))   # less yields first
         if self.portion and sum(h.outcome is Outcome.FULL for h in lookup.sent) >= 5 * part - 2:
-            return None
+            return None   # where several are full most are: its client is asked to come back
         spare = len(self.servers.ready) / self.sidecars
         if not lookup.sent and self._in_flight() >= self.measures.room_in_all(
                 now, part, spare, lookup.draw, len(self.used)):
             return None
         mean = {z: self.held_in[z] / max(1, len(ring)) for z, ring in self.sound.items()}
-        for server, at in () if lookup.sent else self.servers.awaited.items():   # back by hand: a trial
+        for server, at in () if lookup.sent else self.servers.awaited.items():
             if now >= at and self.gate.lets(now, lookup, server):
-                return server
+                return server   # back by hand: a trial
         zones = self.rotation.zones(self.servers.zones, mean, lambda z: self.chance.draw() if not lookup.key
                                     else zlib.crc32(f"{lookup.key}:{z}".encode()) / 2**32)
         zones.sort(key=lambda z: any(h.zone == z and h.outcome is Outcome.UNCONNECTED for h in lookup.sent))
@@ -665,9 +664,8 @@
             self.open_at = now + 0.25
             for ring in self.sound.values():
                 ring.open_all()
-        # An untried zone counts as one that answers in a fifth of the expected time: nothing to spill over.
         slow = self.measures.slow
-        untried = min(1.0, 0.2 / slow[""].read(now))
+        untried = min(1.0, 0.2 / slow[""].read(now))   # as if answered in a fifth of the expected time
         elsewhere = Mean.over(now, [slow[z] for z in self.sound if z != self.rotation.zone], untried)
         slowness = {z: slow[z].read(now, elsewhere if z != self.rotation.zone else 1.0) for z in self.sound}
         if self.portion:   # healthy is a part of those that it would use
@@ -698,16 +696,19 @@
         if trial is not None:
             self.marks.of[trial].trial_out = True
         lookup.sent.append(hand_off)
-        overdue = self.measures.overdue(now, lookup.category)
-        hand_off.overdue = now + overdue / self.servers.warmth(now, server)   # cold is slow, not hung
+        self._watch(now, lookup, hand_off)
         self._sent(hand_off, (lookup.id, len(lookup.sent) - 1))
-        # Only a time-out ends it where it can neither be called off nor have a copy.
-        may_wait = self.gate.copies or self.calling_off
+        may_wait = self.gate.copies or self.calling_off   # else only a time-out ends it
         end = min(lookup.abandon_at - self.tick, math.inf if may_wait else hand_off.overdue)
-        for at in {hand_off.overdue, lookup.expected_at, lookup.useful_until}:
-            heapq.heappush(self.alarms, (at, lookup.id))
         return Decision(Act.HAND_OFF, lookup.id, server, max(end - now, self.tick))
 
+    def _watch(self, now: float, lookup: Lookup, hand_off: HandOff) -> None:
+        overdue = self.measures.overdue(now, lookup.category)
+        hand_off.overdue = now + overdue / self.servers.warmth(now, hand_off.server)   # cold is not hung
+        end = lookup.abandon_at - 2 * self.tick
+        for at in {hand_off.overdue, lookup.expected_at, lookup.useful_until, end}:
+            heapq.heappush(self.alarms, (at, lookup.id))
+
     def _share_left(self, now: float, customer: str) -> float:
         if customer not in self.customers:   # who has no share has none to be over
             return 1.0
--- a/foxspread/model.py
+++ b/foxspread/model.py
@@ -91,7 +91,7 @@
     overdue: float = math.inf
     outcome: Outcome | None = None
     called_off: bool = False
-    late: bool = False             # overdue and overtaken: it holds no room any more
+    late: bool = False             # overdue and overtaken, or its body is still coming: it holds no room
     judged: bool = False           # its verdict has been noted
 
 
@@ -106,7 +106,8 @@
     key: str = ""                  # what it concerns, where servers remember that
     sent: list[HandOff] = field(default_factory=list)
     over: bool = False             # answered, or the client has left
-    streaming: bool = False
+    coming: bool = False           # a body that is not kept passes through to a server: its time stands still
+    spent: bool = False            # of that, some has gone: it cannot be sent again
 
     @property
     def useful_until(self) -> float:
--- a/foxspread/net/hand_off.py
+++ b/foxspread/net/hand_off.py
@@ -1,11 +1,13 @@
 """One hand-off: a request to a server, and how it ended. It is tried once; only the decisions repeat it."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from foxspread.facade import Outcome
 from foxspread.net import http
+from foxspread.net.passing import STALL, Body, Passing, Windows
 from foxspread.net.pool import Connection, Place, Pool, write
 from foxspread.net.reasons import Reason
 
@@ -17,22 +19,32 @@
 class Ending:
     outcome: Outcome
     answer: http.Message | None = None
+    passing: Passing | None = None   # of a long answer: whoever gets it closes it
 
 
 class HandOff:
     def __init__(self, loop: asyncio.AbstractEventLoop, pool: Pool, clock: Callable[[], float],
-                 message: http.Message, place: Place, until: float, holds: Callable[[], bool]) -> None:
+                 message: http.Message, place: Place, until: float, holds: Callable[[], bool],
+                 windows: Windows | None = None, passes: Callable[[bool], float] | None = None) -> None:
+        """`passes`: a body that is not kept begins to go out, or (True) has gone; returns the time left."""
         self.loop, self.pool, self.clock = loop, pool, clock
         self.message, self.place, self.until, self.holds = message, place, until, holds
+        self.windows, self.passes = windows or Windows(0), passes
+        self.body: Body | None = message.source
+        self.limit: asyncio.Timeout | None = None
         self.begun = False   # from the first byte on it may have run, as far as one who cuts it off can tell
         self.whole = False   # its last byte is written
 
     async def run(self) -> Ending:
         try:
-            async with asyncio.timeout(max(0.0, self.until - self.clock())):
+            async with asyncio.timeout(max(0.0, self.until - self.clock())) as self.limit:
                 return await self._run()
         except TimeoutError:
-            return Ending(Outcome.TIMED_OUT if self.begun else Outcome.UNSENT)
+            return Ending(Outcome.TIMED_OUT if self.may_have_run() else Outcome.UNSENT)
+
+    def may_have_run(self) -> bool:
+        """A server begins with the last byte: of a long body it has surely not had that while it comes."""
+        return self.whole if self.body is not None else self.begun
 
     async def _run(self) -> Ending:
         try:
@@ -54,7 +66,9 @@
             reason = Reason.SERVER_LATE if self.clock() >= self.until else Reason.CALLED_OFF
             raise
         finally:   # here no loop call is pending on the socket: what was awaited has ended
-            if reason is None:
+            if ending.passing is not None:
+                pass   # it owns the connection now
+            elif reason is None:
                 self.pool.keep(connection)
             else:
                 connection.close(reason)
@@ -64,12 +78,15 @@
         connection.used += 1
         parts = http.request(self.message, str(self.place.address), self.until - self.clock())
         self.begun = True
+        reader = connection.reader
         try:
-            await write(self.loop, connection.sock, parts)
+            if self.body is None:
+                await write(self.loop, connection.sock, parts)
+                self.whole = True
+            elif not await self._pass_body(connection, parts):
+                return Reason.CALLED_OFF, Ending(Outcome.UNSENT)   # its client's doing
         except OSError:   # it broke before the last byte was written: never run
             return Reason.SERVER_BROKEN, Ending(Outcome.UNCONNECTED)
-        self.whole = True
-        reader = connection.reader
         try:
             await self._read(connection)
             while not reader.ready:
@@ -86,17 +103,64 @@
                 return Reason.SERVER_BAD, Ending(Outcome.ERROR)
             reader.busy = True   # a whole answer and then noise: it is good, its connection is not
         answer = reader.ready.popleft()
+        early = self.body is not None and not self.whole   # the rest of the body goes nowhere
+        if answer.long and outcome(answer) is Outcome.DONE and not early:
+            return None, Ending(Outcome.DONE, answer,
+                                Passing(self.loop, connection, answer, self.pool, self.windows))
+        if answer.long or early:
+            return Reason.SERVER_BAD if answer.long else Reason.SERVER_LAST, Ending(outcome(answer), answer)
         if reader.ready or reader.busy:
             return Reason.SERVER_MORE, Ending(outcome(answer), answer)
         return None if answer.keep else Reason.SERVER_LAST, Ending(outcome(answer), answer)
 
+    async def _pass_body(self, connection: Connection, head: list[bytes]) -> bool:
+        """False where the client broke off. What the server says early is looked for between pieces."""
+        body, message, sock = self.body, self.message, connection.sock
+        chunked, piece = message.length is None, body.first
+
+        def framed(piece: bytes) -> list[bytes | memoryview]:
+            return http.chunk(piece) if chunked else [piece]
+
+        await write(self.loop, sock, [*head, *(framed(piece) if piece else [])])
+        if not message.whole or message.parts:   # else all of it is kept
+            self.passes(False)
+            self.limit.reschedule(None)
+            while True:
+                try:
+                    piece = await body.next()
+                except OSError:
+                    return False
+                if not piece:
+                    break
+                if early(sock):
+                    return True
+                async with asyncio.timeout(STALL):
+                    await write(self.loop, sock, framed(piece))
+        if chunked:
+            await write(self.loop, sock, [http.LAST_CHUNK])
+        self.whole = True
+        if body.spent:
+            left = self.passes(True)
+            self.until = self.clock() + left
+            self.limit.reschedule(self.loop.time() + max(0.0, left))
+        return True
+
     async def _read(self, connection: Connection) -> None:
         size = await self.loop.sock_recv_into(connection.sock, connection.buffer)
         if size == 0:
+            if connection.reader.end():
+                return
             raise ConnectionResetError("it ended")
         connection.reader.feed(memoryview(connection.buffer)[:size], self.clock())
 
 
+def early(sock: socket.socket) -> bool:
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:   # nothing yet; or it broke, as the next write will find
+        return False
+
+
 def outcome(answer: http.Message) -> Outcome:
     """Only the header says that it was turned away, and so never ran; the status alone may come from any
     hop, or from a server that broke half-way."""
--- a/foxspread/net/listener.py
+++ b/foxspread/net/listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -9,6 +10,7 @@
 
 from foxspread.config import Address
 from foxspread.net import http
+from foxspread.net.passing import SLOWEST, STALL, Body, Passing, Windows
 from foxspread.net.pool import BUFFER, Descriptors, listening, written
 from foxspread.net.reasons import Reason
 
@@ -21,6 +23,7 @@
     status: int
     body: bytes | bytearray = b""
     lines: list[bytes] = field(default_factory=list)
+    passing: Passing | None = None   # what follows the head, in place of a body
 
 
 @dataclass
@@ -44,7 +47,7 @@
         raise NotImplementedError
 
     def ended(self, ticket: Ticket, status: int) -> None:
-        """Its reply is written."""
+        """Its reply is written; 0 where its client did not take it."""
 
     def arrival(self) -> float:
         """When what is read now has come, at the earliest."""
@@ -55,8 +58,10 @@
     """One connection of a client, and the task that serves it. Its limits are kept by `Listener.sweep`."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, front: Front,
-                 patience: float) -> None:
+                 patience: float, windows: Windows, stall: float = STALL) -> None:
         self.loop, self.sock, self.front, self.patience = loop, sock, front, patience
+        self.windows, self.stall, self.body = windows, stall, None
+        self.passing = False   # its reply is being written
         self.reader, self.buffer = http.RequestReader(), bytearray(BUFFER)
         self.ticket: Ticket | None = None
         self.retired: Reason | None = None
@@ -65,15 +70,16 @@
         self.refused = False   # it has its error, and is read from only so that this is not lost
         # Since when it is idle, or a request is under way on it; how many it has sent, and how many lookups.
         self.since, self.answers, self.lookups, self.detail = loop.time(), 0, 0, ""
+        self.head_at = 0.0   # when the head of what is under way was whole
 
     @property
     def idle(self) -> bool:
-        return self.ticket is None and not self.reader.busy and not self.reader.ready
+        return self.ticket is None and not (self.passing or self.reader.busy or self.reader.ready)
 
     @property
     def silent(self) -> bool:
         """No usual client: it sends what it has at once, whole, and it sends lookups."""
-        return self.refused or self.ticket is None and not self.lookups and not self.reader.ready
+        return self.refused or not (self.ticket or self.passing or self.lookups or self.reader.ready)
 
     def retire(self, reason: Reason) -> None:
         """Ends the connection after the lookup that it holds. Guards against losing one that crosses this:
@@ -103,6 +109,11 @@
         finally:   # here no loop call is pending on the socket: what was awaited has ended
             if self.ticket is not None:
                 self.front.left(self.ticket)
+                if self.ticket.reply.done() and not self.ticket.reply.cancelled() \
+                        and (passing := self.ticket.reply.result().passing) is not None:
+                    passing.close()
+            if self.body is not None:
+                await self.body.abandon()
             self.sock.close()
         return reason
 
@@ -111,20 +122,76 @@
             while not self.reader.ready:
                 if not await self._receive():
                     return self.retired or Reason.CLIENT_CLOSED
-                if self.reader.wants_continue:
+                if self.reader.wants_continue and not self.reader.ready:   # a long body is asked for later
                     await self._write(CONTINUE)
             message = self.reader.ready.popleft()
+            if message.long:
+                self.body = message.source = Body(self.loop, self.sock, self.reader, message, self.windows,
+                                                  self.buffer, self.front.arrival)
+                self.body.broke = self._broke
             self.ticket = self.front.taken(message)
             self.lookups += bool(self.ticket.id)
             if not self.ticket.reply.done() and not await self._client_stays(self.ticket.reply):
+                if self.body is not None and self.body.error is not None:
+                    raise self.body.error
                 return Reason.CLIENT_LEFT
-            ticket, self.ticket = self.ticket, None
-            reply, keep = ticket.reply.result(), message.keep and self.retired is None
-            await self._write(http.answer(reply.status, reply.body, reply.lines, keep))
-            self.front.ended(ticket, reply.status)
-            self.answers, self.since = self.answers + 1, self.loop.time()
+            ticket, self.ticket, self.passing = self.ticket, None, True
+            if self.body is not None:
+                await self.body.abandon()
+                self.body = None
+            reply, read = ticket.reply.result(), not message.long or message.whole
+            keep, status = read and message.keep and self.retired is None, 0
+            try:
+                if reply.passing is not None:
+                    keep, status = await self._pass_on(reply, message, keep)
+                else:
+                    await self._write(http.answer(reply.status, reply.body, reply.lines, keep, message.old))
+                    status = reply.status
+            finally:
+                self.passing = False
+                self.front.ended(ticket, status)
+            self.answers, self.since, self.head_at = self.answers + 1, self.loop.time(), 0.0
+            if not read:
+                await self._linger()
             if not keep:
-                return self.retired or Reason.CLIENT_LAST
+                return Reason.CLIENT_CUT if status != reply.status else self.retired or Reason.CLIENT_LAST
+
+    async def _pass_on(self, reply: Reply, message: http.Message, keep: bool) -> tuple[bool, int]:
+        """Whether the connection may be kept, and the status that the client has seen. What the server breaks
+        off is reset, so that the client can tell; nothing else could be said any more."""
+        passing, length = reply.passing, reply.passing.message.length
+        chunked = length is None and not message.old
+        keep = keep and (length is not None or chunked)
+        framing = http.framed_by(passing.message) if length is not None or chunked else b""
+        head = http.answer(reply.status, b"", reply.lines, keep, message.old, framing)
+
+        def framed(piece: bytes) -> list[bytes | memoryview]:
+            return http.chunk(piece) if chunked else [piece]
+
+        try:
+            piece = passing.message.piece()
+            await self._write([*head, *(framed(piece) if piece else [])])
+            while True:
+                try:
+                    piece = await passing.next()
+                except OSError:   # TimeoutError is one
+                    passing.close(Reason.SERVER_RESET)
+                    self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    return False, 502
+                if not piece:
+                    break
+                await self._write(framed(piece))
+            if chunked:
+                await self._write([http.LAST_CHUNK])
+        except BaseException:   # the client left, or does not take it
+            passing.close()
+            raise
+        passing.close()
+        return keep, reply.status
+
+    def _broke(self) -> None:
+        if self.ticket is not None and not self.ticket.reply.done():
+            self.ticket.reply.cancel()
 
     async def _receive(self) -> int:
         """How much has come; 0 at the end."""
@@ -133,6 +200,10 @@
         self.reader.feed(memoryview(self.buffer)[:size], self.front.arrival())
         if self.reader.busy and not begun and self.answers:
             self.since = self.loop.time()
+        if not self.reader.in_body:
+            self.head_at = 0.0
+        elif not self.head_at:
+            self.head_at = self.loop.time()
         # Guards against one that sends too slowly, for ever; it is told, if it still listens.
         if self.retired is Reason.CLIENT_SLOW and not self.reader.ready and (size or self.reader.busy):
             raise http.BadMessage(408, "no whole request in time")
@@ -143,10 +214,18 @@
         try:
             await reply
         except asyncio.CancelledError:
-            if not self.gone:
+            if not self.gone and (self.body is None or self.body.error is None):
                 raise
+            return False
         return not self.gone
 
+    def slow(self, now: float) -> bool:
+        """A head may take 2 s, a body what it takes at 64 kB a second; who gives nothing is told sooner."""
+        until = self.since + self.patience
+        if self.reader.in_body:
+            until = max(until, self.head_at + 0.4 * self.patience + self.reader.size / SLOWEST)
+        return now > until
+
     def look(self) -> None:
         """Has the client of a lookup that is out gone away? Looked for now and then: to watch each connection
         for each lookup takes more of the core."""
@@ -164,15 +243,24 @@
     async def _write(self, parts: list[bytes]) -> None:
         """Guards against clients that do not read: their answer must not stay for ever."""
         if rest := written(self.sock, parts):
-            async with asyncio.timeout(self.patience):
+            async with asyncio.timeout(self.stall):
                 await self.loop.sock_sendall(self.sock, rest)
 
     async def _refuse(self, error: http.BadMessage) -> None:
         """Answers what is malformed and ends the connection, reading on for a moment: closing with bytes
         unread would reset it, and the answer could be lost."""
         self.refused = True
+        if self.body is not None:
+            await self.body.abandon()
+            self.body = None
         try:
             await self._write(http.answer(error.status, f"{error}\n".encode(), keep=False))
+        except OSError:
+            return
+        await self._linger()
+
+    async def _linger(self) -> None:
+        try:
             self.sock.shutdown(socket.SHUT_WR)
             async with asyncio.timeout(self.patience):
                 while not self.shut and await self.loop.sock_recv_into(self.sock, WASTE):
@@ -187,8 +275,10 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, front: Front,
                  descriptors: Descriptors, patience: float = 2.4, idle_most: float = 10.0,
-                 passed: socket.socket | None = None) -> None:
+                 passed: socket.socket | None = None, windows: Windows | None = None,
+                 stall: float = STALL) -> None:
         self.loop, self.front, self.descriptors, self.patience = loop, front, descriptors, patience
+        self.windows, self.stall = windows or Windows(0), stall
         self.idle_most = idle_most
         self.clients: dict[Client, asyncio.Task] = {}
         self.accepting = False
@@ -229,7 +319,7 @@
                 return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = Client(self.loop, sock, self.front, self.patience)
+            client = Client(self.loop, sock, self.front, self.patience, self.windows, self.stall)
             self.clients[client] = task = self.loop.create_task(client.run())
             task.add_done_callback(lambda task, client=client: self._ended(client, task))
             self._make_way()
@@ -273,9 +363,10 @@
         """Guards against connections that say nothing, or not enough, and would stay for good."""
         now = self.loop.time()
         for client in list(self.clients):
-            if client.ticket is None and now - client.since > self.patience:
+            if client.ticket is None and not client.passing and now - client.since > self.patience:
                 if client.reader.busy or not client.answers:
-                    client.retire(Reason.CLIENT_SLOW)
+                    if client.slow(now):
+                        client.retire(Reason.CLIENT_SLOW)
                 elif not client.lookups or now - client.since > self.idle_most:
                     client.retire(Reason.CLIENT_IDLE)
 
--- a/foxspread/net/reasons.py
+++ b/foxspread/net/reasons.py
@@ -11,6 +11,7 @@
     CLIENT_SLOW = "C-SLOW"           # did not take its answer, or not send its lookup, in time
     CLIENT_BAD = "C-BAD"             # what it sent was refused; the status is in the line
     CLIENT_LAST = "C-LAST"           # one side said that the answer was the last
+    CLIENT_CUT = "C-CUT"             # its answer broke off at the server, when a part was passed on
     CLIENT_ROOM = "C-ROOM"           # closed while idle, for want of descriptors
     CLIENT_IDLE = "C-IDLE"           # idle for too long
     STOPPING = "C-STOP"              # closed while idle, because the sidecar ends
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -19,6 +19,7 @@
 from foxspread.net.hand_off import Ending, HandOff
 from foxspread.net.handover import Handover, inherited
 from foxspread.net.listener import Front, Listener, Reply, Ticket
+from foxspread.net.passing import Windows
 from foxspread.net.pool import Descriptors, Place, Pool
 from foxspread.net.reasons import Reason
 from foxspread.sums import Chance
@@ -127,11 +128,15 @@
         most = min(config.limits.sockets, max(64, int(config.limits.memory_mb - BASE_MB) * 10))
         door = operations.MOST if config.operator else 0   # its descriptors are nobody else's
         descriptors = Descriptors(most, reserve=min(32, config.limits.sockets // 3) + door)
+        # A quarter of what memory is left, for all that passes through.
+        self.windows = Windows(max(1, int(config.limits.memory_mb - BASE_MB)) * (1 << 20) // 4)
+        self.passing: dict[str, Ticket] = {}   # whose long answer is being passed on
         self.pool = Pool(loop, descriptors, config.connect_time, config.idle_time)
         self.discovery = Discovery(loop, config.discovery, config.known.version, self._listed,
                                    self._list_failed, silence=min(SILENCE, config.list_age / 2))
         passed = None if config.passed is None else inherited(config.passed, config.listen)
-        self.listener = Listener(loop, config.listen, self, descriptors, passed=passed)
+        self.listener = Listener(loop, config.listen, self, descriptors, passed=passed,
+                                 windows=self.windows)
         self.handover = passed and Handover(loop, handover_path(config.name), self)
         self.lent = 0   # descriptors that a predecessor holds
         self.left_to_successor, self.stop = False, asyncio.Event()
@@ -265,7 +270,7 @@
         abandon = self.facade.abandon_time(category)
         time_left = abandon if told is None else http.remaining(told.decode("latin-1"))
         now = self.clock()
-        time_left -= now - message.began   # it runs from the client's sending
+        time_left -= now - (message.ended or now)   # it runs from the last byte
         self.taken_lately[0].add(id)
         if self.handover:
             self.handover.taken(id)
@@ -291,7 +296,8 @@
         return ticket
 
     def ended(self, ticket: Ticket, status: int) -> None:
-        if ticket.category:
+        self.passing.pop(ticket.id, None)
+        if ticket.category and status:
             self.counts.note(ticket.category, status)
 
     def left(self, ticket: Ticket) -> None:
@@ -302,6 +308,10 @@
         held = self._forget(id)
         if held is not None and not held.reply.done():
             held.reply.set_result(reply)
+            if reply.passing is not None:
+                self.passing[id] = held
+        elif reply.passing is not None:
+            reply.passing.close()
 
     def _forget(self, id: str) -> Held | None:
         held = self.held.pop(id, None)
@@ -326,7 +336,7 @@
 
     def figures(self) -> dict[str, Any]:
         return {"results": self.counts.results, "forwards": self.counts.forwards,
-                "outstanding": len(self.held), "discovered": len(self.places),
+                "outstanding": len(self.held) + len(self.passing), "discovered": len(self.places),
                 "ejected": self.facade.avoided()}
 
     async def by_hand(self, server: str, out: bool) -> bool:
@@ -471,23 +481,36 @@
             self.loop.call_soon(self._decide, self.facade.report, *key, Outcome.UNSENT)
             return
         hand_off = HandOff(self.loop, self.pool, self.clock, held.message, self.places[step.server],
-                           self.clock() + step.time_out, lambda: self.facade.holds(self.clock(), *key))
+                           self.clock() + step.time_out, lambda: self.facade.holds(self.clock(), *key),
+                           self.windows, lambda gone: self._passes(*key, gone))
         self.out[key] = task = self.loop.create_task(hand_off.run())
         # Not in the task itself: one that is cancelled before it has run would report nothing.
         task.add_done_callback(lambda task: self._ended(step, hand_off, task))
 
+    def _passes(self, id: str, number: int, gone: bool) -> float:
+        """A body that is not kept goes out: its client gives and the server takes, in their own time."""
+        if (held := self.held.get(id)) is None:
+            raise ConnectionResetError("it is over")
+        left = self.facade.body_passes(self.clock(), id, number, gone)
+        held.guard.cancel()
+        if gone:
+            held.guard = self.loop.call_later(max(0.0, left - SPARE), self._overdue, id)
+            self._set_alarm(0.001)
+        return left
+
     def _ended(self, step: Send, hand_off: HandOff, task: asyncio.Task) -> None:
         del self.out[step.lookup, step.number]
         self.counts.forwards += hand_off.whole
         if task.cancelled():
-            ending = Ending(Outcome.CALLED_OFF if hand_off.begun else Outcome.UNSENT)
+            ending = Ending(Outcome.CALLED_OFF if hand_off.may_have_run() else Outcome.UNSENT)
         elif task.exception() is not None:
             logger.opt(exception=task.exception()).error("hand-off of {}", step.lookup)
-            ending = Ending(Outcome.RESET if hand_off.begun else Outcome.UNSENT)
+            ending = Ending(Outcome.RESET if hand_off.may_have_run() else Outcome.UNSENT)
         else:
             ending = task.result()
         if ending.outcome is Outcome.DONE and ending.answer is not None:
-            self._answer(step.lookup, Reply(200, ending.answer.body, ending.answer.passed_on()))
+            answer = ending.answer
+            self._answer(step.lookup, Reply(200, answer.body, answer.passed_on(), ending.passing))
         self._decide(self.facade.report, step.lookup, step.number, ending.outcome)
 
     # The list of servers.
--- a/foxspread/simhost/host.py
+++ b/foxspread/simhost/host.py
@@ -27,7 +27,8 @@
             case "STATUS_BACK" | "FROM_PEER":
                 pass   # no decision sends probes or messages: measured, neither paid (docs/status.md)
             case "FLOWING":
-                balancer.answer_started(now, need(event, "op_id", str))
+                if need(event, "op_id", str) in balancer.lookups:   # as what passes: no more is decided
+                    balancer.body_passes(now, event["op_id"], 0, False)
             case "CANCELLED_BY_CLIENT":
                 balancer.client_left(now, need(event, "op_id", str))
 
--- a/tests/test_by_hand.py
+++ b/tests/test_by_hand.py
@@ -90,6 +90,27 @@
         it = balancer(listed=servers([f"s{n}" for n in range(1001)]))
         self.assertEqual(sum(it.by_hand(100.0, f"s{n}", True) for n in range(1001)), BY_HAND_MOST)
 
+    def test_a_body_that_still_comes_makes_no_server_slow_or_full_and_its_time_counts_from_its_end(self):
+        it = balancer(servers(["s1"]))
+        self.assertEqual(sent_to(take(it, 100.0, "l", left=3.0)), ["s1"])
+        self.assertAlmostEqual(it.body_passes(100.1, "l", 0, False), 2.9)
+        self.assertEqual((it._held("s1"), it.gate.open(100.1, it.lookups["l"])), (0, False))
+        self.assertEqual([pull(it, now) for now in (101.0, 103.0, 109.0)], [[]] * 3)   # its time stands still
+        self.assertFalse(it.hushed)
+        self.assertAlmostEqual(it.body_passes(110.0, "l", 0, True), 3.0)
+        self.assertEqual((it._held("s1"), it.marks.down("s1")), (1, False))
+        it.hand_off_ended(110.2, "l", 0, Outcome.UNCONNECTED, False)   # it goes nowhere else
+        self.assertEqual((acts(pull(it, 110.2)), it._held("s1"), it.lookups), ([Act.DISMISS], 0, {}))
+
+    def test_a_body_that_breaks_off_is_no_verdict_on_its_server(self):
+        it = balancer(servers(["s1"]))
+        take(it, 100.0, "l")
+        it.body_passes(100.1, "l", 0, False)
+        it.client_left(130.0, "l")
+        self.assertEqual(acts(pull(it, 130.0)), [Act.CALL_OFF])
+        it.hand_off_ended(130.0, "l", 0, Outcome.UNSENT, False)
+        self.assertEqual((it.marks.of["s1"].verdicts.count, it._held("s1"), it.lookups), (0.0, 0, {}))
+
 
 if __name__ == "__main__":
     unittest.main()
