--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -25,14 +25,14 @@
     def __init__(self, cold_from: float, cold_time: float, fall_multiple: float, chance: Chance) -> None:
         super().__init__(cold_from, cold_time)
         self.headroom, self.chance = min(2.0, 0.6 * fall_multiple), chance   # the rest is for bursts
-        # By zone and kind: answers of warm servers, sizes of those in use; of cold ones, what is in hand.
-        self.served, self.in_use, self.tokens = defaultdict(lambda: Decaying(10.0)), None, {}
+        self.in_use, self.tokens = {}, {}   # sizes of warm ones, by zone and kind; what cold ones may get
         # By kind: what it does; as how many the warm ones count at least; lookups taken.
         self.turn, self.least, self.asked = {}, 0.0, Decaying(10.0)
         self.awaited, self.soon, self.yielded = {}, 0.25, False   # back by hand: from when it awaits a lookup
 
     def update(self, now: float, entries: Iterable[ListedServer], whole: bool) -> tuple[list[str], list[str]]:
         fresh, touched = self.take(now, entries, whole)
+        self.in_use = self.warm(now, set()) if self.orders is None else self.in_use
         for server in fresh:   # a first share at random, so that the sidecars do not all send at once
             self.tokens[server] = (self.chance.draw() * 0.9, now)
         return fresh, touched
@@ -48,11 +48,10 @@
     def allowance(self, now: float, server: str) -> float:
         """Hand-offs a second for a cold server: a share of what warm ones do, not of what they are sent."""
         entry = self.known[server]
-        warm = self.in_use or {each: sizes.sum() for each, sizes in self.warm_sizes.items()}
-        groups, turn = [(entry.zone, entry.kind)], 1.0
-        if self.in_use or not warm.get(groups[0]):   # other kinds may be preferred to it by far, and do more
-            turn = max(0.0 if self.in_use else 0.5, self.turn.get(entry.kind, 1.0))
-            groups = [g for g in warm if g[0] == entry.zone and warm[g]] or [g for g in warm if warm[g]]
+        warm, groups, turn, some = self.in_use, [(entry.zone, entry.kind)], 1.0, self.orders is not None
+        if some or groups[0] not in warm:   # other kinds may be preferred to it by far, and do more
+            turn = max(0.0 if some else 0.5, self.turn.get(entry.kind, 1.0))
+            groups = [g for g in warm if g[0] == entry.zone] or list(warm)
         usual = sum(self.served[g].read(now) for g in groups) / max(self.least, sum(map(warm.get, groups))) \
             if groups else self.asked.read(now) / self.sizes.sum()   # all have just started
         return self.headroom * self.warmth(now, server) * usual / 10.0 * entry.size * turn
@@ -634,6 +633,8 @@
         """Which servers and zones count as healthy; kept until a mark or the list changes, or a moment."""
         self._forget(now)
         groups, ready, marked = self.servers.zones, self.servers.ready, self.marks.marked
+        if not self.portion:
+            self.servers.in_use = self.servers.warm(now, marked)
         panic = self.marks.in_panic(ready)   # by zone, a lone hung one would get all its lookups
         if panic != self.panic:
             self.panic, self.touched = panic, self.touched | (marked & ready)
--- a/foxspread/members.py
+++ b/foxspread/members.py
@@ -3,13 +3,14 @@
 """
 
 from bisect import bisect_left, insort
+from collections import defaultdict
 from collections.abc import Container, Iterable
 from dataclasses import replace
 from itertools import islice
 
 from foxspread.model import ListedServer, Readiness
 from foxspread.rings import Alternating, Sizes
-from foxspread.sums import Latest
+from foxspread.sums import Decaying, Latest
 
 BY_HAND_MOST = 1000   # out at a time, and remembered as called back
 
@@ -23,7 +24,9 @@
         self.ready: set[str] = set()
         self.cold: dict[str, None] = {}                    # ready, and not warm when last listed
         self.sizes = Sizes()                               # of the ready ones
-        self.warm_sizes: dict[tuple[str, str], Sizes] = {}   # of those that are not cold, by zone and kind
+        # By zone and kind: sizes of those that are not cold, and what these have done of late.
+        self.warm_sizes: dict[tuple[str, str], Sizes] = {}
+        self.served: dict[tuple[str, str], Decaying] = defaultdict(lambda: Decaying(10.0))
         self.largest = 1.0
         self.gone: dict[str, float] = {}                   # since when
         self.by_hand: dict[str, None] = {}                 # out until called back, listed or not
@@ -33,6 +36,29 @@
     def warmth(self, now: float, server: str) -> float:
         return self.known[server].warmth(now, self.cold_from, self.cold_time)
 
+    def warmed(self, now: float) -> None:
+        for server in [each for each in self.cold if self.warmth(now, each) == 1.0]:
+            self._set_cold(server, False)
+
+    def warm(self, now: float, unsound: set[str]) -> dict[tuple[str, str], float]:
+        """Sizes of the warm ones by zone and kind, where any of them is sound."""
+        self.warmed(now)
+        sizes = {group: each.sum() for group, each in self.warm_sizes.items()}
+        left = dict(sizes)
+        for server in unsound & self.ready - self.cold.keys():
+            entry = self.known[server]
+            left[entry.zone, entry.kind] -= entry.size
+        return {group: size for group, size in sizes.items() if left[group] > 1e-9}
+
+    def _size(self, entry: ListedServer, times: int) -> None:
+        """One more or less that is warm. What a server has done goes with it, and one that comes counts like
+        the rest: else those that are left would seem to do the work of all for a while."""
+        sizes = self.warm_sizes[entry.zone, entry.kind]
+        old = sizes.sum()
+        sizes.add(entry.size, times)
+        if old > 0 and (new := sizes.sum()) > 0:
+            self.served[entry.zone, entry.kind].value *= new / old
+
     def listed_of(self, servers: Iterable[str]) -> set[str]:
         return {s for s in servers if s in self.known and s not in self.gone}
 
@@ -58,8 +84,7 @@
         """A list, what it leaves out being gone, or changes. Returns who is new or has started anew, and all
         whose entry is another, in the order told."""
         fresh, touched = [], []
-        for server in [each for each in self.cold if self.warmth(now, each) == 1.0]:
-            self._set_cold(server, False)
+        self.warmed(now)
         if whole:
             entries = list(entries)
             named = {entry.server for entry in entries}
@@ -102,7 +127,7 @@
         if self.orders is not None:
             self.orders.setdefault(entry.zone, Alternating()).add(server, entry.kind)
         self.sizes.add(entry.size)
-        self.warm_sizes[entry.zone, entry.kind].add(entry.size)
+        self._size(entry, 1)
         if self.warmth(now, server) < 1.0:
             self._set_cold(server, True)
 
@@ -114,7 +139,7 @@
         if self.orders is not None:
             self.orders[entry.zone].drop(server, entry.kind)
         self.sizes.add(entry.size, -1)
-        self.warm_sizes[entry.zone, entry.kind].add(entry.size, -1)
+        self._size(entry, -1)
         for groups, key in ((self.zones, entry.zone), (self.cells, (entry.zone, entry.cell))):
             del groups[key][bisect_left(groups[key], server)]
             if not groups[key]:
@@ -126,7 +151,7 @@
             self.cold[server] = None
         else:
             del self.cold[server]
-        self.warm_sizes[entry.zone, entry.kind].add(entry.size, -1 if cold else 1)
+        self._size(entry, -1 if cold else 1)
 
     def over(self, before: float, out: Container[str]) -> list[str]:
         """Those gone since before then, with nothing out; of some only, for a whole fleet may go at once."""
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -243,6 +243,19 @@
         it.update(110.0, [*warm[:1], *servers(["s3"], started=100.0, kind="slow")], True)   # of others: half
         self.assertAlmostEqual(it.allowance(110.0, "s3"), 1.5 * it.warmth(110.0, "s3") * 20.0)
 
+    def test_what_a_server_has_done_leaves_with_it_and_a_marked_one_is_no_measure(self):
+        it = ServerList(0.1, 20.0, 2.5, Chance(1))
+        all = [*servers(["w1", "w2"], kind="k"), *servers(["c"], started=100.0, kind="k")]
+        it.update(100.0, all, True)
+        it.served["a", "k"].add(101.0, 400.0)
+        share = it.allowance(101.0, "c")
+        it.update(101.0, all[1:], True)
+        self.assertAlmostEqual(it.allowance(101.0, "c"), share)
+        it.update(101.0, [*all[1:], *servers(["o"], kind="other")], True)
+        it.served["a", "other"].add(101.0, 100.0)
+        it.in_use = it.warm(101.0, {"w2"})
+        self.assertAlmostEqual(it.allowance(101.0, "c"), share / 2)   # of the only sound one
+
     def test_all_just_started_still_get_something(self):
         it = ServerList(0.1, 20.0, 2.5, Chance(1))
         it.update(100.0, servers(started=100.0), True)
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -130,7 +130,7 @@
         for size, pace, least, most in ((1.0, 1.0, 30, 50), (4.0, 1.0, 0, 15), (1.0, 0.25, 0, 15)):
             sent = 0
             for seed in range(60):
-                it = balancer([*servers(), *servers(["t"], started=100.0)], seed=seed).servers
+                it = balancer([*servers(), *servers(["t"], started=100.0)], seed=seed, streams=9).servers
                 it.served["a", ""].add(107.0, 40.0)
                 it.tokens["t"], it.turn[""] = (1.0, 107.0), pace   # saved up
                 it.use(108.0, {"s1", "t"}, {"t"}, size)
