--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -636,8 +636,7 @@
         if not self.portion:
             self.servers.in_use = self.servers.warm(now, marked)
         panic = self.marks.in_panic(ready)   # by zone, a lone hung one would get all its lookups
-        if panic != self.panic:
-            self.panic, self.touched = panic, self.touched | (marked & ready)
+        self.touched, self.panic = self.touched | (marked & ready if panic != self.panic else set()), panic
         silent = {s for s in self.out if self._silent(now, s)}
         self.hushed = silent if len(silent) <= (1 - self.marks.panic) * len(ready) else set()
         if self.portion:
