--- a/foxspread/net/hand_off.py
+++ b/foxspread/net/hand_off.py
@@ -25,11 +25,13 @@
 class HandOff:
     def __init__(self, loop: asyncio.AbstractEventLoop, pool: Pool, clock: Callable[[], float],
                  message: http.Message, place: Place, until: float, holds: Callable[[], bool],
-                 windows: Windows | None = None, passes: Callable[[bool], float] | None = None) -> None:
-        """`passes`: a body that is not kept begins to go out, or (True) has gone; returns the time left."""
+                 windows: Windows | None = None, passes: Callable[[bool], float] | None = None,
+                 gone: Callable[[], None] = lambda: None) -> None:
+        """`passes`: a body that is not kept begins to go out, or (True) has gone; returns the time left.
+        `gone`: the last byte is written."""
         self.loop, self.pool, self.clock = loop, pool, clock
         self.message, self.place, self.until, self.holds = message, place, until, holds
-        self.windows, self.passes = windows or Windows(0), passes
+        self.windows, self.passes, self.gone = windows or Windows(0), passes, gone
         self.body: Body | None = message.source
         self.limit: asyncio.Timeout | None = None
         self.begun = False   # from the first byte on it may have run, as far as one who cuts it off can tell
@@ -82,7 +84,7 @@
         try:
             if self.body is None:
                 await write(self.loop, connection.sock, parts)
-                self.whole = True
+                self._whole()
             elif not await self._pass_body(connection, parts):
                 return Reason.CALLED_OFF, Ending(Outcome.UNSENT)   # its client's doing
         except OSError:   # it broke before the last byte was written: never run
@@ -113,6 +115,10 @@
             return Reason.SERVER_MORE, Ending(outcome(answer), answer)
         return None if answer.keep else Reason.SERVER_LAST, Ending(outcome(answer), answer)
 
+    def _whole(self) -> None:
+        self.whole = True
+        self.gone()
+
     async def _pass_body(self, connection: Connection, head: list[bytes]) -> bool:
         """False where the client broke off. What the server says early is looked for between pieces."""
         body, message, sock = self.body, self.message, connection.sock
@@ -138,7 +144,7 @@
                     await write(self.loop, sock, framed(piece))
         if chunked:
             await write(self.loop, sock, [http.LAST_CHUNK])
-        self.whole = True
+        self._whole()
         if body.spent:
             left = self.passes(True)
             self.until = self.clock() + left
--- a/foxspread/net/handover.py
+++ b/foxspread/net/handover.py
@@ -169,6 +169,25 @@
         logger.info("handover: state taken over")
         return link
 
+    async def forward(self, server: str, out: bool) -> bool:
+        """A call by hand before we own anything: the predecessor's to answer, or ours once there is none."""
+        sock = socket.socket(socket.AF_UNIX)
+        sock.setblocking(False)
+        try:
+            sock.connect(self.path)
+        except OSError:
+            sock.close()
+            async with asyncio.timeout(TELL_WAIT):
+                await self.settled.wait()
+            return self.party.turned(server, out)
+        link = Link(self.loop, sock)
+        self._task(self._follow(link, "predecessor that a call went to"), link)
+        try:
+            return await link.ask({"server": server, "out": out})
+        finally:
+            if link in self.links:
+                self.links[link].cancel()
+
     def _listen(self) -> None:
         """For a successor of our own; under a name of ours first, so that the old one's is never missing."""
         own = f"{self.path}.{os.getpid()}"
@@ -210,6 +229,9 @@
         try:
             async with asyncio.timeout(RECORD_WAIT):
                 hello = await link.read()
+            if hello is not None and "server" in hello:   # a call that went to a successor too early
+                self._told(link, hello)
+                return await self._follow(link, "successor")
             if hello is None or hello.get("hello") != VERSION or self.heir is not None:
                 told = hello and hello.get("hello")
                 logger.warning("handover: no record for version {!r}{}", told,
--- a/foxspread/net/operations.py
+++ b/foxspread/net/operations.py
@@ -23,7 +23,6 @@
 CALLERS = 8   # at once; where all are there, the one that has waited longest for its own bytes makes way
 MOST = CALLERS + 2   # descriptors: theirs, the one of the door, and one that is just accepted
 PATIENCE = 3.0   # for a whole call, and for the answer to be taken
-SETTLED_WAIT = 0.7   # for who owns what, where a call comes in the midst of a handover
 PUT = re.compile(r"/servers/([^/]+)/(maint|ready)")
 
 
@@ -44,6 +43,9 @@
         self.forwards = 0
         self.results = {each: {"succeeded": 0, "declined": 0, "aborted": 0} for each in sorted(categories)}
 
+    def forwarded(self) -> None:
+        self.forwards += 1
+
     def note(self, category: str, status: int) -> None:
         """By what its client was told, which is what operators' peers see too."""
         ending = "succeeded" if status == 200 else "declined" if status in (429, 503) else "aborted"
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -130,6 +130,7 @@
         descriptors = Descriptors(most, reserve=min(32, config.limits.sockets // 3) + door)
         # A quarter of what memory is left, for all that passes through.
         self.windows = Windows(max(1, int(config.limits.memory_mb - BASE_MB)) * (1 << 20) // 4)
+        self.coming: set[str] = set()   # whose long body is still coming: not taken yet, as peers see it
         self.passing: dict[str, Ticket] = {}   # whose long answer is being passed on
         self.pool = Pool(loop, descriptors, config.connect_time, config.idle_time)
         self.discovery = Discovery(loop, config.discovery, config.known.version, self._listed,
@@ -138,7 +139,7 @@
         self.listener = Listener(loop, config.listen, self, descriptors, passed=passed,
                                  windows=self.windows)
         self.handover = passed and Handover(loop, handover_path(config.name), self)
-        self.lent = 0   # descriptors that a predecessor holds
+        self.lent, self.took_over = 0, False   # descriptors that a predecessor holds; its state is here
         self.left_to_successor, self.stop = False, asyncio.Event()
         self.counts = operations.Counts(self.facade.categories)
         self.door = operations.Door(loop, config.operator, self) if config.operator else None
@@ -155,11 +156,13 @@
             self.door.open()
         if not self.handover:
             self.listener.resume()
-        works = (self._sweep(), self._beat(), *([self._succeed()] if self.handover else []))
+        works = ([self._succeed()] if self.handover else []) + [self._sweep(), self._beat()]
         tasks = [self.loop.create_task(each) for each in works]
         logger.info("start name={} listen={} servers={}", self.config.name, self.listener.address,
                     len(self.places))
         await stop.wait()
+        if self.handover:
+            tasks[0].cancel()   # who stops takes nothing over
         await self._finish()
         for task in tasks:
             task.cancel()
@@ -276,6 +279,8 @@
             self.handover.taken(id)
         held = self.held[id] = Held(self.loop.create_future(), id, category, message)
         held.guard = self.loop.call_later(max(0.0, time_left - SPARE), self._overdue, id)
+        if message.long and not message.whole:
+            self.coming.add(id)
         if not self._decide(self._pick, id, category, max(0.0, time_left), message.text(b"x-org"),
                             http.parameter(message.target, "user"), message.text(b"x-resent") == "1"):
             self._answer(id, Reply(500))
@@ -315,6 +320,7 @@
 
     def _forget(self, id: str) -> Held | None:
         held = self.held.pop(id, None)
+        self.coming.discard(id)
         if held is not None and held.guard is not None:
             held.guard.cancel()
         return held
@@ -331,20 +337,20 @@
     def healthy(self) -> bool:
         settled = self.handover is None or self.handover.settled.is_set()   # paid for by then
         self.served = self.served or self.facade.can_serve() and settled and (
-            self.handover is not None or self._start_paid_for())
+            self.took_over or self._start_paid_for())
         return self.served and not self.stopping and not self.left_to_successor
 
     def figures(self) -> dict[str, Any]:
         return {"results": self.counts.results, "forwards": self.counts.forwards,
-                "outstanding": len(self.held) + len(self.passing), "discovered": len(self.places),
-                "ejected": self.facade.avoided()}
+                "outstanding": len(self.held) - len(self.coming) + len(self.passing),
+                "discovered": len(self.places), "ejected": self.facade.avoided()}
 
     async def by_hand(self, server: str, out: bool) -> bool:
         """Out or back; in force when this returns. False: nobody has that id, or too many are out."""
         if self.handover is None:
             return self.turned(server, out)
-        async with asyncio.timeout(operations.SETTLED_WAIT):
-            await self.handover.settled.wait()
+        if not self.handover.settled.is_set():   # who decides is asked: its record will hold it
+            return await self.handover.forward(server, out)
         yes = self.turned(server, out)
         return await self.handover.tell(server, out) or yes
 
@@ -384,11 +390,12 @@
         try:
             part, ids = list_part(state["list"], "list"), set(map(str, state["taken"]))
             lent, version = int(state["descriptors"]), state["counts_from"]
-            self._placed(replace(part, whole=True))
             listed = [each.listed for each in part.servers]
             marks = self.facade.restore(self.clock(), state["decisions"], listed)
         except (ConfigError, KeyError, TypeError, OverflowError) as error:
             raise ValueError(f"not a state: {error!r}") from None
+        self._placed(replace(part, whole=True))
+        self.took_over = True
         self.discovery.version = version if isinstance(version, int) else None
         self.taken_elsewhere(ids)
         self.lent = min(max(0, lent), self.pool.descriptors.most - 8)
@@ -482,7 +489,7 @@
             return
         hand_off = HandOff(self.loop, self.pool, self.clock, held.message, self.places[step.server],
                            self.clock() + step.time_out, lambda: self.facade.holds(self.clock(), *key),
-                           self.windows, lambda gone: self._passes(*key, gone))
+                           self.windows, lambda gone: self._passes(*key, gone), self.counts.forwarded)
         self.out[key] = task = self.loop.create_task(hand_off.run())
         # Not in the task itself: one that is cancelled before it has run would report nothing.
         task.add_done_callback(lambda task: self._ended(step, hand_off, task))
@@ -494,13 +501,13 @@
         left = self.facade.body_passes(self.clock(), id, number, gone)
         held.guard.cancel()
         if gone:
+            self.coming.discard(id)
             held.guard = self.loop.call_later(max(0.0, left - SPARE), self._overdue, id)
             self._set_alarm(0.001)
         return left
 
     def _ended(self, step: Send, hand_off: HandOff, task: asyncio.Task) -> None:
         del self.out[step.lookup, step.number]
-        self.counts.forwards += hand_off.whole
         if task.cancelled():
             ending = Ending(Outcome.CALLED_OFF if hand_off.may_have_run() else Outcome.UNSENT)
         elif task.exception() is not None:
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -216,6 +216,21 @@
                 self.assertFalse(it.facade.balancer.servers.yielded)
                 self.assertTrue(it.healthy() and it.listener.accepting)
 
+    @on_loop
+    async def test_a_call_at_a_successors_door_before_it_owns_anything_goes_to_who_decides(self):
+        with tempfile.TemporaryDirectory() as folder, mock.patch.object(handover, "TELL_WAIT", 0.1):
+            it = self.sidecar(folder, [entry("127.0.0.1:1")])
+            await it.handover.settled.wait()
+            party = mock.Mock()
+            successor = handover.Handover(asyncio.get_running_loop(), it.handover.path, party)
+            self.assertTrue(await successor.forward("s1", True))
+            self.assertIn("s1", it.facade.balancer.servers.by_hand)
+            self.assertFalse(await successor.forward("nobody", True))
+            party.turned.assert_not_called()
+            alone = handover.Handover(asyncio.get_running_loop(), it.handover.path + "x", party)
+            with self.assertRaises(TimeoutError):   # nobody decides yet: no promise
+                await alone.forward("s1", True)
+
     def test_each_name_has_a_path_of_its_own_in_the_folder(self):
         names = ["n1", "a/b", "a%2fb", "../x", "ü"]
         paths = {handover_path(name) for name in names}
--- a/tests/net/test_operations.py
+++ b/tests/net/test_operations.py
@@ -135,7 +135,8 @@
             reader, writer = await asyncio.open_connection(*it.it.listener.address.__dict__.values())
             writer.write(LOOKUP)
             await server.asked.wait()
-            self.assertEqual((await it.stats())["outstanding"], 1)
+            found = await it.stats()
+            self.assertEqual((found["outstanding"], found["forwards"]), (1, 1))
             writer.close()   # the client leaves: the hand-off is called off
             await server.left.wait()
             found = await it.stats()
