A cold server's share follows how quickly it answers, within the contract

Change: where all servers are used, headroom x the square of (1.25 x usual over its own times), from half up to 0.65 of the contract's multiple; nothing known means headroom as before.

--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -24,10 +24,10 @@
 
     def __init__(self, cold_from: float, cold_time: float, fall_multiple: float, chance: Chance) -> None:
         super().__init__(cold_from, cold_time)
-        self.headroom, self.chance = min(2.0, 0.6 * fall_multiple), chance   # the rest is for bursts
+        self.headroom, self.most, self.chance = min(2.0, 0.6 * fall_multiple), 0.65 * fall_multiple, chance
         self.in_use, self.tokens = {}, {}   # sizes of warm ones, by zone and kind; what cold ones may get
-        # By kind: what it does; as how many the warm ones count at least; lookups taken.
-        self.turn, self.least, self.asked = {}, 0.0, Decaying(10.0)
+        self.turn, self.slow = {}, defaultdict(lambda: Mean(12.0))   # what a kind does; how slow a server is
+        self.least, self.asked = 0.0, Decaying(10.0)   # as how many the warm ones count; lookups taken
         self.awaited, self.soon, self.yielded = {}, 0.25, False   # back by hand: from when it awaits a lookup
 
     def update(self, now: float, entries: Iterable[ListedServer], whole: bool) -> tuple[list[str], list[str]]:
@@ -54,7 +54,9 @@
             groups = [g for g in warm if g[0] == entry.zone] or list(warm)
         usual = sum(self.served[g].read(now) for g in groups) / max(self.least, sum(map(warm.get, groups))) \
             if groups else self.asked.read(now) / self.sizes.sum()   # all have just started
-        return self.headroom * self.warmth(now, server) * usual / 10.0 * entry.size * turn
+        seen = 1.0 if some else max(0.5, (1.25 / self.slow[server].read(now, 1.25)) ** 2)
+        headroom = min(self.most, self.headroom * seen)   # quick: more than the contract says; slow: less
+        return headroom * self.warmth(now, server) * usual / 10.0 * entry.size * turn
 
     def has_budget(self, now: float, server: str) -> bool:
         if self.warmth(now, server) == 1.0:
@@ -379,13 +381,12 @@
         self.servers = ServerList(*cold, chance=chance)
         self.measures = Measures(now, categories, waste_price=waste_price)
         self.servers.turn, self.servers.orders = self.measures.turn, {} if streams > 1 else None
-        self.servers.soon = min(0.25, 2 / sidecars)   # all sidecars together must not push it over
+        self.servers.slow, self.servers.soon = self.measures.slow, min(0.25, 2 / sidecars)   # soon: for all
         self.gate = Gate(self.servers, max_hand_offs, copies)
         self.lookups, self.waiting, self.queue = {}, {}, {}   # all; to be looked at; without room so far
         self.longest = max((c.abandon_time for c in categories), default=0.0)
         self.worth, self.tries, self.alarms, self.plan = Mean(10.0, 0.0), Tries(categories), [], None
-        # The list service does not grow with the sidecars: first calls are spread, later ones back off.
-        self.spread, self.ask_again = min(5.0, 0.04 * sidecars), 0.5
+        self.spread, self.ask_again = min(5.0, 0.04 * sidecars), 0.5   # the list service does not grow
         self.ask_at = now + chance.draw() * self.spread if asks else math.inf
         self.least = max(1, round(4 / sidecars))   # all floors together must not crowd a server
         self.marks, self.rotation = Marks(), Rotation(zone, chance, few=min(2, self.least))
@@ -417,8 +418,7 @@
         self.measures.ended(now, hand_off, lookup.category)
         if outcome is Outcome.DONE and hand_off.kind is not None:
             self.servers.served[hand_off.zone, hand_off.kind].add(now)
-        # A failed connection is the server's own: in a lost zone, three for each would use up all hand-offs.
-        weight = self.marks.max_fails if outcome is Outcome.UNCONNECTED else 1
+        weight = self.marks.max_fails if outcome is Outcome.UNCONNECTED else 1   # the server's own doing
         late = outcome is Outcome.DONE and now > lookup.expected_at   # most of its benefit is gone
         if not hand_off.judged:
             self._judge(now, lookup, hand_off, overdue or late or outcome.failure, weight)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -243,6 +243,16 @@
         it.update(110.0, [*warm[:1], *servers(["s3"], started=100.0, kind="slow")], True)   # of others: half
         self.assertAlmostEqual(it.allowance(110.0, "s3"), 1.5 * it.warmth(110.0, "s3") * 20.0)
 
+    def test_a_cold_server_that_answers_quickly_gets_more_and_a_slow_one_less_within_the_contract(self):
+        for ratio, times in ((0.5, 1.3), (1.25, 1.0), (3.0, 0.5)):
+            it = balancer([*servers(["w1"]), *servers(["c"], started=100.0)], cold=(0.1, 20.0, 4.0))
+            it.servers.served["a", ""].add(101.0, 100.0)
+            plain = 2.0 * it.servers.warmth(101.0, "c") * 10.0
+            self.assertAlmostEqual(it.servers.allowance(101.0, "c"), plain)   # nothing is known of it
+            for _ in range(12):
+                it.measures.slow["c"].add(101.0, ratio)
+            self.assertAlmostEqual(it.servers.allowance(101.0, "c"), plain * times)
+
     def test_what_a_server_has_done_leaves_with_it_and_a_marked_one_is_no_measure(self):
         it = ServerList(0.1, 20.0, 2.5, Chance(1))
         all = [*servers(["w1", "w2"], kind="k"), *servers(["c"], started=100.0, kind="k")]
