The rest takes over a quarter more at once when warm servers go

Those left do take over work at once, so the mean of the past is too little. Change: when a warm one goes, the mean of the rest may rise by a quarter (Members._size); when one comes, the sum stays.

--- a/foxspread/members.py
+++ b/foxspread/members.py
@@ -13,6 +13,7 @@
 from foxspread.sums import Decaying, Latest
 
 BY_HAND_MOST = 1000   # out at a time, and remembered as called back
+TAKEN_OVER = 1.25   # times what each did: so much more the rest does at once when some go
 
 
 class Members:
@@ -51,13 +52,13 @@
         return {group: size for group, size in sizes.items() if left[group] > 1e-9}
 
     def _size(self, entry: ListedServer, times: int) -> None:
-        """One more or less that is warm. What a server has done goes with it, and one that comes counts like
-        the rest: else those that are left would seem to do the work of all for a while."""
+        """One more or less that is warm. What a server has done goes with it, but for a part that the rest takes
+        over at once: else the last of a few would seem to do the work of all for a while."""
         sizes = self.warm_sizes[entry.zone, entry.kind]
         old = sizes.sum()
         sizes.add(entry.size, times)
-        if old > 0 and (new := sizes.sum()) > 0:
-            self.served[entry.zone, entry.kind].value *= new / old
+        if times < 0 and (new := sizes.sum()) > 0:
+            self.served[entry.zone, entry.kind].value *= min(1.0, TAKEN_OVER * new / old)
 
     def listed_of(self, servers: Iterable[str]) -> set[str]:
         return {s for s in servers if s in self.known and s not in self.gone}
