--- a/foxspread/members.py
+++ b/foxspread/members.py
@@ -52,8 +52,8 @@
         return {group: size for group, size in sizes.items() if left[group] > 1e-9}
 
     def _size(self, entry: ListedServer, times: int) -> None:
-        """One more or less that is warm. What a server has done goes with it, but for a part that the rest takes
-        over at once: else the last of a few would seem to do the work of all for a while."""
+        """One more or less that is warm. What a server has done goes with it, but for a part that the rest
+        takes over at once: else the last of a few would seem to do the work of all for a while."""
         sizes = self.warm_sizes[entry.zone, entry.kind]
         old = sizes.sum()
         sizes.add(entry.size, times)
