Ids for a process that hangs do not pile up; cold servers and a successor's budget tested

From reading again: while the other process of an upgrade hangs, each 50 ms of ids left a task waiting on its link, without a bound. Change: nothing is written to a link that is still taking the last. The flag that leaves cold servers to a successor had no test of what it does.

--- a/foxspread/net/handover.py
+++ b/foxspread/net/handover.py
@@ -314,7 +314,8 @@
     def _tell_ids(self) -> None:
         ids, self.ids = self.ids, []
         for link in self.links:
-            self._task(self._write(link, {"ids": ids}))
+            if not link.lock.locked():   # guards against growth while the other process hangs
+                self._task(self._write(link, {"ids": ids}))
 
     async def _write(self, link: Link, message: dict[str, Any]) -> None:
         try:
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -216,6 +216,21 @@
                 self.assertFalse(it.facade.balancer.servers.yielded)
                 self.assertTrue(it.healthy() and it.listener.accepting)
 
+    @on_loop
+    async def test_ids_for_a_process_that_hangs_do_not_pile_up(self):
+        with tempfile.TemporaryDirectory() as folder, mock.patch.object(handover, "IDS_EVERY", 0.0):
+            it = self.sidecar(folder, [entry("127.0.0.1:1")]).handover
+            await it.settled.wait()
+            _, writer = await asyncio.open_unix_connection(it.path)
+            writer.write(b'{"hello": 1}\n')
+            while it.heir is None:
+                await asyncio.sleep(0)
+            for _ in range(50):   # nobody reads them: the link is full at the first few
+                it.taken("x" * 1_000_000)
+                await asyncio.sleep(0.001)
+            self.assertLessEqual(len(it.others), 1)
+            writer.close()
+
     @on_loop
     async def test_a_call_at_a_successors_door_before_it_owns_anything_goes_to_who_decides(self):
         with tempfile.TemporaryDirectory() as folder, mock.patch.object(handover, "TELL_WAIT", 0.1):
--- a/tests/test_by_hand.py
+++ b/tests/test_by_hand.py
@@ -73,6 +73,13 @@
             self.assertLessEqual(sum(at <= other < at + 2.0 for other in first),
                                  2.5 * 2.0 * 10.0 * it.servers.warmth(at, "s1"))
 
+    def test_nothing_goes_to_a_cold_server_while_a_successor_has_the_budget(self):
+        it = balancer(servers(["s1"], started=99.9))
+        it.servers.tokens["s1"], it.servers.yielded = (1.0, 100.0), True
+        self.assertEqual(sent_to(take(it, 100.0, "l")), [])
+        it.servers.yielded = False   # it has failed: as if nothing had been
+        self.assertEqual(sent_to(take(it, 100.1, "m")), ["s1"])
+
     def test_out_it_may_be_called_back_when_it_is_listed_no_more_and_ids_nobody_has_are_a_no(self):
         it = balancer()
         self.assertFalse(it.by_hand(100.0, "nobody", True) or it.by_hand(100.0, "nobody", False))
