Stand-ins for long bodies and upgrades stand in the lab; a refused long body is tested

No case was dropped. Read again: the framing of a piece stood twice (hand-off, listener), now http.framed; `status` twice in tests. New: a refused long body is read on until its client has sent it and sees the 503; the test fails without the linger.

--- a/foxspread/net/hand_off.py
+++ b/foxspread/net/hand_off.py
@@ -122,12 +122,8 @@
     async def _pass_body(self, connection: Connection, head: list[bytes]) -> bool:
         """False where the client broke off. What the server says early is looked for between pieces."""
         body, message, sock = self.body, self.message, connection.sock
-        chunked, piece = message.length is None, body.first
-
-        def framed(piece: bytes) -> list[bytes | memoryview]:
-            return http.chunk(piece) if chunked else [piece]
-
-        await write(self.loop, sock, [*head, *(framed(piece) if piece else [])])
+        chunked = message.length is None
+        await write(self.loop, sock, [*head, *http.framed(body.first, chunked)])
         if not message.whole or message.parts:   # else all of it is kept
             self.passes(False)
             self.limit.reschedule(None)
@@ -141,7 +137,7 @@
                 if early(sock):
                     return True
                 async with asyncio.timeout(STALL):
-                    await write(self.loop, sock, framed(piece))
+                    await write(self.loop, sock, http.framed(piece, chunked))
         if chunked:
             await write(self.loop, sock, [http.LAST_CHUNK])
         self._whole()
--- a/foxspread/net/http.py
+++ b/foxspread/net/http.py
@@ -274,8 +274,11 @@
     return CHUNKED if message.length is None else b"Content-Length: %d\r\n" % message.length
 
 
-def chunk(piece: bytes | memoryview) -> list[bytes | memoryview]:
-    return [b"%x\r\n" % len(piece), piece, b"\r\n"]
+def framed(piece: bytes, chunked: bool) -> list[bytes]:
+    """A piece of a body that passes, as it is written; nothing where there is none."""
+    if not piece:
+        return []
+    return [b"%x\r\n" % len(piece), piece, b"\r\n"] if chunked else [piece]
 
 
 def answer(status: int, body: bytes | bytearray = b"", lines: Sequence[bytes] = (),
--- a/foxspread/net/listener.py
+++ b/foxspread/net/listener.py
@@ -164,13 +164,8 @@
         keep = keep and (length is not None or chunked)
         framing = http.framed_by(passing.message) if length is not None or chunked else b""
         head = http.answer(reply.status, b"", reply.lines, keep, message.old, framing)
-
-        def framed(piece: bytes) -> list[bytes | memoryview]:
-            return http.chunk(piece) if chunked else [piece]
-
         try:
-            piece = passing.message.piece()
-            await self._write([*head, *(framed(piece) if piece else [])])
+            await self._write([*head, *http.framed(passing.message.piece(), chunked)])
             while True:
                 try:
                     piece = await passing.next()
@@ -180,7 +175,7 @@
                     return False, 502
                 if not piece:
                     break
-                await self._write(framed(piece))
+                await self._write(http.framed(piece, chunked))
             if chunked:
                 await self._write([http.LAST_CHUNK])
         except BaseException:   # the client left, or does not take it
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -4,80 +4,16 @@
 import pathlib
 import signal
 import socket
-import sys
 import tempfile
 import unittest
 from unittest import mock
 
 from foxspread import config
-from foxspread.config import Address
+from foxspread.lab.platform import Platform, call, line
 from foxspread.net import handover
 from foxspread.net.sidecar import Sidecar, handover_path
 from tests.helpers import LOOKUP, OK, StandIn, ask, entry, on_loop, read_answer, told
-
-
-class Platform:
-    """Holds the clients' listening socket and starts real sidecars on it, each with a door of its own."""
-
-    def __init__(self, known):
-        self.folder, self.known, self.processes = tempfile.TemporaryDirectory(), known, []
-        self.sock = socket.create_server(("127.0.0.1", 0), backlog=100)
-        self.listen = Address(*self.sock.getsockname())
-        self.file = pathlib.Path(self.folder.name, "config.json")
-        self.path = os.path.join(self.folder.name, "foxspread-n0.sock")
-
-    async def __aenter__(self):
-        return self
-
-    async def __aexit__(self, *_):
-        for process, _ in self.processes:
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-        self.sock.close()
-        self.folder.cleanup()
-
-    async def start(self, passed=None):
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            door = Address(*free.getsockname())
-        self.file.write_text(json.dumps(told(listen=str(self.listen), operator=str(door), known=self.known)))
-        passed = str(self.sock.fileno()) if passed is None else passed
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "foxspread", stderr=asyncio.subprocess.PIPE, pass_fds=(self.sock.fileno(),),
-            env=os.environ | {"EDGE_CONFIG": str(self.file), "TMPDIR": self.folder.name,
-                              "EDGE_PASSED_SOCKET": passed})
-        self.processes.append((process, door))
-        return process, door
-
-    async def serving(self):
-        """A further process, from its yes on."""
-        process, door = await self.start()
-        while await call(door, b"GET /healthcheck") != 200:
-            await asyncio.sleep(0.02)
-        return process, door
-
-
-async def call(door, line):
-    """The status; 0 where nobody is there yet."""
-    try:
-        reader, writer = await asyncio.open_connection(door.host, door.port)
-    except ConnectionRefusedError:
-        return 0
-    writer.write(line + b" HTTP/1.1\r\nHost: o\r\n\r\n")
-    answer = await reader.read()
-    writer.close()
-    return int(answer.split(b" ", 2)[1])
-
-
-async def line(process, text):
-    while found := (await process.stderr.readline()).decode():
-        if text in found:
-            return found
-    raise AssertionError(f"no line with: {text}")
-
-
-def status(answer):
-    return int(answer.split(b" ", 2)[1])
+from tests.net.test_operations import status
 
 
 def lookup(id):
@@ -88,7 +24,7 @@
     @on_loop
     async def test_two_upgrades_in_a_row_with_lookups_in_flight_and_servers_out_by_hand(self):
         async with StandIn([OK], *[OK] * 9) as server, StandIn(OK) as out, \
-                Platform([entry(server.address), entry(out.address, "s2")]) as platform:
+                Platform(told(known=[entry(server.address), entry(out.address, "s2")])) as platform:
             first, door1 = await platform.serving()
             self.assertEqual(await call(door1, b"PUT /servers/s2/maint"), 200)
             reader, writer = await asyncio.open_connection(*platform.sock.getsockname())
@@ -117,7 +53,7 @@
 
     @on_loop
     async def test_a_call_at_either_door_is_in_force_in_both_processes(self):
-        async with StandIn([OK], OK) as server, Platform([entry(server.address)]) as platform:
+        async with StandIn([OK], OK) as server, Platform(told(known=[entry(server.address)])) as platform:
             first, door1 = await platform.serving()
             reader, writer = await asyncio.open_connection(*platform.sock.getsockname())
             writer.write(lookup(b"held"))
@@ -137,7 +73,7 @@
 
     @on_loop
     async def test_a_bad_descriptor_ends_the_start_naming_it(self):
-        async with Platform([]) as platform:
+        async with Platform(told()) as platform:
             with socket.socket() as deaf, socket.create_server(("127.0.0.1", 0)) as other:
                 for passed, sock in (("three", None), ("-1", None), ("99999", None), ("1", None),
                                      (str(deaf.fileno()), deaf), (str(other.fileno()), other)):
