--- /dev/null
+++ b/foxspread/lab/processes/explorer.py
@@ -0,0 +1,295 @@
+"""Small cases of agreement, looked at whole: from a state, every message under way may be the next to arrive,
+any member may begin an election, write, or start anew from its disk. A message that never arrives is one that
+is lost, so all losses and orders are among the states. Breadth first, so the first fault found is the
+shortest.
+
+Left out, and looked at by the seeded runs: time (an election begins by the leader's `HandOver`, which waits
+for nothing), messages that come twice, disks that lose what they had, changes of members.
+"""
+
+import copy
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from foxspread.consensus.core import Log, Member, Ready, Role, Settings
+from foxspread.consensus.messages import (
+    FORMAT,
+    Entry,
+    Envelope,
+    HandOver,
+    Message,
+    Saved,
+    Seat,
+    Stamp,
+    Vote,
+    encoded,
+)
+
+IDS = ("c1", "c2", "c3")
+READER = msgspec.msgpack.Decoder(Message)
+STAMP = Stamp("", 1, "", 0, 0)
+
+
+@dataclass(frozen=True)
+class Case:
+    """Bounds. `campaigns`: who may begin the first, second, ... election; empty: anyone, `terms` at most.
+    `silent`: pairs that hear nothing of each other."""
+
+    name: str
+    terms: int = 2
+    writes: int = 1
+    crashes: int = 1
+    beats: int = 0
+    campaigns: tuple[str, ...] = ()
+    silent: tuple[tuple[str, str], ...] = ()
+    depth: int = 10
+    states: int = 5_000_000
+
+
+@dataclass
+class Found:
+    states: int
+    depth: int  # as far as all states were looked at
+    whole: bool  # there are no more states within the case's bounds
+    seconds: float
+    fault: str = ""
+    path: tuple[str, ...] = ()
+
+
+@dataclass
+class State:
+    members: dict[str, Member]
+    disks: dict[str, Saved]
+    network: frozenset[tuple[str, str, bytes]]  # messages under way, as they are sent
+    campaigns: int = 0
+    writes: int = 0
+    crashes: int = 0
+    beats: int = 0
+    leaders: frozenset[tuple[int, str]] = frozenset()
+    votes: frozenset[tuple[str, int, str]] = frozenset()
+    committed: tuple[tuple[Entry, int], ...] = ()  # and the term in which it was, which is its leader's
+
+
+def trusting(kind: type[Member]) -> type[Member]:
+    class Trusting(kind):
+        def _trusted(self, sender: str, stamp: Stamp) -> bool:
+            return True
+
+    return Trusting
+
+
+def member_of(kind: type[Member], id: str, disk: Saved) -> Member:
+    saved = copy.copy(disk)
+    found = kind(0.0, id, "lab", saved, {each: Seat(each) for each in IDS}, Settings(batch=1), lambda: 0.5)
+    if found.role is Role.STARTING:
+        found._proved()  # what the others say of its disk is not looked at here
+    return found
+
+
+def cloned(member: Member) -> Member:
+    twin = copy.copy(member)
+    twin.known, twin.retired = dict(member.known), dict(member.retired)
+    twin.log = Log(member.log.base, member.log.base_term, list(member.log.entries))
+    twin.pending, twin.held = [list(row) for row in member.pending], list(member.held)
+    twin.out, twin.votes, twin.welcomes = Ready(), set(member.votes), set(member.welcomes)
+    twin.progress = {each: copy.copy(row) for each, row in member.progress.items()}
+    twin.reads = [copy.copy(each) for each in member.reads]
+    return twin
+
+
+def key_of(member: Member) -> tuple:
+    progress = tuple(
+        (each, row.next, row.match, row.since is None) for each, row in sorted(member.progress.items())
+    )
+    return (
+        member.role.value,
+        member.term,
+        member.vote,
+        member.leader,
+        tuple(member.log.entries),
+        member.committed,
+        member.stable,
+        frozenset(member.votes),
+        progress,
+    )
+
+
+class Broke(Exception):
+    """An invariant does not hold."""
+
+
+class Explorer:
+    def __init__(self, case: Case, kind: type[Member] = Member) -> None:
+        self.case, self.kind = case, trusting(kind)
+
+    def start(self) -> State:
+        disks = {id: Saved("", 1) for id in IDS}
+        state = State({id: member_of(self.kind, id, disks[id]) for id in IDS}, disks, frozenset())
+        for id in IDS:
+            self._settle(state, id)
+        return state
+
+    def _settle(self, state: State, id: str) -> None:
+        """All that one member's step leads to at once: its records are on disk, its messages are under
+        way."""
+        member, posted = state.members[id], []
+        while ready := member.take():
+            for write in ready.writes:
+                disk = copy.copy(state.disks[id])
+                disk.entries = list(disk.entries)
+                disk.apply(write)
+                state.disks[id] = disk
+            for envelope in ready.messages:
+                posted.append((envelope.to, envelope.message))
+            for index, entry in ready.entries:
+                self._applied(state, id, index, entry)
+            if ready.writes:
+                member.confirmed(0.0, ready.writes[-1].number)
+        for to, message in posted:
+            if isinstance(message, Vote) and message.granted and not message.pre:
+                if any(each[:2] == (id, message.term) and each[2] != to for each in state.votes):
+                    raise Broke(f"one_vote: {id} votes twice in term {message.term}")
+                state.votes |= {(id, message.term, to)}
+        state.network |= {
+            (id, to, encoded(message))
+            for to, message in posted
+            if (id, to) not in self.case.silent and (to, id) not in self.case.silent
+        }
+        self._look(state, id)
+
+    def _applied(self, state: State, id: str, index: int, entry: Entry) -> None:
+        if index <= len(state.committed):
+            if state.committed[index - 1][0] != entry:
+                raise Broke(f"same_entry: {id} applies another entry at {index}")
+        else:
+            state.committed += ((entry, state.members[id].term),)
+
+    def _look(self, state: State, id: str) -> None:
+        member = state.members[id]
+        if member.role is Role.LEADER and (member.term, id) not in state.leaders:
+            if any(term == member.term for term, _ in state.leaders):
+                raise Broke(f"one_leader: two lead term {member.term}")
+            state.leaders |= {(member.term, id)}
+            before = [entry for entry, term in state.committed if term < member.term]
+            if member.log.entries[: len(before)] != before:
+                raise Broke(f"leader_complete: {id} leads term {member.term} without what is committed")
+        for other in IDS:
+            mine, theirs = member.log.entries, state.members[other].log.entries
+            same = [at for at in range(min(len(mine), len(theirs))) if mine[at].term == theirs[at].term]
+            if same and mine[: same[-1] + 1] != theirs[: same[-1] + 1]:
+                raise Broke(f"log_matching: {id} and {other} agree on {same[-1] + 1}, and not before")
+
+    def _next(self, state: State, **changes: object) -> State:
+        twin = copy.copy(state)
+        twin.members, twin.disks = dict(state.members), dict(state.disks)
+        for name, value in changes.items():
+            setattr(twin, name, value)
+        return twin
+
+    def _input(self, twin: State, id: str, message: Message, sender: str) -> None:
+        member = twin.members[id] = cloned(twin.members[id])
+        member.receive(0.0, Envelope("lab", FORMAT, sender, id, STAMP, message))
+        self._settle(twin, id)
+
+    def steps(self, state: State) -> Iterator[tuple[str, State]]:
+        case = self.case
+        for each in sorted(state.network):
+            sender, to, message = each[0], each[1], READER.decode(each[2])
+            twin = self._next(state, network=state.network - {each})
+            self._input(twin, to, message, sender)
+            if len(twin.network) == len(state.network) - 1 and key_of(twin.members[to]) == key_of(
+                state.members[to]
+            ):
+                continue  # nothing came of it: the same as one that is lost
+            yield f"{sender} to {to}: {message}", twin
+        if state.campaigns < (len(case.campaigns) or case.terms * 2):
+            for id in (
+                (case.campaigns[state.campaigns],)
+                if case.campaigns
+                else IDS[:1]
+                if not state.campaigns
+                else IDS
+            ):  # the first may be any: they are alike
+                member = state.members[id]
+                if member.term < case.terms and member.role is not Role.LEADER:
+                    twin = self._next(state, campaigns=state.campaigns + 1)
+                    if member.role is Role.CANDIDATE:  # its election came to nothing
+                        twin.members[id] = cloned(member)
+                        twin.members[id]._become(Role.ASKING)
+                    self._input(twin, id, HandOver(member.term), "lab")
+                    yield f"{id} asks for votes", twin
+        for id in IDS:
+            member = state.members[id]
+            if member.role is Role.LEADER and state.writes < case.writes:
+                twin = self._next(state, writes=state.writes + 1)
+                twin.members[id] = cloned(member)
+                twin.members[id].propose(0.0, b"write")
+                self._settle(twin, id)
+                yield f"{id} writes", twin
+            if member.role is Role.LEADER and state.beats < case.beats:
+                twin = self._next(state, beats=state.beats + 1)
+                again = twin.members[id] = cloned(member)
+                for row in again.progress.values():
+                    row.since, row.next = None, row.match + 1
+                again._beat()
+                self._settle(twin, id)
+                yield f"{id} sends again", twin
+            if state.crashes < case.crashes and state.disks[id].count > 1:
+                twin = self._next(state, crashes=state.crashes + 1)
+                twin.members[id] = member_of(self.kind, id, twin.disks[id])
+                self._settle(twin, id)
+                yield f"{id} starts anew", twin
+
+    def key(self, state: State) -> int:
+        return hash(
+            (
+                tuple(key_of(state.members[id]) for id in IDS),
+                state.network,
+                state.campaigns,
+                state.writes,
+                state.crashes,
+                state.beats,
+                state.leaders,
+                state.votes,
+                state.committed,
+            )
+        )
+
+    def explore(self) -> Found:
+        begun, case = time.monotonic(), self.case
+        first = self.start()
+        seen, layer, depth = {self.key(first)}, [(first, ())], 0
+        while layer and depth < case.depth and len(seen) < case.states:
+            following = []
+            for state, path in layer:
+                steps = self.steps(state)
+                while True:
+                    try:
+                        step = next(steps, None)
+                    except Broke as broke:
+                        return Found(len(seen), depth, False, time.monotonic() - begun, str(broke), path)
+                    if step is None:
+                        break
+                    if (key := self.key(step[1])) not in seen:
+                        seen.add(key)
+                        following.append((step[1], (*path, step[0])))
+            layer, depth = following, depth + 1
+        return Found(len(seen), depth, not layer, time.monotonic() - begun)
+
+
+CASES = {
+    "one_crash": Case("one_crash", depth=8),
+    "two_votes": Case("two_votes", terms=1, writes=0, campaigns=("c1", "c2"), depth=30),
+    "figure_8": Case(
+        "figure_8",
+        terms=4,
+        writes=0,
+        crashes=0,
+        campaigns=("c1", "c2", "c2", "c1", "c2"),
+        silent=(("c1", "c2"),),
+        depth=24,
+    ),
+}
--- /dev/null
+++ b/foxspread/lab/processes/mutants.py
@@ -0,0 +1,212 @@
+"""Broken coordinators. Each breaks one thing that the core, the disk or the versions must do, and is to be
+caught by the rule that stands beside it; the sound one breaks none.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from foxspread.consensus.core import Member
+from foxspread.consensus.messages import Append, AskVote, Install, Message, Snapshot, Stamp, Write
+from foxspread.consensus.versions import Conflict, Done, Misused, Put, Versions
+from foxspread.lab.processes import explorer, virtual
+from foxspread.lab.processes.virtual import LOSSY, Broken, Disk, Plan
+
+
+class VotesTwice(Member):
+    """Forgets at a restart whom it voted for."""
+
+    def __init__(self, *told: Any) -> None:
+        super().__init__(*told)
+        self.vote = ""
+
+
+class CountsOldTerms(Member):
+    """Commits entries of older terms by counting (Raft's figure 8)."""
+
+    def _counts(self, index: int) -> bool:
+        return True
+
+
+class ReadsUnasked(Member):
+    """Answers reads without asking whether it still leads."""
+
+    def _read_holds(self, reading: Any, answered: int) -> bool:
+        return True
+
+
+class ReadsByOldRound(Member):
+    """Takes answers to what it asked before the read for answers to it."""
+
+    def _index_reads(self) -> None:
+        super()._index_reads()
+        for reading in self.reads:
+            if reading.index >= 0:
+                reading.round = reading.round or self.round
+
+
+class SendsEarly(Member):
+    """Says what it promises before it is on disk."""
+
+    def _send(self, to: str, message: Message, promises: bool = True) -> None:
+        self._leave(to, message)
+
+
+class ForgetsRemoval(Member):
+    """Takes the members of its file at a restart, not those that were agreed on."""
+
+    def __init__(self, now: float, me: str, fleet: str, saved: Any, members: Any, *rest: Any) -> None:
+        super().__init__(now, me, fleet, saved, members, *rest)
+        if members:
+            self.members, self.members_at = members, 0
+
+
+class TakesAnyDisk(Member):
+    """Doesn't look whether a disk is what it was."""
+
+    def _trusted(self, sender: str, stamp: Stamp) -> bool:
+        return True
+
+
+class ElectsOlder(Member):
+    """Votes for one whose log is behind its own."""
+
+    def _as_new(self, message: AskVote) -> bool:
+        return True
+
+
+class CommitsByFew(Member):
+    """Takes an entry as committed that one fewer than a majority has."""
+
+    def _needed(self) -> int:
+        return super()._needed() - 1
+
+
+class NeverStepsDown(Member):
+    """Goes on to lead when nobody answers."""
+
+    def _quorum_heard(self) -> bool:
+        return True
+
+
+class CutsLog(Member):
+    """Cuts its log behind what each message holds, though a later one came before it."""
+
+    def _append(self, sender: str, message: Append) -> None:
+        super()._append(sender, message)
+        index = message.previous + len(message.entries)
+        if message.term == self.term and self.committed <= index < self.log.last:
+            self.log.replace(index + 1, [])
+            self._write(index + 1, [])
+
+
+class GoesBack(Member):
+    """Takes a snapshot that comes late, though it is further already."""
+
+    def _install(self, sender: str, message: Install) -> None:
+        if message.term == self.term and message.index < self.committed and message.whole and message.at == 0:
+            self._installed(
+                Snapshot(message.index, message.index_term, message.members, message.members_at, message.data)
+            )
+        super()._install(sender, message)
+
+
+class LyingDisk(Disk):
+    """Says that it has records before it has them: as an fsync that does nothing."""
+
+    def put(self, node: Any, write: Write) -> None:
+        super().put(node, write)
+        node.world.clock.after(0.0, node.step, lambda host, now: host.confirmed(now, write.number))
+
+
+class TornDisk(Disk):
+    """Loses the last record of a group, and says that it has all."""
+
+    def apply(self, write: Write) -> None:
+        if len(self.waiting) < 2 or write is not self.waiting[-1]:
+            super().apply(write)
+
+
+class ForgetsRequests(Versions):
+    """Writes a request that comes again as one that is new."""
+
+    def put(self, put: Put) -> Done | Conflict | Misused:
+        self.by_request.clear()
+        return super().put(put)
+
+
+class RestoresPart(Versions):
+    """Loses the first version of a snapshot."""
+
+    def restore(self, data: bytes) -> None:
+        super().restore(data)
+        if len(self.by_number) > 1:
+            self.by_number.pop(next(iter(self.by_number)))
+
+
+class ComparesNothing(Versions):
+    """Writes whatever version stands there."""
+
+    def put(self, put: Put) -> Done | Conflict | Misused:
+        return super().put(Put(put.request, put.content, -1, put.who, put.why, put.at))
+
+
+@dataclass(frozen=True)
+class Mutant:
+    broken: Broken
+    rules: tuple[str, ...]  # the first of a run that breaks must be one of these
+    plan: dict[str, Any] = field(default_factory=dict)  # where the usual faults find it too seldom
+    case: str = ""  # found by looking at all states of this case, not by seeds
+
+
+MUTANTS: dict[str, Mutant] = {
+    "votes_twice": Mutant(Broken(VotesTwice), ("one_vote",), case="two_votes"),
+    "counts_old_terms": Mutant(Broken(CountsOldTerms), ("leader_complete",), case="figure_8"),
+    "reads_unasked": Mutant(Broken(ReadsUnasked), ("linearizable",), {"faults": ("away",), "writers": 5}),
+    "reads_by_old_round": Mutant(
+        Broken(ReadsByOldRound), ("linearizable",), {"faults": ("away",), "writers": 5}
+    ),
+    "sends_early": Mutant(Broken(SendsEarly), ("saved_first",)),
+    "forgets_removal": Mutant(
+        Broken(ForgetsRemoval), ("members",), {"faults": ("replace", "kill", "silent")}
+    ),
+    "takes_any_disk": Mutant(Broken(TakesAnyDisk), ("lost_disk",), {"lossy": LOSSY}),
+    "elects_older": Mutant(
+        Broken(ElectsOlder), ("leader_complete",), {"faults": ("silent", "kill", "split")}
+    ),
+    "commits_by_few": Mutant(
+        Broken(CommitsByFew), ("leader_complete", "same_entry"), {"faults": ("silent", "stall")}
+    ),
+    "never_steps_down": Mutant(Broken(NeverStepsDown), ("steps_down",), {"faults": ("silent", "silent_in")}),
+    "cuts_log": Mutant(Broken(CutsLog), ("counted",), {"faults": ("held", "repeat", "loss")}),
+    "goes_back": Mutant(
+        Broken(GoesBack),
+        ("in_order",),
+        {"faults": ("held", "repeat", "silent"), "long": 0.0, "compact_bytes": (1_000,), "pause": 0.05},
+    ),
+    "lying_disk": Mutant(Broken(disk=LyingDisk), ("saved_first",)),
+    "torn_disk": Mutant(Broken(disk=TornDisk), ("saved_first", "log_matching")),
+    "forgets_requests": Mutant(
+        Broken(versions=ForgetsRequests), ("once",), {"faults": ("repeat", "loss", "held")}
+    ),
+    "compares_nothing": Mutant(Broken(versions=ComparesNothing), ("linearizable",)),
+    "restores_part": Mutant(Broken(versions=RestoresPart), ("same_state",), {"faults": ("kill", "loss")}),
+}
+
+
+def plan(mutant: Mutant, base: Plan = Plan()) -> Plan:
+    return replace(base, **({"lossy": ()} | mutant.plan))
+
+
+def caught(name: str, seeds: range, base: Plan = Plan()) -> Iterator[tuple[int, str, str]]:
+    """Seeds that catch it, with the first rule broken and what was seen; for a case, its shortest fault."""
+    mutant = MUTANTS[name]
+    if mutant.case:
+        found = explorer.Explorer(explorer.CASES[mutant.case], mutant.broken.member).explore()
+        if found.fault:
+            yield 0, found.fault.partition(":")[0], found.fault
+        return
+    for seed in seeds:
+        judge = virtual.played(plan(mutant, base), seed, mutant.broken)
+        if judge.faults:
+            yield seed, judge.faults[0].rule, judge.faults[0].text
--- /dev/null
+++ b/tests/consensus/test_hard_cases.py
@@ -0,0 +1,98 @@
+"""Hard cases of agreement by name, each a script that is played in virtual time and judged by all rules."""
+
+import unittest
+from dataclasses import replace
+
+from foxspread.consensus.core import Role
+from foxspread.lab.processes.virtual import Plan, World
+
+PLAN = Plan(seconds=7.0, settle=4.0)
+LONG = replace(PLAN, seconds=14.0)
+SCRIPTS = {
+    "a leader that is stopped for ten seconds wakes and answers": (LONG, [(2.0, "stall", 10.0, "leader")]),
+    "a leader that is away for ten seconds comes back before its links": (
+        LONG,
+        [(2.0, "away", 10.0, "leader")],
+    ),
+    "a minority with the leader in it": (PLAN, [(2.0, "silent", 3.0, "leader")]),
+    "a link that flaps faster than elections": (
+        PLAN,
+        [(1.5, "flap", 5.0, "leader"), (1.5, "flap", 5.0, "follower")],
+    ),
+    "three cut into three": (PLAN, [(2.0, "silent", 3.0, each) for each in ("c1", "c2", "c3")]),
+    "the leader is killed while it writes": (
+        PLAN,
+        [(t, "kill_at_write", 1.0, "leader") for t in (1.5, 3.0, 4.5)],
+    ),
+    "answers are lost and writers ask others": (PLAN, [(1.5, "loss", 5.0, "c1"), (1.5, "held", 5.0, "c1")]),
+    "the leader is cut off while its disk is slow, and both sides are asked for the same number": (
+        PLAN,
+        [(1.5, "disk_slow", 4.0, "leader"), (2.0, "silent", 2.0, "leader"), (4.5, "silent", 1.0, "leader")],
+    ),
+    "a snapshot is sent while the log is cut": (
+        replace(PLAN, compact_bytes=(800,)),
+        [(1.5, "silent", 2.0, "follower"), (3.2, "kill_at_write", 2.0, "leader")],
+    ),
+    "a member is added while another is down": (
+        replace(PLAN, members=5),
+        [(1.5, "kill", 4.0, "c5"), (2.0, "replace", 0.0, "c4")],
+    ),
+    "leadership is handed over again and again": (
+        PLAN,
+        [(t / 2, "hand_over", 0, "leader") for t in range(2, 14)],
+    ),
+    "a disk is wiped": (PLAN, [(2.0, "wipe", 0.0, "follower")]),
+    "the leader's disk is put back": (PLAN, [(1.5, "put_back", 0.0, "leader")]),
+    "a disk fails and is mended": (PLAN, [(2.0, "disk_fails", 2.0, "leader")]),
+}
+
+
+class HardCases(unittest.TestCase):
+    def test_scripts(self) -> None:
+        for name, (plan, script) in SCRIPTS.items():
+            for seed in range(3):
+                with self.subTest(name, seed=seed):
+                    judge = World(plan, seed).follow(script)
+                    self.assertEqual(judge.faults, [])
+                    self.assertGreater(len(judge.done), 5)
+
+    def test_one_that_is_not_heard_makes_no_terms_climb(self) -> None:
+        for kind in ("silent_out", "silent_in", "silent"):
+            with self.subTest(kind):
+                world = World(PLAN, 1)
+                terms = []
+                for at in (1.9, 6.9):
+                    world.clock.after(
+                        at, lambda: terms.append(max(n.host.member.term for n in world.nodes.values()))
+                    )
+                judge = world.follow([(2.0, kind, 4.5, "follower")])
+                self.assertEqual((judge.faults, terms[1] - terms[0]), ([], 0))
+
+    def test_one_that_was_removed_asks_for_votes_in_vain(self) -> None:
+        world = World(PLAN, 2)
+        gone = world.nodes["c3"]
+
+        def remove() -> None:
+            for node in world.nodes.values():
+                if node.host.member.role is Role.LEADER:
+                    node.step(lambda host, now: host.change(now, world.token(None, 0), "c3", None))
+
+        world.clock.after(2.0, remove)
+        world.clock.after(2.4, remove)  # where it has just been elected, it refuses the first
+        judge = world.follow([])
+        terms = {node.host.member.term for node in world.nodes.values()}
+        self.assertEqual([fault.rule for fault in judge.faults], [])
+        self.assertEqual((len(terms), gone.host.member.role), (1, Role.BARRED))
+        self.assertIn("was removed", gone.host.member.barred)
+
+    def test_a_wiped_member_does_not_vote_and_says_why(self) -> None:
+        for at, kind, text in (
+            (3.9, "wipe", "another disk"),
+            (4.35, "put_back", "an earlier state of the disk"),
+        ):
+            world, found = World(PLAN, 3), []
+            with self.subTest(kind):
+                world.clock.after(at, lambda: found.append(world.nodes["c2"].host))
+                judge = world.follow([(2.0, kind, 0.0, "c2")])
+                self.assertEqual(judge.faults, [])
+                self.assertIn(text, found[0].member.barred)
