--- a/foxspread/cli/main.py
+++ b/foxspread/cli/main.py
@@ -8,7 +8,9 @@
 
 import click
 
+from foxspread.cli.coordinator import coordinator
 from foxspread.cli.lab import lab
+from foxspread.cli.rules import rules
 
 VERSION = "0.2.0"
 
@@ -20,6 +22,8 @@
 
     \b
     foxspread serve                        one sidecar, told by EDGE_CONFIG
+    foxspread coordinator run FILE         one of a few that agree on versions of the rules
+    foxspread rules put FILE               a new version
     foxspread lab run scenarios/calm.toml  what a scenario does to lookups
     """
 
@@ -37,7 +41,8 @@
     sys.exit(sidecar(["--operator", operator] if operator else []))
 
 
-foxspread.add_command(lab)
+for each in (coordinator, rules, lab):
+    foxspread.add_command(each)
 
 
 def main() -> None:
