--- a/foxspread/consensus/coordinator.py
+++ b/foxspread/consensus/coordinator.py
@@ -52,7 +52,7 @@
 class Coordinator:
     """`patience`: seconds within which each call is answered."""
 
-    kind = Member  # the lab puts broken ones here
+    kind, versions_kind = Member, Versions  # the lab puts broken ones here
     compact_bytes = COMPACT_BYTES
 
     def __init__(
@@ -67,7 +67,7 @@
         patience: float = 2.0,
     ) -> None:
         self.member = self.kind(now, me, fleet, saved, members, settings, chance)
-        self.versions, self.patience = Versions(), patience
+        self.versions, self.patience = self.versions_kind(), patience
         self.versions.restore(self.member.snapshot.data)
         self.calls: dict[int, Call] = {}
         self.by_index: dict[int, int] = {}  # calls that wait for a place of the log
--- /dev/null
+++ b/foxspread/lab/processes/child.py
@@ -0,0 +1,48 @@
+"""A coordinator as the lab starts it: the sound one, with a clock that may run fast or slow, a disk whose fsync
+fails while a file stands beside it, and, where it is asked for, a part that a mutant breaks.
+
+    python -m foxspread.lab.processes.child FILE RATE [MUTANT]
+"""
+
+import os
+import pathlib
+import sqlite3
+import sys
+from typing import Any
+
+from foxspread.cli.coordinator import serve
+from foxspread.consensus.clock import Clock
+from foxspread.consensus.coordinator import Coordinator
+from foxspread.consensus.disk import Disk
+from foxspread.consensus.process import Process
+
+FAILS = "fsync-fails"   # a file of this name in the folder
+
+
+class FailingDisk(Disk):
+    def sync(self) -> None:
+        if os.path.exists(self.folder / FAILS):
+            raise sqlite3.OperationalError("fsync: input/output error")
+        super().sync()
+
+
+def main(args: list[str]) -> int:
+    file, rate = args[0], float(args[1])
+    if args[2:]:
+        from foxspread.lab.processes.mutants import MUTANTS
+
+        broken = MUTANTS[args[2]].broken
+        Coordinator.kind = broken.member
+        Coordinator.versions_kind = broken.versions
+
+    class Child(Process):
+        disk_kind = FailingDisk
+
+        def __init__(self, *told: Any) -> None:
+            super().__init__(*told, Clock(rate))
+
+    return serve(str(pathlib.Path(file)), Child)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/foxspread/lab/processes/judge.py
+++ b/foxspread/lab/processes/judge.py
@@ -63,24 +63,28 @@
     # Messages
 
     def posted(self, node: Any, envelope: Envelope) -> None:
+        """As a message leaves, with the sender's disk as it is by then."""
+        self.passed(envelope)
         message, id, disk = envelope.message, envelope.sender, node.disk.saved
-        if isinstance(message, (Append, Install)):
-            if (other := self.leaders.setdefault(message.term, id)) != id:
-                self.found("one_leader", f"{id} and {other} lead term {message.term}")
-        elif isinstance(message, Vote) and message.granted and not message.pre:
-            if (other := self.votes.setdefault((id, message.term), envelope.to)) != envelope.to:
-                self.found("one_vote", f"{id} votes for {other} and {envelope.to} in term {message.term}")
+        if isinstance(message, Vote) and message.granted and not message.pre:
             if disk.term < message.term or disk.term == message.term and disk.vote != envelope.to:
-                self.found(
-                    "saved_first",
-                    f"{id} votes in term {message.term}, its disk has {disk.term} {disk.vote!r}",
-                )
+                self.found("saved_first", f"{id} votes in term {message.term}, its disk has {disk.term} {disk.vote!r}")
         elif isinstance(message, AskVote) and not message.pre and disk.term < message.term:
             self.found("saved_first", f"{id} asks for votes in term {message.term}, its disk has {disk.term}")
         elif isinstance(message, Appended) and message.agreed:
             if (last := disk.snapshot.index + len(disk.entries)) < message.index:
                 self.found("saved_first", f"{id} has saved {message.index}, its disk reaches {last}")
 
+    def passed(self, envelope: Envelope) -> None:
+        """As a message is seen on a link."""
+        message, id = envelope.message, envelope.sender
+        if isinstance(message, (Append, Install)):
+            if (other := self.leaders.setdefault(message.term, id)) != id:
+                self.found("one_leader", f"{id} and {other} lead term {message.term}")
+        elif isinstance(message, Vote) and message.granted and not message.pre:
+            if (other := self.votes.setdefault((id, message.term), envelope.to)) != envelope.to:
+                self.found("one_vote", f"{id} votes for {other} and {envelope.to} in term {message.term}")
+
     def arrived(self, envelope: Envelope) -> None:
         message = envelope.message
         if isinstance(message, Vote) and message.granted and not message.pre:
--- a/foxspread/lab/processes/virtual.py
+++ b/foxspread/lab/processes/virtual.py
@@ -76,11 +76,9 @@
     """Tells the judge what was applied."""
 
     def __init__(self, node: "Node", *rest: Any) -> None:
-        self.kind, self.node = node.world.broken.member, node
+        self.kind, self.versions_kind, self.node = node.world.broken.member, node.world.broken.versions, node
         self.compact_bytes = node.world.compact_bytes
         super().__init__(*rest)
-        self.versions = node.world.broken.versions()
-        self.versions.restore(self.member.snapshot.data)
 
     def _applied(self, index: int, entry: Any) -> None:
         self.node.world.judge.applied(self.node, index, entry)
--- a/tests/consensus/test_hard_cases.py
+++ b/tests/consensus/test_hard_cases.py
@@ -68,6 +68,12 @@
                 judge = world.follow([(2.0, kind, 4.5, "follower")])
                 self.assertEqual((judge.faults, terms[1] - terms[0]), ([], 0))
 
+    def test_one_that_is_added_while_nobody_writes_catches_up_and_votes(self) -> None:
+        world = World(replace(PLAN, writers=0), 4)
+        world.follow([(2.0, "replace", 0.0, "c2")])
+        seats = {node.host.member.members["c2"] for node in world.nodes.values()}
+        self.assertEqual([(seat.voter, seat.since > 0) for seat in seats], [(True, True)])
+
     def test_one_that_was_removed_asks_for_votes_in_vain(self) -> None:
         world = World(PLAN, 2)
         gone = world.nodes["c3"]
