--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -132,7 +132,7 @@
 
 
 def main():
-    from foxspread.lab import experiments
+    from foxspread.lab.experiments import runs as experiments
 
     parser = argparse.ArgumentParser()
     parser.add_argument("--against", default="HEAD")
--- a/bench/lab_figures.py
+++ b/bench/lab_figures.py
@@ -13,7 +13,8 @@
 import platform
 import sys
 
-from foxspread.lab import experiments, policies, report, scenario
+from foxspread.lab import scenario
+from foxspread.lab.experiments import policies, report, runs as experiments
 
 TOP = pathlib.Path(__file__).resolve().parent.parent
 LEFT_OUT = ("trap", "size")  # for the judge, and for the cost
--- /dev/null
+++ b/foxspread/agreed/keys.py
@@ -0,0 +1,190 @@
+"""Every key of the rules, in one place: what two values of it contradict, and what neither forbids.
+
+A change goes through a state between two versions (docs/design/agreed.md). In it a sidecar acts on what
+neither of both forbids: the stricter of two limits, the longer of two spells, the effect that allows fewer
+repeats. A key for which nothing lies between changes at the moment at which the new version is in force: then
+two sidecars may contradict each other for as long as a lease (`bound`). A key that is not here is refused in
+a version.
+"""
+
+import enum
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from foxspread.config import EFFECTS
+
+
+class Kind(enum.Enum):
+    LEAST = "the smaller of both"
+    MOST = "the larger of both"
+    BOTH = "on only where it is on in both"
+    EFFECT = "the effect that allows fewer repeats"
+    FREE = "either: two values of it contradict nothing outside of one sidecar"
+    SWITCH = "nothing: it changes when the new version is in force"
+
+
+STRICTER = ("free", "guarded", "single_shot")  # effects, each allowing less than the one before
+assert set(STRICTER) == set(EFFECTS)
+
+
+@dataclass(frozen=True)
+class Key:
+    kind: Kind
+    seen: str  # how a contradiction is seen from outside
+
+
+# Paths of the rules; * stands for each row of a list, known by its name.
+KEYS: dict[str, Key] = {
+    "settings.siblings": Key(Kind.MOST, "sums over all sidecars: each keeps to its part of a limit"),
+    "settings.surplus_benefit": Key(Kind.FREE, "which lookups are dismissed first, in one sidecar"),
+    "settings.period_us": Key(Kind.FREE, "when a sidecar looks again"),
+    "settings.discovery": Key(Kind.FREE, "how one sidecar asks for its list"),
+    "settings.categories.*.expected_time_us": Key(Kind.FREE, "when one sidecar tries again"),
+    "settings.categories.*.abandon_time_us": Key(Kind.LEAST, "answers after a client's time"),
+    "settings.categories.*.benefit": Key(Kind.FREE, "which lookups are dismissed first, in one sidecar"),
+    "settings.categories.*.late_benefit": Key(Kind.FREE, "as benefit"),
+    "settings.categories.*.semantics": Key(
+        Kind.EFFECT, "a lookup that must not run twice is repeated by another"
+    ),
+    "settings.categories.*.key_scope": Key(Kind.SWITCH, "a labelled lookup goes to servers of two groups"),
+    "settings.categories.*.repeat_window_us": Key(
+        Kind.LEAST, "a repeat after servers have forgotten the first"
+    ),
+    "settings.categories.*.stream": Key(Kind.SWITCH, "how a body is passed"),
+    "settings.tenants.*.share": Key(Kind.LEAST, "a customer gets more than its share from all together"),
+    "settings.tenants.*.quota_per_s": Key(Kind.LEAST, "a customer's lookups a second, over all sidecars"),
+    "settings.limits.max_hand_offs": Key(Kind.LEAST, "further hand-offs at servers, over all sidecars"),
+    "settings.limits.parallel_tries": Key(Kind.BOTH, "copies of one lookup at two servers"),
+    "settings.limits.cancelling": Key(Kind.BOTH, "hand-offs that are called off"),
+    "settings.limits.retry_after": Key(Kind.BOTH, "return times told to clients"),
+    "settings.limits.max_retry_after_us": Key(Kind.LEAST, "return times told to clients"),
+    "settings.limits.multiplex": Key(Kind.LEAST, "lookups on one connection"),
+    "settings.contract.cold_from": Key(Kind.LEAST, "what a cold server gets from all together"),
+    "settings.contract.cold_us": Key(Kind.MOST, "as cold_from"),
+    "settings.contract.fall_multiple": Key(Kind.LEAST, "as cold_from"),
+    "settings.specifics.warm_keys": Key(Kind.FREE, "where one sidecar sends keys that it knows"),
+    "settings.tariffs.waste": Key(Kind.FREE, "what one sidecar calls off"),
+}
+# What each sidecar has for itself: its place, its zone, its seed. A version that holds one is refused.
+OWN = {"settings.az", "settings.position", "settings.seed"}
+LISTS = ("settings.categories", "settings.tenants")
+
+Flat = dict[str, Any]  # values by path, rows of lists by name: settings.categories.docs.benefit
+
+
+class NoRule(Exception):
+    """A key can't stand in a version, or a change can't be made; the text names key and value."""
+
+
+def flat(rules: dict[str, Any], path: str = "") -> Flat:
+    """Raises `NoRule` for rows without a name, or with one that stands twice."""
+    found: Flat = {}
+    for key, value in rules.items():
+        here = f"{path}.{key}" if path else key
+        if isinstance(value, dict):
+            found |= flat(value, here)
+        elif here in LISTS:
+            for row in value:
+                name = row.get("name") if isinstance(row, dict) else None
+                if not isinstance(name, str) or "." in name:
+                    raise NoRule(f"'{here}': a row needs a name without a dot, not {name!r}")
+                if any(each.startswith(f"{here}.{name}.") for each in found):
+                    raise NoRule(f"'{here}': {name!r} stands there twice")
+                found[f"{here}.{name}."] = True
+                found |= flat({key: each for key, each in row.items() if key != "name"}, f"{here}.{name}")
+        else:
+            found[here] = value
+    return found
+
+
+def key_of(path: str) -> Key | None:
+    """None for the mark of a row itself. Raises `NoRule` for a path without a rule."""
+    if path.endswith("."):
+        return None
+    for each in LISTS:
+        if path.startswith(each + "."):
+            path = f"{each}.*.{path.rpartition('.')[2]}"
+    if path in OWN:
+        raise NoRule(f"'{path}' is each sidecar's own and can't stand in a version")
+    if path not in KEYS:
+        raise NoRule(f"'{path}' has no rule for how it changes, and can't stand in a version")
+    return KEYS[path]
+
+
+def checked(rules: dict[str, Any]) -> Flat:
+    found = flat(rules)
+    for path in found:
+        key_of(path)
+    return found
+
+
+def stricter(key: Key, one: Any, other: Any) -> Any:
+    """What neither of two values forbids; for `FREE` and `SWITCH` the first."""
+    if key.kind is Kind.LEAST:
+        return min(one, other)
+    if key.kind is Kind.MOST:
+        return max(one, other)
+    if key.kind is Kind.BOTH:
+        return one and other
+    if key.kind is Kind.EFFECT:
+        return max(one, other, key=STRICTER.index)
+    return one
+
+
+def allows(path: str, value: Any, rules: Flat) -> bool:
+    """Whether an act under `value` of this key is one that `rules` allow."""
+    key = key_of(path)
+    if key is None or path not in rules:
+        return key is not None or path in rules
+    if key.kind is Kind.FREE:
+        return True
+    return stricter(key, value, rules[path]) == value
+
+
+def between(old: Flat, new: Flat) -> Flat:
+    """What neither of two versions forbids. A category or customer that only one of them has is not there:
+    its lookups are dismissed with a return time, as those that no version knows. A key that only one of them
+    states stays as it was."""
+    found: Flat = {}
+    for path, value in old.items():
+        key = key_of(path)
+        if key is None:
+            if path in new:
+                found[path] = value
+        elif path in new:
+            found[path] = stricter(key, value, new[path])
+        else:
+            found[path] = value
+    rows = {each for each in {*old, *new} if each.endswith(".")}
+    gone = tuple(each for each in rows if each not in found)
+    return {path: value for path, value in found.items() if not path.startswith(gone)} if gone else found
+
+
+def switches(old: Flat, new: Flat) -> list[str]:
+    """Keys that change between two versions and have nothing between: for these the bound is a lease."""
+    return [
+        path
+        for path in sorted({*old, *new})
+        if not path.endswith(".")
+        and key_of(path).kind is Kind.SWITCH
+        and old.get(path) != new.get(path)
+        and _row(path) in old
+        and _row(path) in new
+    ]
+
+
+def _row(path: str) -> str:
+    """The mark of the row that a path belongs to; for others a path that is in all."""
+    for each in LISTS:
+        if path.startswith(each + "."):
+            return path.rpartition(".")[0] + "."
+    return path
+
+
+def faults(alone: Flat, rules: Flat) -> Iterator[str]:
+    """What acts under `alone` would do that `rules` forbid: key and both values."""
+    for path, value in alone.items():
+        if not allows(path, value, rules):
+            theirs = rules.get(path, "a version without it")
+            yield f"'{path}': alone it is {value!r}, which {theirs!r} doesn't allow"
--- a/foxspread/cli/main.py
+++ b/foxspread/cli/main.py
@@ -10,6 +10,7 @@
 
 from foxspread.cli.coordinator import coordinator
 from foxspread.cli.lab import lab
+from foxspread.cli.processes import processes
 from foxspread.cli.rules import rules
 
 VERSION = "0.2.0"
@@ -41,6 +42,7 @@
     sys.exit(sidecar(["--operator", operator] if operator else []))
 
 
+lab.add_command(processes)
 for each in (coordinator, rules, lab):
     foxspread.add_command(each)
 
--- /dev/null
+++ b/foxspread/cli/processes.py
@@ -0,0 +1,154 @@
+"""`foxspread lab processes ...`: several coordinators under faults, as real processes and in virtual time."""
+
+import asyncio
+import json
+import os
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict, replace
+from multiprocessing import get_context
+from typing import Any
+
+import click
+
+from foxspread.lab.processes import explorer, mutants, real, scenario, virtual
+from foxspread.lab.processes.scenario import Scenario
+from foxspread.lab.scenario import ScenarioError, SocketsError
+
+FILE = click.Path(exists=True, dir_okay=False)
+JSON = click.option("--json", "as_json", is_flag=True, help="A line of JSON for each run.")
+MUTANT = click.option("--mutant", type=click.Choice(list(mutants.MUTANTS)), help="A broken one in its place.")
+
+
+def loaded(path: str) -> Scenario:
+    try:
+        return scenario.load(path)
+    except ScenarioError as error:
+        raise click.UsageError(f"{path}: {error}") from None
+
+
+def seeds_of(_: Any, parameter: click.Parameter, text: str) -> range:
+    first, dash, last = text.partition("-")
+    if not (first.isdigit() and (last.isdigit() if dash else not last)):
+        raise click.BadParameter(f"{text!r} must be N or A-B")
+    return range(int(first), int(last or first) + 1)
+
+
+@click.group()
+def processes() -> None:
+    """Several coordinators under faults between them: real processes, and thousands of seeds in virtual time.
+
+    \b
+    foxspread lab processes run scenarios/processes/mixed.toml --seed 3
+    foxspread lab processes search scenarios/processes/mixed.toml --seeds 0-1999
+    """
+
+
+@processes.command()
+@click.argument("file", type=FILE)
+@click.option("--seed", "seeds", default="1", show_default=True, callback=seeds_of, metavar="N or A-B")
+@MUTANT
+@JSON
+def run(file: str, seeds: range, mutant: str | None, as_json: bool) -> None:
+    """Real processes on loopback, one run a seed. Exit code 1 where a rule is broken."""
+    told, broken = loaded(file), False
+    for seed in seeds:
+        try:
+            played = asyncio.run(real.played(told, seed, mutant or ""))
+        except SocketsError as error:
+            raise click.ClickException(str(error)) from None
+        broken |= bool(played.faults)
+        if as_json:
+            click.echo(json.dumps(asdict(played)))
+            continue
+        counts = ", ".join(f"{count} {kind}" for kind, count in sorted(played.operations.items()))
+        click.echo(
+            f"seed {seed}: {played.versions} versions; {counts}; {len(played.befell)} faults befell; "
+            f"longest without a put {played.worst:.2f} s; "
+            + ("rules broken:" if played.faults else "no rule broken")
+        )
+        for each in played.faults:
+            click.echo(f"  {each['rule']}: {each['text']}")
+        if played.faults:
+            click.echo("  befell: " + "; ".join(played.befell))
+    sys.exit(1 if broken else 0)
+
+
+def searched(plan: virtual.Plan, seed: int, mutant: str) -> tuple[int, int, list[dict[str, str]], list[str]]:
+    """A seed: operations, what the judge found, what befell. Every third seed has five members."""
+    plan = plan if seed % 3 or plan.members != 3 else replace(plan, members=5)
+    if mutant:
+        plan = mutants.plan(mutants.MUTANTS[mutant], plan)
+    world = virtual.World(plan, seed, mutants.MUTANTS[mutant].broken if mutant else None)
+    judge = world.play()
+    return seed, len(judge.ops), [{"rule": each.rule, "text": each.text} for each in judge.faults], world.told
+
+
+@processes.command()
+@click.argument("file", type=FILE)
+@click.option("--seeds", default="0-199", show_default=True, callback=seeds_of, metavar="A-B")
+@click.option(
+    "--jobs", default=os.cpu_count() or 1, type=click.IntRange(1, 256), help="Processes that search."
+)
+@MUTANT
+@JSON
+def search(file: str, seeds: range, jobs: int, mutant: str | None, as_json: bool) -> None:
+    """The same coordinators in virtual time, one run a seed. Exit code 1 where a rule is broken; the seed
+    replays it."""
+    plan, count, operations, broken = loaded(file).plan(), 0, 0, 0
+    with ProcessPoolExecutor(min(jobs, len(seeds)), mp_context=get_context("spawn")) as pool:
+        tasks = ([plan] * len(seeds), seeds, [mutant or ""] * len(seeds))
+        for seed, ops, faults, told in pool.map(
+            searched, *tasks, chunksize=max(1, min(20, len(seeds) // jobs))
+        ):
+            count, operations, broken = count + 1, operations + ops, broken + bool(faults)
+            if as_json:
+                click.echo(json.dumps({"seed": seed, "operations": ops, "faults": faults, "befell": told}))
+            elif faults and broken <= 5:
+                click.echo(
+                    f"seed {seed}: {faults[0]['rule']}: {faults[0]['text']}; befell: {'; '.join(told)}"
+                )
+    if not as_json:
+        click.echo(f"{count} seeds, {operations} operations, {broken} with a rule broken")
+    sys.exit(1 if broken else 0)
+
+
+@processes.command()
+@click.argument("case", type=click.Choice(list(explorer.CASES)))
+@click.option(
+    "--depth", type=click.IntRange(1, 100), help="Steps from the beginning; the case's own by default."
+)
+@MUTANT
+@JSON
+def explore(case: str, depth: int | None, mutant: str | None, as_json: bool) -> None:
+    """All states of a small case, whatever is lost and in whatever order. Exit code 1 where a rule is
+    broken."""
+    told = explorer.CASES[case]
+    told = replace(told, depth=depth or told.depth)
+    kind = mutants.MUTANTS[mutant].broken.member if mutant else explorer.Member
+    found = explorer.Explorer(told, kind).explore()
+    if as_json:
+        click.echo(json.dumps(asdict(found)))
+    else:
+        click.echo(
+            f"{case}: {found.states} states to depth {found.depth}"
+            f"{', which are all there are' if found.whole else ''}, {found.seconds:.1f} s; "
+            f"{found.fault or 'no rule broken'}"
+        )
+        for step in found.path:
+            click.echo(f"  {step}")
+    sys.exit(1 if found.fault else 0)
+
+
+@processes.command("mutants")
+@click.option("--seeds", default="0-399", show_default=True, callback=seeds_of, metavar="A-B")
+def caught(seeds: range) -> None:
+    """Each broken coordinator, and the first seed that catches it. Exit code 1 where one is not caught by its
+    rule."""
+    missed = False
+    for name, mutant in mutants.MUTANTS.items():
+        seed, rule, text = next(mutants.caught(name, seeds), (0, "", "not caught"))
+        missed |= rule not in mutant.rules
+        where = f"case {mutant.case}" if mutant.case else f"seed {seed}"
+        click.echo(f"{name}: {rule or 'missed'} ({where}): {text}")
+    sys.exit(1 if missed else 0)
--- a/foxspread/consensus/coordinator.py
+++ b/foxspread/consensus/coordinator.py
@@ -12,6 +12,7 @@
 from foxspread.consensus.messages import Envelope, Members, Saved, Snapshot, Write, encoded
 from foxspread.consensus.versions import Put, Versions
 
+WATCHES_MOST = 2048  # calls that wait for a later version
 CALLS_MOST = 1024  # calls that wait; more are turned away at once
 COMPACT_BYTES = (
     1024 * 1024
@@ -71,6 +72,7 @@
         self.versions.restore(self.member.snapshot.data)
         self.calls: dict[int, Call] = {}
         self.by_index: dict[int, int] = {}  # calls that wait for a place of the log
+        self.watches: dict[int, tuple[int, float]] = {}  # by token: the version that is known, until when
         self.answers: list[Answer] = []
         self.log_bytes = sum(entry.size() for entry in self.member.log.entries)
 
@@ -104,6 +106,20 @@
                 return self._turn_away(token, str(error))
             self.calls[token] = Call(token, now + self.patience, number)
 
+    def watch(self, now: float, token: int, known: int, wait: float) -> None:
+        """The latest version that this member has, once it is later than the known one, or after `wait`
+        seconds. Any member answers; it may be behind, so this is no read as of now."""
+        if self.versions.latest > known:
+            self.answers.append(Answer(token, Status.DONE, self.versions.get(), self.member.leader))
+        elif len(self.watches) >= WATCHES_MOST:
+            self.answers.append(Answer(token, Status.REFUSED, f"{WATCHES_MOST} calls watch already"))
+        else:
+            self.watches[token] = (known, now + wait)
+
+    def left(self, token: int) -> None:
+        """Nobody waits for this call's answer any more."""
+        self.watches.pop(token, None)
+
     def hand_over(self, now: float, token: int, to: str) -> None:
         try:
             self.member.hand_over(now, to)
@@ -147,9 +163,19 @@
             else:
                 self.answers.append(Answer(call.token, Status.ELSEWHERE, "no majority answered in time"))
 
+        self._watched(now)
+
+    def _watched(self, now: float) -> None:
+        latest = self.versions.latest
+        for token, (known, until) in list(self.watches.items()):
+            if latest > known or until <= now:
+                del self.watches[token]
+                self.answers.append(Answer(token, Status.DONE, self.versions.get(), self.member.leader))
+
     def wake_at(self) -> float:
         first = next(iter(self.calls.values()), None)  # patience is one for all: the oldest comes first
-        return min(self.member.wake_at(), first.until if first else float("inf"))
+        watched = min((until for _, until in self.watches.values()), default=float("inf"))
+        return min(self.member.wake_at(), first.until if first else float("inf"), watched)
 
     def take(self, now: float) -> Out:
         out = Out()
@@ -168,6 +194,8 @@
                         if holds
                         else Answer(token, Status.ELSEWHERE, "it leads no more", self.member.leader)
                     )
+            if self.watches and (ready.entries or ready.restored is not None):
+                self._watched(now)
             self._compact(now)
         out.answers, self.answers = self.answers, []
         return out
--- a/foxspread/consensus/core.py
+++ b/foxspread/consensus/core.py
@@ -696,7 +696,9 @@
             row.next = max(row.next, row.match + 1)
             if row.match >= row.next - 1:
                 row.since = None
-            elif row.since is None:  # nothing is under way, and it has less: one that is new while nobody writes
+            elif (
+                row.since is None
+            ):  # nothing is under way, and it has less: one that is new while nobody writes
                 row.next = row.match + 1
             self._commit()
             self._promote(sender, row)
--- a/foxspread/consensus/disk.py
+++ b/foxspread/consensus/disk.py
@@ -37,6 +37,7 @@
         self.folder, self.fleet, self.member, self.identity = pathlib.Path(folder), fleet, member, identity
         self.done: Callable[[int], None] = lambda number: None
         self.failed: Callable[[str], None] = lambda why: None
+        self.database: sqlite3.Connection | None = None
         self.writes: queue.SimpleQueue[Write | None] = queue.SimpleQueue()
         self.thread = threading.Thread(target=self._run, name="disk", daemon=True)
         self.commits, self.records, self.seconds, self.slowest = 0, 0, 0.0, 0.0
@@ -78,16 +79,26 @@
             saved = self._read()
             self._keep(generation=saved.generation)
             self.database.execute("COMMIT")
+        except DiskError:
+            self._let_go()
+            raise
         except sqlite3.OperationalError as error:
+            self._let_go()
             locked = "another process uses it" if "locked" in str(error) else str(error)
             raise DiskError(f"{self.folder}: {locked}") from None
         except (sqlite3.DatabaseError, msgspec.DecodeError, OSError) as error:
+            self._let_go()
             raise DiskError(f"{self.folder}: {error}") from None
         self._sync_folder()
         self.base = saved.snapshot.index
         self.thread.start()
         return saved
 
+    def _let_go(self) -> None:
+        """What was begun is undone: the folder is as it was, and free for another process."""
+        if self.database is not None:
+            self.database.close()
+
     def _sync_folder(self) -> None:
         descriptor = os.open(self.folder, os.O_RDONLY)
         try:
--- a/foxspread/consensus/messages.py
+++ b/foxspread/consensus/messages.py
@@ -227,7 +227,7 @@
     except (msgspec.DecodeError, LookupError, TypeError):
         raise Foreign("no message of ours") from None
     if told_format != FORMAT:
-        raise Foreign(f"format {str(told_format)[:20]!r}, this member speaks {FORMAT}")
+        raise Foreign(f"format {repr(told_format)[:20]}, this member speaks {FORMAT}")
     if told_fleet != fleet:
         raise Foreign(f"fleet {str(told_fleet)[:60]!r}, this one is {fleet!r}")
     try:
--- a/foxspread/consensus/process.py
+++ b/foxspread/consensus/process.py
@@ -26,6 +26,7 @@
 from foxspread.consensus.wire import Link, Server
 from foxspread.net import http
 
+WAIT_MOST = 30.0  # seconds that a watch may wait
 PAGE = 500  # versions in one answer of the history
 STATUS = {Status.DONE: 200, Status.ELSEWHERE: 421, Status.REFUSED: 400, Status.UNKNOWN: 504}
 ID = re.compile(r"[A-Za-z0-9._:-]{1,64}")
@@ -140,6 +141,8 @@
         ):
             return 403, b"an id that can't be one\n"
         self.received += 1
+        if envelope.sender in self.links:
+            self.links[envelope.sender].hurry()
         self._input(self.host.receive, envelope)
         return 200, b""
 
@@ -151,6 +154,16 @@
             return self._history(message)
         if call == (b"POST", "/rules"):
             return await self._put(message)
+        if call == (b"GET", "/watch"):
+            known, wait = (http.parameter(message.target, each) or "0" for each in ("known", "wait"))
+            if not (
+                known.isascii() and known.isdigit() and len(known) < 12 and wait.isascii() and wait.isdigit()
+            ):
+                raise ValueError(
+                    f"'known' and 'wait' must be whole numbers, not {known[:20]!r}, {wait[:20]!r}"
+                )
+            answer = await self._ask(self.host.watch, int(known), min(float(wait), WAIT_MOST))
+            return self._answered(answer, whole=True)
         if message.method == b"GET" and path.startswith("/rules"):
             number = path.removeprefix("/rules").strip("/")
             if number and not (number.isascii() and number.isdigit() and len(number) < 12):
@@ -178,6 +191,7 @@
             return await future
         finally:
             self.waiting.pop(token, None)
+            self.host.left(token)
 
     async def _put(self, message: http.Message) -> tuple[int, bytes]:
         wish = msgspec.json.decode(message.body, type=dict[str, Any])
--- a/foxspread/consensus/wire.py
+++ b/foxspread/consensus/wire.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import contextlib
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -13,7 +14,7 @@
 from foxspread.net import http
 from foxspread.net.pool import listening, written
 
-CONNECTIONS = 128  # at once; where all are there, the one that has been idle for longest makes way
+CONNECTIONS = 512  # at once; where all are there, the one that has been idle for longest makes way
 PATIENCE = 5.0  # for a request that has begun, and for an answer to be taken
 IDLE = 60.0
 QUEUE = 128  # messages that wait for one peer; the oldest go, for it sends what matters again
@@ -62,7 +63,7 @@
 
     async def _talk(self, sock: socket.socket) -> None:
         task = asyncio.current_task()
-        reader, buffer = http.RequestReader(), bytearray(64 * 1024)
+        reader, buffer = http.RequestReader(), bytearray(8 * 1024)
         try:
             while True:
                 while not reader.ready:
@@ -96,7 +97,13 @@
             self.faults += 1
             try:
                 await self._write(sock, http.answer(error.status, f"{error}\n".encode(), keep=False))
-            except OSError:
+                # Reads on to the end: closing with bytes unread resets the connection, and the answer may be
+                # lost.
+                sock.shutdown(socket.SHUT_WR)
+                async with asyncio.timeout(0.5):
+                    while await self.loop.sock_recv_into(sock, buffer):
+                        pass
+            except (OSError, TimeoutError):
                 pass
         except (OSError, TimeoutError):
             pass
@@ -128,7 +135,7 @@
     ) -> None:
         self.loop, self.to, self.address, self.chance = loop, to, address, chance
         self.queue: deque[bytes] = deque(maxlen=QUEUE)
-        self.wake = asyncio.Event()
+        self.wake, self.hurried = asyncio.Event(), asyncio.Event()
         self.sent, self.dropped, self.connects, self.refusal = 0, 0, 0, ""
         self.up = False
         self.task = loop.create_task(self._run())
@@ -151,7 +158,18 @@
             self.dropped += len(self.queue)  # what waited is old by now
             self.queue.clear()
             pause = 0.02 if self.loop.time() - began > 5.0 else min(2 * pause, LATEST_BACK)
-            await asyncio.sleep(pause * (0.5 + self.chance()))
+            self.hurried.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause * (0.5 + self.chance())):
+                    await self.hurried.wait()
+            if self.hurried.is_set():
+                await asyncio.sleep(0.02)  # however often it is told
+
+    def hurry(self) -> None:
+        """The peer was heard, so it is there again: guards against a majority that waits out a pause, where
+        the one of both that is elected had last tried while the other one was down."""
+        if not self.up:
+            self.hurried.set()
 
     async def _connected(self) -> None:
         """Raises what ends it. Requests go without waiting for answers, up to a bound."""
--- a/foxspread/lab/at_revision.py
+++ b/foxspread/lab/at_revision.py
@@ -13,7 +13,8 @@
     foxspread.__path__.insert(0, f"{sys.argv[1]}/foxspread")
     import msgspec
 
-    from foxspread.lab import experiments, scenario
+    from foxspread.lab import scenario
+    from foxspread.lab.experiments import runs as experiments
 
     asked = json.load(sys.stdin)
     it = scenario.decoded(asked["scenario"].encode())
--- a/foxspread/lab/setup.py
+++ b/foxspread/lab/engines/setup.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from foxspread.lab.scenario import Scenario
-from foxspread.lab.world import Server
+from foxspread.lab.world.fleet import Server
 
 SEMANTICS = {"redoable": "free", "labelled": "guarded", "irreversible": "single_shot"}
 
--- a/foxspread/lab/sockets.py
+++ b/foxspread/lab/engines/sockets.py
@@ -21,15 +21,17 @@
 
 import uvloop
 
-from foxspread.lab import demand, setup, stand_ins
+from foxspread.lab.engines import setup
+from foxspread.lab.stand_ins import ends as stand_ins
+from foxspread.lab.world import demand
 from foxspread.lab.ledger import Ledger
-from foxspread.lab.network import Network
-from foxspread.lab.roster import Entry, Roster
+from foxspread.lab.world.network import Network
+from foxspread.lab.world.roster import Entry, Roster
 from foxspread.lab.scenario import Scenario, ScenarioError, SocketsError
-from foxspread.lab.stand_ins import Clients, Listener, ServerEnd, SourceTalk
-from foxspread.lab.timeline import Hands, Timeline
-from foxspread.lab.virtual import Result
-from foxspread.lab.world import Fleet, Server
+from foxspread.lab.stand_ins.ends import Clients, Listener, ServerEnd, SourceTalk
+from foxspread.lab.engines.timeline import Hands, Timeline
+from foxspread.lab.engines.virtual import Result
+from foxspread.lab.world.fleet import Fleet, Server
 
 MOST_INSTANCES, MOST_SERVERS = 64, 400  # processes, and descriptors of this one
 READY_WITHIN, END_WITHIN = 30.0, 8.0
@@ -198,7 +200,9 @@
                 }
             )
         )
-        module = ["foxspread"] if self.policy == "foxspread" else ["foxspread.lab.broken", self.policy]
+        module = ["foxspread"]
+        if self.policy != "foxspread":
+            module = ["foxspread.lab.experiments.broken", self.policy]
         environ = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
         with log.open("wb") as output:
             process = await asyncio.create_subprocess_exec(
--- a/foxspread/lab/timeline.py
+++ b/foxspread/lab/engines/timeline.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from foxspread.lab.scenario import Fault, Scenario
-from foxspread.lab.world import Fleet, Server
+from foxspread.lab.world.fleet import Fleet, Server
 
 
 class Hands:
--- /dev/null
+++ b/foxspread/lab/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Runs, comparisons, searches, broken sidecars and what is told of them."""
--- a/foxspread/lab/broken.py
+++ b/foxspread/lab/experiments/broken.py
@@ -1,11 +1,11 @@
-"""Starts a real sidecar with one defect or a baseline's decisions: `python -m foxspread.lab.broken NAME`. For
-the lab's own runs on sockets; the product never imports it."""
+"""Starts a real sidecar with one defect or a baseline's decisions, for the lab's own runs on sockets:
+`python -m foxspread.lab.experiments.broken NAME`. The product never imports it."""
 
 import sys
 
 from foxspread import __main__ as start
-from foxspread.lab import policies
-from foxspread.lab.mutants import MUTANTS
+from foxspread.lab.experiments import policies
+from foxspread.lab.experiments.mutants import MUTANTS
 from foxspread.net import sidecar
 
 
--- a/foxspread/lab/figures.py
+++ b/foxspread/lab/experiments/figures.py
@@ -7,7 +7,7 @@
 import numpy as np
 from hdrh.histogram import HdrHistogram
 
-from foxspread.lab import setup
+from foxspread.lab.engines import setup
 from foxspread.lab.ledger import Row
 from foxspread.lab.scenario import Scenario
 
--- a/foxspread/lab/mutants.py
+++ b/foxspread/lab/experiments/mutants.py
@@ -1,7 +1,7 @@
 """Broken sidecars, each by one defect, to prove that the rule check sees what it is there for. The product
 never imports this. `apply` breaks the decisions of a facade; `host` is the broken host on virtual time;
-`sockets` breaks the real sidecar's classes in the process that calls it (`python -m foxspread.lab.broken
-NAME`).
+`sockets` breaks the real sidecar's classes in the process that calls it
+(`python -m foxspread.lab.experiments.broken NAME`).
 """
 
 from collections.abc import Callable
@@ -9,8 +9,8 @@
 from typing import Any
 
 from foxspread.facade import Facade, Outcome
-from foxspread.lab import virtual
-from foxspread.lab.demand import Want
+from foxspread.lab.engines import virtual
+from foxspread.lab.world.demand import Want
 from foxspread.logic import Gate
 from foxspread.model import Effect, Lookup, Readiness
 
--- a/foxspread/lab/report.py
+++ b/foxspread/lab/experiments/report.py
@@ -7,8 +7,8 @@
 import pathlib
 from collections.abc import Sequence
 
-from foxspread.lab import figures
-from foxspread.lab.experiments import Difference, Played, differences
+from foxspread.lab.experiments import figures
+from foxspread.lab.experiments.runs import Difference, Played, differences
 
 # What a table shows of a run, and how: name, key, factor, digits, unit.
 ROWS = (
--- a/foxspread/lab/experiments.py
+++ b/foxspread/lab/experiments/runs.py
@@ -21,8 +21,11 @@
 
 import msgspec
 
-from foxspread.lab import figures, policies, rules, scenario, virtual
-from foxspread.lab.mutants import MUTANTS
+from foxspread.lab import scenario
+from foxspread.lab.engines import virtual
+from foxspread.lab.experiments import figures, policies
+from foxspread.lab.judge import rules
+from foxspread.lab.experiments.mutants import MUTANTS
 from foxspread.lab.scenario import Scenario
 
 PACKAGE = pathlib.Path(__file__).resolve().parent.parent
@@ -77,7 +80,7 @@
         else:
             result = virtual.run(scenario, seed, policies.maker(policy))
     elif engine == "sockets":
-        from foxspread.lab import sockets
+        from foxspread.lab.engines import sockets
 
         result = sockets.run(scenario, seed, policy)
     else:
--- /dev/null
+++ b/foxspread/lab/judge/__init__.py
@@ -0,0 +1,1 @@
+"""Rules, judged from ledgers alone."""
--- a/foxspread/lab/processes/child.py
+++ b/foxspread/lab/processes/child.py
@@ -1,5 +1,5 @@
-"""A coordinator as the lab starts it: the sound one, with a clock that may run fast or slow, a disk whose fsync
-fails while a file stands beside it, and, where it is asked for, a part that a mutant breaks.
+"""A coordinator as the lab starts it: the sound one, with a clock that may run fast or slow, a disk whose
+fsync fails while a file stands beside it, and, where it is asked for, a part that a mutant breaks.
 
     python -m foxspread.lab.processes.child FILE RATE [MUTANT]
 """
@@ -16,7 +16,7 @@
 from foxspread.consensus.disk import Disk
 from foxspread.consensus.process import Process
 
-FAILS = "fsync-fails"   # a file of this name in the folder
+FAILS = "fsync-fails"  # a file of this name in the folder
 
 
 class FailingDisk(Disk):
--- a/foxspread/lab/processes/fleet.py
+++ b/foxspread/lab/processes/fleet.py
@@ -1,5 +1,6 @@
-"""Real coordinators on loopback: each a process with a folder of its own, a relay on each way between two of them
-and from the writers to each. Ports are the system's. All processes end by their ids with the block, in any case.
+"""Real coordinators on loopback: each a process with a folder of its own, a relay on each way between two of
+them and from the writers to each. Ports are the system's. All processes end by their ids with the block, in
+any case.
 """
 
 import asyncio
@@ -38,16 +39,23 @@
         self.process: asyncio.subprocess.Process | None = None
         self.address: Address | None = None
         self.rate, self.joins, self.stopped, self.starts = 1.0, False, False, 0
-        self.reach: dict[str, Relay] = {}   # its links to the others
+        self.reach: dict[str, Relay] = {}  # its links to the others
 
     def write(self) -> None:
         names = self.fleet.names
         rows = [
-            'fleet = "lab"', f'name = "{self.name}"', 'listen = "127.0.0.1:0"', f'folder = "{self.folder}"',
-            f"joins = {str(self.joins).lower()}", "[members]",
-            *(f'{each} = "{self.fleet.seat(each)}"' for each in names), "[reach]",
-            *(f'{each} = "{relay.address}"' for each, relay in self.reach.items()), "[times]",
-            f"beat = {self.fleet.scenario.beat}", f"election = {self.fleet.scenario.election}",
+            'fleet = "lab"',
+            f'name = "{self.name}"',
+            'listen = "127.0.0.1:0"',
+            f'folder = "{self.folder}"',
+            f"joins = {str(self.joins).lower()}",
+            "[members]",
+            *(f'{each} = "{self.fleet.seat(each)}"' for each in names),
+            "[reach]",
+            *(f'{each} = "{relay.address}"' for each, relay in self.reach.items()),
+            "[times]",
+            f"beat = {self.fleet.scenario.beat}",
+            f"election = {self.fleet.scenario.election}",
         ]
         self.file.write_text("\n".join(rows) + "\n")
 
@@ -62,8 +70,15 @@
         before = self.log.stat().st_size if self.log.exists() else 0
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "foxspread.lab.processes.child", str(self.file), str(self.rate),
-                *([self.fleet.mutant] if self.fleet.mutant else []), stderr=log, stdout=log)
+                sys.executable,
+                "-m",
+                "foxspread.lab.processes.child",
+                str(self.file),
+                str(self.rate),
+                *([self.fleet.mutant] if self.fleet.mutant else []),
+                stderr=log,
+                stdout=log,
+            )
         end = time.monotonic() + START_WITHIN
         while True:
             with self.log.open("rb") as log:
@@ -119,7 +134,8 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def copy(self) -> pathlib.Path:
-        """A copy of its folder as it is; of a process that runs, so it may be torn, as a power cut would leave it."""
+        """A copy of its folder as it is; of a process that runs, so it may be torn, as a power cut would
+        leave it."""
         kept = self.fleet.folder / f"{self.name}-{time.monotonic_ns()}"
         shutil.copytree(self.folder, kept)
         return kept
@@ -132,21 +148,28 @@
 class Fleet:
     """`saw` gets each envelope that a relay sees. With `keep`, folders and logs stay where it failed."""
 
-    def __init__(self, scenario: Scenario, seed: int, saw: Callable[[messages.Envelope], None] | None = None,
-                 mutant: str = "") -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        seed: int,
+        saw: Callable[[messages.Envelope], None] | None = None,
+        mutant: str = "",
+    ) -> None:
         self.scenario, self.seed, self.mutant = scenario, seed, mutant
         self.saw = saw or (lambda envelope: None)
         self.names = [f"c{at}" for at in range(1, scenario.members + 1)]
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="foxspread-lab-"))
         self.children = {each: Child(self, each) for each in self.names}
-        self.writers: dict[str, Relay] = {}   # the way of all writers to each
+        self.writers: dict[str, Relay] = {}  # the way of all writers to each
 
     def seat(self, name: str) -> str:
         """Places that nobody listens at: each way goes over its relay."""
         return f"127.0.0.1:{self.names.index(name) + 1}"
 
     def to(self, name: str) -> list[Relay]:
-        return [child.reach[name] for child in self.children.values() if name in child.reach] + [self.writers[name]]
+        return [child.reach[name] for child in self.children.values() if name in child.reach] + [
+            self.writers[name]
+        ]
 
     def links(self, name: str) -> list[Relay]:
         """All of a member, both ways."""
@@ -158,7 +181,7 @@
     def _seen(self, body: bytes) -> None:
         try:
             self.saw(messages.DECODER.decode(body))
-        except Exception:   # a body of another kind: nothing for the ledger
+        except Exception:  # a body of another kind: nothing for the ledger
             pass
 
     async def __aenter__(self) -> "Fleet":
@@ -178,7 +201,10 @@
     async def __aexit__(self, kind: type[BaseException] | None = None, *_: object) -> None:
         for child in self.children.values():
             await child.end()
-        relays = [*self.writers.values(), *(each for child in self.children.values() for each in child.reach.values())]
+        relays = [
+            *self.writers.values(),
+            *(each for child in self.children.values() for each in child.reach.values()),
+        ]
         await asyncio.gather(*(relay.close() for relay in relays))
         if kind is None:
             shutil.rmtree(self.folder, ignore_errors=True)
--- a/foxspread/lab/processes/judge.py
+++ b/foxspread/lab/processes/judge.py
@@ -68,7 +68,10 @@
         message, id, disk = envelope.message, envelope.sender, node.disk.saved
         if isinstance(message, Vote) and message.granted and not message.pre:
             if disk.term < message.term or disk.term == message.term and disk.vote != envelope.to:
-                self.found("saved_first", f"{id} votes in term {message.term}, its disk has {disk.term} {disk.vote!r}")
+                self.found(
+                    "saved_first",
+                    f"{id} votes in term {message.term}, its disk has {disk.term} {disk.vote!r}",
+                )
         elif isinstance(message, AskVote) and not message.pre and disk.term < message.term:
             self.found("saved_first", f"{id} asks for votes in term {message.term}, its disk has {disk.term}")
         elif isinstance(message, Appended) and message.agreed:
--- a/foxspread/lab/processes/real.py
+++ b/foxspread/lab/processes/real.py
@@ -1,6 +1,6 @@
-"""Plays a scenario against real coordinators: writers put, compare-and-set and get through relays while what the
-seed draws befalls links, processes and disks; then nothing fails, all histories are read, and the judge looks at
-what writers and relays saw.
+"""Plays a scenario against real coordinators: writers put, compare-and-set and get through relays while what
+the seed draws befalls links, processes and disks; then nothing fails, all histories are read, and the judge
+looks at what writers and relays saw.
 """
 
 import asyncio
@@ -33,18 +33,26 @@
 @dataclass
 class Played:
     seed: int
-    faults: list[dict[str, str]]   # of the judge
+    faults: list[dict[str, str]]  # of the judge
     befell: list[str]
     operations: dict[str, int] = field(default_factory=dict)
     versions: int = 0
     seconds: float = 0.0
-    worst: float = 0.0   # longest time without any put done, while it played
+    worst: float = 0.0  # longest time without any put done, while it played
 
 
 def version(row: dict[str, Any]) -> Version:
     content = row.get("content", "").encode()
-    return Version(row["number"], row["digest"], content, row["follows"], row["request"], row["who"], row["why"],
-                   row["at"])
+    return Version(
+        row["number"],
+        row["digest"],
+        content,
+        row["follows"],
+        row["request"],
+        row["who"],
+        row["why"],
+        row["at"],
+    )
 
 
 class Writer:
@@ -62,10 +70,20 @@
         self.count += 1
         kind = self.chance.choices(("put", "set", "get"), (3, 3, 4))[0]
         called, writers = self.play.now(), self.play.scenario.writers
-        put = Put(f"{self.name}-{self.count}", CONTENT.format(name=f"{self.name} {self.count}").encode(),
-                  self.seen if kind == "set" else -1, self.name)
-        body = json.dumps({"content": put.content.decode(), "if_version": put.if_version, "who": self.name,
-                           "request": put.request}).encode()
+        put = Put(
+            f"{self.name}-{self.count}",
+            CONTENT.format(name=f"{self.name} {self.count}").encode(),
+            self.seen if kind == "set" else -1,
+            self.name,
+        )
+        body = json.dumps(
+            {
+                "content": put.content.decode(),
+                "if_version": put.if_version,
+                "who": self.name,
+                "request": put.request,
+            }
+        ).encode()
         told = Op(self.name, "unknown", called, NEVER, 0, digest(put.content), put.if_version)
         value: Any = None
         while self.play.now() - called < writers.patience:
@@ -80,9 +98,13 @@
                 told, value = self.outcome(kind, told, reply)
                 break
             if status == "refused" and reply.code == 409:
-                self.play.judge.found("once", f"request {put.request} is said to have written another content")
+                self.play.judge.found(
+                    "once", f"request {put.request} is said to have written another content"
+                )
             leader = reply.value.get("leader")
-            self.target = leader if leader in self.play.fleet.names else self.chance.choice(self.play.fleet.names)
+            self.target = (
+                leader if leader in self.play.fleet.names else self.chance.choice(self.play.fleet.names)
+            )
             await asyncio.sleep(self.chance.uniform(0.01, 0.1))
         if kind != "get" or value is not None or told.kind == "get":
             self.play.judge.operation(told, value, put)
@@ -101,11 +123,18 @@
             latest = version(value["latest"]) if value.get("latest") else None
             self.seen = latest.number if latest else 0
             return replace(told, kind="conflict", answered=now, number=self.seen, digest=""), Conflict(
-                told.if_version, latest)
+                told.if_version, latest
+            )
         self.seen = found.number if found else 0
         if kind == "get":
-            return replace(told, kind="get", answered=now, number=self.seen, digest=found.digest if found else "",
-                           if_version=-1), found
+            return replace(
+                told,
+                kind="get",
+                answered=now,
+                number=self.seen,
+                digest=found.digest if found else "",
+                if_version=-1,
+            ), found
         self.play.done_at.append(now)
         return replace(told, kind="put", answered=now, number=self.seen), Done(found)
 
@@ -121,7 +150,7 @@
         self.counts: dict[str, int] = {}
         self.done_at: list[float] = []
         self.tasks: list[asyncio.Task] = []
-        self.undo: list[Any] = []   # what makes a fault that is on end, for when all has to be whole
+        self.undo: list[Any] = []  # what makes a fault that is on end, for when all has to be whole
 
     def now(self) -> float:
         return time.monotonic() - self.begun
@@ -141,7 +170,9 @@
 
     async def leader(self) -> str:
         """The one that leads the latest term; "" where none says so."""
-        leads = {row["term"]: name for name, row in (await self.statuses()).items() if row.get("role") == "leader"}
+        leads = {
+            row["term"]: name for name, row in (await self.statuses()).items() if row.get("role") == "leader"
+        }
         return leads[max(leads)] if leads else ""
 
     async def whom(self, of: str) -> str:
@@ -160,7 +191,7 @@
             links = self.fleet.links(name)
             if kind not in ("silent", "reset", "refuse") and self.chance.random() < 0.5:
                 links = [self.chance.choice(links)]
-            if kind in ("silent_out", "silent_in"):   # the member's own way: what it sends, or what it hears
+            if kind in ("silent_out", "silent_in"):  # the member's own way: what it sends, or what it hears
                 links = [*child.reach.values(), *(("in", each) for each in self.fleet.to(name))]
             await self.on_links(kind, links, lasts)
         elif kind == "stall":
@@ -175,7 +206,7 @@
             getattr(child, kind)(True)
             await self.wait(lasts)
             getattr(child, kind)(False)
-            await child.end()   # mended by a restart, as its page says
+            await child.end()  # mended by a restart, as its page says
             await child.start()
         elif kind == "clock":
             child.rate = self.chance.choice((0.98, 1.02))
@@ -189,7 +220,8 @@
             await self.lose(kind, name)
 
     async def on_links(self, kind: str, links: list[Any], lasts: float) -> None:
-        """A way that is silent for what a member sends is silent for answers on the links of the others to it."""
+        """A way that is silent for what a member sends is silent for answers on the links of the others to
+        it."""
         other = {"silent_out": "silent_in", "silent_in": "silent_out"}.get(kind, kind)
         pairs = [(each[1], other) if isinstance(each, tuple) else (each, kind) for each in links]
         for relay, each in pairs:
@@ -210,7 +242,9 @@
         if not to:
             return {}
         try:
-            return (await call(self.fleet.children[to].address, method, path, json.dumps(body).encode(), 1.5)).value
+            return (
+                await call(self.fleet.children[to].address, method, path, json.dumps(body).encode(), 1.5)
+            ).value
         except ERRORS:
             return {}
 
@@ -238,7 +272,8 @@
         return False
 
     async def lose(self, kind: str, name: str) -> None:
-        """With all others well; the judge looks whether it was found before an operator replaces the member."""
+        """With all others well; the judge looks whether it was found before an operator replaces the
+        member."""
         child = self.fleet.children[name]
         kept = child.copy() if kind == "put_back" else None
         await asyncio.sleep(1.5)
@@ -274,7 +309,7 @@
                 name = await self.whom(self.chance.choice(("any", "leader")))
                 lasts = min(0.05 + self.chance.expovariate(1.0), drawn.longest)
                 if kind not in LINK_FAULTS and kind != "hand_over":
-                    if name in busy:   # one fault of a process at a time
+                    if name in busy:  # one fault of a process at a time
                         continue
                     busy.add(name)
                     task = asyncio.create_task(self.befalls(kind, lasts, name))
@@ -286,6 +321,7 @@
 
     async def told(self) -> None:
         """What the scenario says befalls whatever the seed."""
+
         async def one(fault: Any) -> None:
             await asyncio.sleep(max(0.0, fault.at - self.now()))
             await self.befalls(fault.kind, fault.lasts, await self.whom(fault.of))
@@ -295,7 +331,9 @@
     async def play(self) -> Played:
         async with self.fleet:
             self.begun = time.monotonic()
-            writers = [asyncio.create_task(Writer(self, f"w{at}").run()) for at in range(self.scenario.writers.count)]
+            writers = [
+                asyncio.create_task(Writer(self, f"w{at}").run()) for at in range(self.scenario.writers.count)
+            ]
             try:
                 await asyncio.gather(self.draw(), self.told())
                 await asyncio.sleep(max(0.0, self.scenario.seconds - self.now()))
@@ -306,9 +344,15 @@
                     each.cancel()
             versions = await self.ended()
         gaps = [0.0, *(each for each in self.done_at), self.scenario.seconds]
-        return Played(self.seed, [{"rule": each.rule, "text": each.text} for each in self.judge.faults], self.befell,
-                      self.counts, versions, round(self.now(), 2),
-                      round(max(b - a for a, b in zip(gaps, gaps[1:])), 3))
+        return Played(
+            self.seed,
+            [{"rule": each.rule, "text": each.text} for each in self.judge.faults],
+            self.befell,
+            self.counts,
+            versions,
+            round(self.now(), 2),
+            round(max(b - a for a, b in zip(gaps, gaps[1:])), 3),
+        )
 
     async def ended(self) -> int:
         """All must be well in time, with one history on all members."""
@@ -317,10 +361,16 @@
             rows = await self.statuses()
             leads = [row for row in rows.values() if row.get("role") == "leader"]
             agree = len({row.get("version") for row in rows.values()}) == 1
-            if len(leads) == 1 and agree and all(row.get("committed") == row.get("applied") for row in rows.values()):
+            if (
+                len(leads) == 1
+                and agree
+                and all(row.get("committed") == row.get("applied") for row in rows.values())
+            ):
                 break
             if time.monotonic() > end:
-                told = {name: (row.get("role"), row.get("version"), row.get("why")) for name, row in rows.items()}
+                told = {
+                    name: (row.get("role"), row.get("version"), row.get("why")) for name, row in rows.items()
+                }
                 self.judge.found("well", f"after {self.scenario.settle:g} s: {told}")
                 break
             await asyncio.sleep(0.05)
@@ -334,7 +384,8 @@
                 first = history
                 self.judge.history(history)
             elif [(each.number, each.digest, each.request) for each in history] != [
-                    (each.number, each.digest, each.request) for each in first]:
+                (each.number, each.digest, each.request) for each in first
+            ]:
                 self.judge.found("same_state", f"{name} has another history than {self.fleet.names[0]}")
         return len(first)
 
@@ -342,7 +393,9 @@
         found: list[Version] = []
         while not found or found[-1].number > 1:
             before = found[-1].number if found else 0
-            page = (await call(child.address, "GET", f"/history?before={before}", within=5.0)).value["versions"]
+            page = (await call(child.address, "GET", f"/history?before={before}", within=5.0)).value[
+                "versions"
+            ]
             if not page:
                 break
             found += [version(row) for row in page]
--- a/foxspread/lab/processes/relay.py
+++ b/foxspread/lab/processes/relay.py
@@ -23,7 +23,18 @@
 from foxspread.config import Address
 from foxspread.net.pool import listening
 
-LINK_FAULTS = ("silent", "silent_out", "silent_in", "reset", "refuse", "delay", "trickle", "held", "half_open", "repeat")
+LINK_FAULTS = (
+    "silent",
+    "silent_out",
+    "silent_in",
+    "reset",
+    "refuse",
+    "delay",
+    "trickle",
+    "held",
+    "half_open",
+    "repeat",
+)
 HEAD_MOST = 64 * 1024
 
 
@@ -40,11 +51,11 @@
         while (end := self.data.find(b"\r\n\r\n")) >= 0:
             head = bytes(self.data[:end]).lower()
             at = head.find(b"content-length:")
-            length = int(head[at + 15:].split(b"\r\n", 1)[0]) if at >= 0 else 0
+            length = int(head[at + 15 :].split(b"\r\n", 1)[0]) if at >= 0 else 0
             if len(self.data) < end + 4 + length:
                 break
-            found.append((bytes(self.data[:end + 4 + length]), bytes(self.data[end + 4:end + 4 + length])))
-            del self.data[:end + 4 + length]
+            found.append((bytes(self.data[: end + 4 + length]), bytes(self.data[end + 4 : end + 4 + length])))
+            del self.data[: end + 4 + length]
         if len(self.data) > HEAD_MOST + 64 * 1024:
             raise ConnectionError("no request of ours")
         return found
@@ -53,7 +64,9 @@
 class Relay:
     """`target` may change, as when the far process starts anew. `saw` is told each whole request's body."""
 
-    def __init__(self, name: str, chance: random.Random, saw: Callable[[bytes], None] = lambda body: None) -> None:
+    def __init__(
+        self, name: str, chance: random.Random, saw: Callable[[bytes], None] = lambda body: None
+    ) -> None:
         self.name, self.chance, self.saw = name, chance, saw
         self.target: Address | None = None
         self.on: dict[str, int] = {}
@@ -131,7 +144,9 @@
                 self.sockets.discard(sock)
                 sock.close()
 
-    async def _pump(self, one: socket.socket, other: socket.socket, silent: str, cut: Requests | None) -> None:
+    async def _pump(
+        self, one: socket.socket, other: socket.socket, silent: str, cut: Requests | None
+    ) -> None:
         """Until an end closes, which ends both ways."""
         while True:
             data = await self.loop.sock_recv(one, 65536)
@@ -151,7 +166,7 @@
             while data:
                 piece = data[:7] if self.has("trickle") else data
                 await self.loop.sock_sendall(other, piece)
-                data = data[len(piece):]
+                data = data[len(piece) :]
                 if data:
                     await asyncio.sleep(0.001)
 
--- a/foxspread/lab/processes/scenario.py
+++ b/foxspread/lab/processes/scenario.py
@@ -1,5 +1,5 @@
-"""The file of a scenario of processes (TOML), for both ways to play it; read, checked and given defaults here.
-Times are seconds.
+"""The file of a scenario of processes (TOML), for both ways to play it; read, checked and given defaults
+here. Times are seconds.
 """
 
 import pathlib
@@ -11,8 +11,8 @@
 from foxspread.lab.processes.relay import LINK_FAULTS
 from foxspread.lab.scenario import ScenarioError, Strict
 
-# What befalls processes and their disks; those of links stand in `relay`. A link's fault of a member is on all its
-# links, to the others and to writers.
+# What befalls processes and their disks; those of links stand in `relay`. A link's fault of a member is on
+# all its links, to the others and to writers.
 PROCESS_FAULTS = ("stall", "kill", "term", "disk_full", "fsync_fails", "clock", "hand_over", "replace")
 LOSSY_FAULTS = ("wipe", "put_back")
 WHOM = ("leader", "follower", "any")
--- a/foxspread/lab/processes/virtual.py
+++ b/foxspread/lab/processes/virtual.py
@@ -18,7 +18,7 @@
 from foxspread.consensus.core import Contradiction, Member, Role, Settings
 from foxspread.consensus.messages import Envelope, Members, Saved, Seat, Snapshot, Write
 from foxspread.consensus.versions import Conflict, Done, Put, Version, Versions, digest
-from foxspread.lab.clock import Clock
+from foxspread.lab.world.clock import Clock
 from foxspread.lab.processes.judge import Judge
 from foxspread.lab.processes.linear import NEVER, Op
 
--- /dev/null
+++ b/foxspread/lab/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""The other side on loopback: servers, list source, clients, platform."""
--- a/foxspread/lab/stand_ins.py
+++ b/foxspread/lab/stand_ins/ends.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from foxspread.lab.demand import Want
+from foxspread.lab.world.demand import Want
 from foxspread.lab.ledger import Ledger
-from foxspread.lab.world import Job, Server
+from foxspread.lab.world.fleet import Job, Server
 from foxspread.net import http
 
 LOOPBACK = "127.0.0.1"
--- /dev/null
+++ b/foxspread/lab/world/__init__.py
@@ -0,0 +1,1 @@
+"""The world without I/O: servers, network, list, demand, virtual time."""
--- a/foxspread/lab/roster.py
+++ b/foxspread/lab/world/roster.py
@@ -1,7 +1,7 @@
 """What the list source knows, without I/O: the newest run of each server and its state, in numbered
 versions."""
 
-from foxspread.lab.world import Fleet, Server
+from foxspread.lab.world.fleet import Fleet, Server
 
 Entry = tuple[Server, str]
 
--- /dev/null
+++ b/tests/cli/test_coordinator.py
@@ -0,0 +1,166 @@
+"""The commands against real coordinators, as an operator types them."""
+
+import asyncio
+import json
+import pathlib
+import tempfile
+import unittest
+from typing import Any
+
+import tomli_w
+from click.testing import CliRunner, Result
+
+from foxspread.cli.main import foxspread
+from foxspread.config import ConfigError
+from foxspread.consensus import file as files
+from foxspread.lab.processes.fleet import Fleet
+from foxspread.lab.processes.scenario import Scenario
+
+ROOT = pathlib.Path(__file__).parents[2]
+RULES = str(ROOT / "deploy/rules.toml")
+SOUND = {
+    "fleet": "f",
+    "name": "c1",
+    "listen": "127.0.0.1:0",
+    "folder": "/tmp/x",
+    "members": {f"c{at}": f"127.0.0.1:{at}" for at in (1, 2, 3)},
+}
+
+
+def invoked(*words: str, env: dict[str, str] | None = None) -> Result:
+    return CliRunner().invoke(foxspread, words, env=env)
+
+
+class Commands(unittest.TestCase):
+    def test_put_get_history_diff_rollback_and_a_kill(self) -> None:
+        async def main() -> None:
+            async with Fleet(Scenario("cli"), 1) as fleet:
+                at = ",".join(str(relay.address) for relay in fleet.writers.values())
+
+                async def run(*words: str) -> Result:
+                    return await asyncio.to_thread(invoked, *words, env={"FOXSPREAD_COORDINATORS": at})
+
+                async def put(*words: str) -> Any:
+                    return json.loads((await run("rules", "put", RULES, "--json", *words)).output)
+
+                self.assertEqual((await put("--why", "first", "--if-version", "0"))["version"]["number"], 1)
+                again = await put("--request", "r1")
+                self.assertEqual(
+                    (again["version"]["number"], (await put("--request", "r1"))["version"]["number"]), (2, 2)
+                )
+                lost = await run("rules", "put", RULES, "--if-version", "0")
+                self.assertEqual(lost.exit_code, 1)
+                self.assertIn("version 0 was expected, and version 2", lost.output)
+                self.assertEqual(
+                    (await run("rules", "get")).output.strip(), pathlib.Path(RULES).read_text().strip()
+                )
+                self.assertIn("there is no version 9", (await run("rules", "get", "9")).output)
+                statuses = json.loads((await run("coordinator", "status", "--json")).output)
+                leader = next(row["name"] for row in statuses.values() if row["role"] == "leader")
+                other = next(each for each in fleet.names if each != leader)
+                self.assertEqual((await run("coordinator", "hand-over", other)).exit_code, 0)
+                await fleet.children[leader].end()
+                back = await run("rules", "rollback", "1", "--who", "me")
+                self.assertEqual((back.exit_code, back.output.split()[:2]), (0, ["version", "3"]))
+                self.assertIn("are the same", (await run("rules", "diff", "1", "3")).output)
+                rows = json.loads((await run("rules", "history", "--json")).output)
+                self.assertEqual(
+                    [(row["number"], row["follows"], row["why"]) for row in rows],
+                    [(3, 2, "back to version 1"), (2, 1, ""), (1, 0, "first")],
+                )
+                self.assertIn("down", (await run("coordinator", "members")).output)
+                await fleet.children[other].end()
+                none = await run("rules", "put", RULES, "--within", "1.5")
+                self.assertEqual(none.exit_code, 1)
+                self.assertIn("not known whether written; try again with --request", none.output)
+                self.assertEqual((await run("coordinator", "status")).exit_code, 1)
+
+        asyncio.run(asyncio.wait_for(main(), 90))
+
+    def test_add_and_remove(self) -> None:
+        async def main() -> None:
+            async with Fleet(Scenario("cli"), 2) as fleet:
+                at = ",".join(str(relay.address) for relay in fleet.writers.values())
+
+                async def run(*words: str) -> Result:
+                    return await asyncio.to_thread(invoked, "coordinator", *words, "--at", at)
+
+                self.assertEqual((await run("remove", "c3")).output, "c3 is removed\n")
+                self.assertIn("'c3' is no member", (await run("remove", "c3")).output)
+                self.assertNotIn("c3", json.loads((await run("members", "--json")).output))
+                self.assertEqual((await run("add", "c3", "127.0.0.1:3")).output, "c3 is a member\n")
+
+        asyncio.run(asyncio.wait_for(main(), 60))
+
+    def test_faults_are_named(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            file = pathlib.Path(folder, "x.toml")
+            for text, fault in (
+                ("[settings]\naz = 3", "'settings.az' must be text, not 3"),
+                ("[settings]\nazz = 'a'", "'settings.azz' is not known"),
+                (
+                    "[settings]\n[[settings.categories]]\nname = 'd'\nbenifit = 2",
+                    "'settings.categories[0].benifit' is not known",
+                ),
+                ("[other]\nx = 1", "'other' is not known"),
+                ("[settings", "can't be read"),
+                ("[settings]\naz = 'a'", "must name at least one category"),
+                ("# " + "x" * 40_000, "40002 bytes, at most 32768"),
+            ):
+                file.write_text(text)
+                found = invoked("rules", "check", str(file))
+                self.assertEqual((found.exit_code, fault in found.output), (2, True), found.output)
+            for change, fault in (
+                ({"members": {"c1": "h:1"}}, "'members' must name 3, 5, 7 coordinators, not 1"),
+                ({"name": "c9"}, "'members' must name 'c9'"),
+                ({"fleet": 3}, "'fleet' must be text"),
+                ({"lisen": "x"}, "'lisen' is not known"),
+                ({"listen": "x"}, "'listen' must be HOST"),
+                ({"times": {"beat": 0.2}}, "'times.election' must be at least three beats"),
+                ({"members": SOUND["members"] | {"c2": "127.0.0.1:1"}}, "must name a place once"),
+            ):
+                file.write_text(tomli_w.dumps(SOUND | change))
+                with self.subTest(change), self.assertRaisesRegex(ConfigError, fault):
+                    files.read(str(file))
+                self.assertEqual(invoked("coordinator", "run", str(file)).exit_code, 2)
+        self.assertEqual(invoked("rules", "check", RULES).exit_code, 0)
+        self.assertEqual(files.read(str(ROOT / "deploy/coordinator.toml")).name, "c1")
+        self.assertEqual(invoked("rules", "get", "--at", "x").exit_code, 2)
+
+
+class Lab(unittest.TestCase):
+    def test_search_run_explore_and_faults_of_a_file(self) -> None:
+        mixed = str(ROOT / "scenarios/processes/mixed.toml")
+        found = invoked("lab", "processes", "search", mixed, "--seeds", "0-3", "--jobs", "2")
+        self.assertEqual(found.exit_code, 0, found.output)
+        self.assertIn("4 seeds", found.output)
+        found = invoked(
+            "lab",
+            "processes",
+            "search",
+            mixed,
+            "--seeds",
+            "0-1",
+            "--jobs",
+            "1",
+            "--mutant",
+            "lying_disk",
+            "--json",
+        )
+        self.assertEqual(found.exit_code, 1)
+        self.assertEqual(json.loads(found.output.splitlines()[0])["faults"][0]["rule"], "saved_first")
+        found = invoked("lab", "processes", "explore", "two_votes", "--mutant", "votes_twice")
+        self.assertEqual((found.exit_code, "one_vote" in found.output), (1, True))
+        with tempfile.TemporaryDirectory() as folder:
+            file = pathlib.Path(folder, "x.toml")
+            for change, fault in (
+                ({"members": 4}, "'members' must be 3, 5 or 7, not 4"),
+                ({"drawn": {"kinds": ["explode"]}}, "not 'explode'"),
+                ({"faults": [{"at": 1.0, "kind": "kill", "of": "c9"}]}, "not 'c9'"),
+                ({"faults": [{"at": 99.0, "kind": "kill"}]}, "'faults.at' must lie within"),
+                ({"secs": 3}, "secs"),
+                ({"seconds": 0.0}, "'seconds' must lie from 1"),
+            ):
+                file.write_text(tomli_w.dumps({"name": "x"} | change))
+                found = invoked("lab", "processes", "run", str(file))
+                self.assertEqual((found.exit_code, fault in found.output), (2, True), found.output)
--- /dev/null
+++ b/tests/consensus/test_disk.py
@@ -0,0 +1,162 @@
+"""What a folder must bear: cut at any write, held by another process, of another member, damaged, full."""
+
+import pathlib
+import shutil
+import sqlite3
+import tempfile
+import threading
+import unittest
+
+from foxspread.consensus.disk import FILE, Disk, DiskError
+from foxspread.consensus.messages import Entry, Known, Saved, Seat, Snapshot, Stamp, Write
+
+KNOWN = {"c2": Known(Stamp("i2", 1, "r", 0, 5), 0)}
+WRITES = [
+    Write(1, 1, "", {}, {}, "", snapshot=Snapshot(members={"c1": Seat("a:1")})),
+    Write(2, 1, "c2", KNOWN, {}, ""),
+    Write(3, 1, "c2", KNOWN, {}, "", 1, [Entry(1, b"a"), Entry(1, b"b"), Entry(1, b"c")]),
+    Write(
+        4,
+        2,
+        "",
+        KNOWN,
+        {"c9": "i9"},
+        "",
+        2,
+        [Entry(2, b"d"), Entry(2, members={"c1": Seat("a:1", False, 2)})],
+    ),
+    Write(5, 2, "", {}, {}, "", snapshot=Snapshot(2, 2, {"c1": Seat("a:1")}, 0, b"all")),
+    Write(6, 2, "", {}, {}, "", 4, [Entry(2, b"e")]),
+    Write(7, 3, "", {}, {}, "barred", snapshot=Snapshot(9, 3, {}, 0, b"more"), kept=False),
+    Write(8, 3, "", {}, {}, "", 10, [Entry(3, b"f")]),
+]
+
+
+class Folder(unittest.TestCase):
+    def setUp(self) -> None:
+        self.folder = tempfile.mkdtemp()
+        self.addCleanup(shutil.rmtree, self.folder, ignore_errors=True)
+
+    def disk(self, fleet: str = "lab", member: str = "c1") -> Disk:
+        return Disk(self.folder, fleet, member, "identity")
+
+    def put(self, disk: Disk, writes: list[Write]) -> list[object]:
+        """What the disk says, once all are done or one has failed."""
+        told, over = [], threading.Event()
+
+        def done(number: int) -> None:
+            told.append(number)
+            if number == writes[-1].number:
+                over.set()
+
+        def failed(why: str) -> None:
+            told.append(why)
+            over.set()
+
+        disk.done, disk.failed = done, failed
+        for write in writes:
+            disk.put(write)
+        if writes:
+            self.assertTrue(over.wait(10))
+        return told
+
+    def test_it_is_after_each_record_what_the_lab_s_disk_is(self) -> None:
+        for count in range(len(WRITES) + 1):
+            with self.subTest(count):
+                shutil.rmtree(self.folder)
+                wanted = Saved("identity", 2)
+                for write in WRITES[:count]:
+                    wanted.apply(write)
+                disk = self.disk()
+                self.assertEqual(disk.open(), Saved("identity", 1))
+                told = self.put(disk, WRITES[:count])
+                self.assertEqual(told[-1:], [WRITES[count - 1].number] if count else [])
+                disk.close()
+                again = self.disk()
+                self.assertEqual(again.open(), wanted)
+                again.close()
+
+    def test_what_is_not_confirmed_may_be_missing_and_nothing_else(self) -> None:
+        """The files as they are at each moment, taken away while it writes: a prefix is there, never a
+        hole."""
+        disk, kept = self.disk(), []
+        disk.open()
+        done: list[int] = []
+        over = threading.Event()
+
+        def note(number: int) -> None:
+            kept.append((number, shutil.copytree(self.folder, tempfile.mkdtemp() + "/copy")))
+            done.append(number)
+            if number == 8:
+                over.set()
+
+        disk.done = note
+        for write in WRITES:
+            disk.put(write)
+        self.assertTrue(over.wait(10))
+        disk.close()
+        for number, folder in kept:
+            wanted = Saved("identity", 2)
+            for write in WRITES[:number]:
+                wanted.apply(write)
+            copy = Disk(folder, "lab", "c1", "x")
+            self.assertEqual(copy.open(), wanted)
+            copy.close()
+            shutil.rmtree(pathlib.Path(folder).parent)
+
+    def test_refused_by_name_and_left_as_it_was(self) -> None:
+        disk = self.disk()
+        disk.open()
+        with self.assertRaisesRegex(DiskError, "another process uses it"):
+            self.disk().open()
+        self.put(disk, WRITES[:3])
+        disk.close()
+        with self.assertRaisesRegex(DiskError, "its member is 'c1', not 'c2'"):
+            self.disk(member="c2").open()
+        with self.assertRaisesRegex(DiskError, "its fleet is 'lab', not 'other'"):
+            self.disk("other").open()
+        file = pathlib.Path(self.folder, FILE)
+        for statement, text in (
+            ("DELETE FROM log WHERE place = 2", "its log has a hole"),
+            ("UPDATE state SET value = x'02' WHERE key = 'format'", "its format is 2, not 1"),
+            ("DELETE FROM state WHERE key = 'term'", "term is missing"),
+        ):
+            with self.subTest(text):
+                sound = file.read_bytes()
+                with sqlite3.connect(file) as database:
+                    database.execute(statement)
+                database.close()
+                with self.assertRaisesRegex(DiskError, text):
+                    self.disk().open()
+                for each in pathlib.Path(self.folder).iterdir():
+                    each.unlink()
+                file.write_bytes(sound)
+        file.write_bytes(b"not a database" * 100)
+        with self.assertRaisesRegex(DiskError, "not a database"):
+            self.disk().open()
+        self.assertEqual(file.read_bytes()[:14], b"not a database")
+        with self.assertRaises(DiskError):
+            Disk("/proc/nowhere", "lab", "c1", "x").open()
+
+    def test_a_write_that_failed_is_final(self) -> None:
+        disk = self.disk()
+        disk.open()
+        self.put(disk, WRITES[:2])
+
+        def fail() -> None:
+            raise sqlite3.OperationalError("disk I/O error")
+
+        disk.sync = fail
+        self.assertEqual(self.put(disk, WRITES[2:3]), ["disk I/O error"])
+        del disk.sync
+        disk.done = lambda number: self.fail("it goes on to write")
+        disk.put(WRITES[3])
+        disk.thread.join(10)
+        self.assertFalse(disk.thread.is_alive())
+        disk.database.close()
+        wanted = Saved("identity", 2)
+        for write in WRITES[:2]:
+            wanted.apply(write)
+        again = self.disk()
+        self.assertEqual(again.open(), wanted)
+        again.close()
--- /dev/null
+++ b/tests/consensus/test_process.py
@@ -0,0 +1,259 @@
+"""Hard cases with real coordinators on loopback, relays between them. Each test has folders and ports of its
+own."""
+
+import asyncio
+import functools
+import json
+import signal
+import sys
+import time
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from foxspread.consensus.client import call
+from foxspread.consensus.messages import FORMAT, Envelope, Hello, Stamp, encoded
+from foxspread.lab.processes import real
+from foxspread.lab.processes.fleet import Child
+from foxspread.lab.processes.real import CONTENT, ERRORS, Play
+from foxspread.lab.processes.scenario import Drawn, Scenario, Writers
+
+SCENARIO = Scenario("test", seconds=3.0, settle=10.0)
+
+
+def with_fleet(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
+    @functools.wraps(test)
+    def run(self: unittest.TestCase) -> None:
+        async def main() -> None:
+            play = Play(SCENARIO, 1)
+            async with play.fleet:
+                await well(play)
+                await test(self, play)
+                await well(play)
+                await play.ended()
+            self.assertEqual(play.judge.faults, [])
+
+        asyncio.run(asyncio.wait_for(main(), 60))
+
+    return run
+
+
+async def until(ask: Callable[[], Awaitable[Any]], within: float = 15.0) -> Any:
+    end = time.monotonic() + within
+    while not (found := await ask()):
+        if time.monotonic() > end:
+            raise AssertionError("not in time")
+        await asyncio.sleep(0.02)
+    return found
+
+
+async def well(play: Play) -> None:
+    async def agree() -> bool:
+        rows = list((await play.statuses()).values())
+        return len({(row.get("leader"), row.get("applied")) for row in rows}) == 1 and bool(
+            rows[0].get("leader")
+        )
+
+    await until(agree)
+
+
+async def put(child: Child, request: str, within: float = 3.0, if_version: int = -1) -> dict[str, Any]:
+    """Where the answer is lost: {}."""
+    body = {"content": CONTENT.format(name=request), "request": request, "if_version": if_version}
+    try:
+        return (
+            await call(
+                child.fleet.writers[child.name].address, "POST", "/rules", json.dumps(body).encode(), within
+            )
+        ).value
+    except ERRORS:
+        return {}
+
+
+async def get(child: Child) -> dict[str, Any]:
+    return (await call(child.fleet.writers[child.name].address, "GET", "/rules", within=3.0)).value
+
+
+class HardCases(unittest.TestCase):
+    async def sides(self, play: Play) -> tuple[Child, list[Child]]:
+        """The leader, and the others."""
+        name = await until(play.leader)
+        return play.fleet.children[name], [each for each in play.fleet.children.values() if each.name != name]
+
+    async def done(self, children: list[Child], request: str) -> dict[str, Any]:
+        """A put at any of them, whoever leads."""
+
+        async def some() -> dict[str, Any] | None:
+            for child in children:
+                value = await put(child, request)
+                if value.get("status") == "done":
+                    return value["version"]
+
+        return await until(some)
+
+    @with_fleet
+    async def test_a_leader_that_was_stopped_wakes_to_a_read_and_a_write(self, play: Play) -> None:
+        leader, rest = await self.sides(play)
+        await put(leader, "first")
+        leader.stop()
+        second = await self.done(rest, "second")
+        asked = asyncio.gather(
+            get(leader), put(leader, "third")
+        )  # they wait in its socket while it stands still
+        await asyncio.sleep(0.1)
+        leader.go_on()
+        read, wrote = await asked
+        if read["status"] == "done":
+            self.assertGreaterEqual(read["version"]["number"], second["number"])
+        if wrote["status"] == "done":
+            self.assertGreater(wrote["version"]["number"], second["number"])
+        self.assertEqual((await self.done(rest, "third"))["number"], second["number"] + 1)
+
+    @with_fleet
+    async def test_the_same_number_on_both_sides_of_a_cut(self, play: Play) -> None:
+        leader, rest = await self.sides(play)
+        self.assertEqual((await put(leader, "first"))["version"]["number"], 1)
+        for relay in [*play.fleet.to(leader.name), *leader.reach.values()]:
+            if relay is not play.fleet.writers[leader.name]:
+                relay.begin("silent")
+        begun = time.monotonic()
+        left = asyncio.ensure_future(put(leader, "left", 6.0, if_version=1))
+        right = await self.done(rest, "right")
+        answer = await left
+        self.assertLess(time.monotonic() - begun, 4.0)
+        self.assertIn(answer["status"], ("unknown", "elsewhere"))
+        self.assertEqual(right["number"], 2)
+        for relay in [*play.fleet.to(leader.name), *leader.reach.values()]:
+            if relay is not play.fleet.writers[leader.name]:
+                relay.end("silent")
+        await well(play)
+        found = await put((await self.sides(play))[0], "left", if_version=1)
+        self.assertEqual((found["status"], found["latest"]["request"]), ("conflict", "right"))
+
+    @with_fleet
+    async def test_a_writer_that_loses_its_answer_asks_another(self, play: Play) -> None:
+        leader, rest = await self.sides(play)
+        play.fleet.writers[leader.name].begin("silent_in")
+        self.assertEqual(await put(leader, "once", 0.5), {})
+        await leader.end()
+        self.assertEqual((await self.done(rest, "once"))["number"], 1)
+        self.assertEqual((await self.done(rest, "twice"))["number"], 2)
+        play.fleet.writers[leader.name].end("silent_in")
+        await leader.start()
+
+    @with_fleet
+    async def test_one_that_is_not_heard_makes_no_terms_climb(self, play: Play) -> None:
+        leader, rest = await self.sides(play)
+        terms = {row["term"] for row in (await play.statuses()).values()}
+        for relay in rest[0].reach.values():
+            relay.begin("silent_out")
+        for at in range(12):  # a second and more: three election times
+            await asyncio.sleep(0.1)
+            await self.done([leader, rest[1]], f"r{at}")
+        for relay in rest[0].reach.values():
+            relay.end("silent_out")
+        await well(play)
+        self.assertEqual({row["term"] for row in (await play.statuses()).values()}, terms)
+
+    @with_fleet
+    async def test_a_wiped_member_is_found_and_comes_back_when_added_anew(self, play: Play) -> None:
+        leader, rest = await self.sides(play)
+        await put(leader, "first")
+        await play.lose("wipe", rest[0].name)
+        await self.done([leader, *rest], "second")
+        await until(functools.partial(self.votes, play, rest[0].name))
+
+    async def votes(self, play: Play, name: str) -> bool:
+        rows = (await play.statuses()).values()
+        return all(row.get("members", {}).get(name, {}).get("votes") for row in rows)
+
+    @with_fleet
+    async def test_a_full_disk_and_a_failing_one_are_told_and_mended(self, play: Play) -> None:
+        for fault, text in (("disk_full", "disk fails"), ("fsync_fails", "input/output error")):
+            leader, rest = await self.sides(play)
+            getattr(leader, fault)(True)
+            await self.done([leader, *rest], fault)
+            status = (await until(functools.partial(self.barred, play, leader.name)))["why"]
+            self.assertIn(text, status)
+            getattr(leader, fault)(False)
+            await leader.end(signal.SIGTERM)
+            await leader.start()
+            await well(play)
+
+    async def barred(self, play: Play, name: str) -> dict[str, Any] | None:
+        row = (await play.statuses())[name]
+        return row if row.get("role") == "barred" else None
+
+    @with_fleet
+    async def test_strangers_and_garbage_are_refused_and_counted(self, play: Play) -> None:
+        leader, rest = await self.sides(play)
+        stamp = Stamp("x", 1, "y", 0, 0)
+        for body, text in (
+            (encoded(Envelope("other", FORMAT, "c2", leader.name, stamp, Hello())), b"fleet 'other'"),
+            (encoded(Envelope("lab", 7, "c2", leader.name, stamp, Hello())), b"format 7"),
+            (b"\xc1", b"no message of ours"),
+            (b"x" * 70_000, b"a body of more than"),
+        ):
+            reader, writer = await asyncio.open_connection(leader.address.host, leader.address.port)
+            writer.write(
+                b"POST /peer HTTP/1.1\r\nContent-Length: %d\r\nConnection: close\r\n\r\n" % len(body) + body
+            )
+            self.assertIn(text, await reader.read())
+            writer.close()
+        for raw in (
+            b"\0\0\0",
+            b"GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+            b"PUT /rules HTTP/1.1",
+        ):
+            reader, writer = await asyncio.open_connection(leader.address.host, leader.address.port)
+            writer.write(raw)
+            writer.write_eof()
+            await reader.read()
+            writer.close()
+        for path, body, text in (
+            ("/rules", b"{}", "'content' must be text"),
+            ("/rules", b'{"content": "x", "request": "a b"}', "'request' must be an id"),
+            ("/rules", b'{"content": "[settings]\\naz = 3", "request": "r"}', "'settings.az' must"),
+            ("/rules", b'{"content": "", "request": "r", "why": 3}', "'who' and 'why'"),
+            ("/members", b'{"name": "c 9"}', "'name' must be an id"),
+            ("/members", b'{"name": "c9", "address": "x"}', "'address' must be HOST:PORT"),
+            ("/nowhere", b"", "no such call"),
+        ):
+            value = (await call(leader.address, "POST", path, body)).value
+            self.assertEqual((value["status"], text in value["why"]), ("refused", True), value)
+        refused = (await play.statuses())[leader.name]["refused"]
+        self.assertEqual(sum(refused.values()), 3)
+        await self.done([leader, *rest], "goes on")
+
+    @with_fleet
+    async def test_one_folder_has_one_process(self, play: Play) -> None:
+        leader, _ = await self.sides(play)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "foxspread.cli.main",
+            "coordinator",
+            "run",
+            str(leader.file),
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, text = await process.communicate()
+        self.assertEqual(process.returncode, 1)
+        self.assertIn(b"another process uses it", text)
+
+
+class Mixed(unittest.TestCase):
+    def test_drawn_faults_and_a_mutant(self) -> None:
+        drawn = Drawn(
+            ["silent", "reset", "half_open", "repeat", "held", "stall", "kill", "fsync_fails"],
+            every=0.8,
+            longest=1.0,
+        )
+        scenario = Scenario("mixed", seconds=6.0, settle=12.0, drawn=drawn, writers=Writers(3))
+        played = asyncio.run(real.played(scenario, 5))
+        self.assertEqual(played.faults, [])
+        self.assertGreater(played.operations["put"], 20)
+        self.assertGreater(len(played.befell), 1)
+        scenario = Scenario("mutant", seconds=2.0, settle=5.0, writers=Writers(3))
+        played = asyncio.run(real.played(scenario, 5, "compares_nothing"))
+        self.assertIn("linearizable", [each["rule"] for each in played.faults])
--- a/tests/lab/helpers.py
+++ b/tests/lab/helpers.py
@@ -6,7 +6,7 @@
 from foxspread.lab import scenario
 from foxspread.lab.ledger import Ledger, Row
 from foxspread.lab.scenario import Group, Kind, Rules
-from foxspread.lab.world import Job, Memory, Server
+from foxspread.lab.world.fleet import Job, Memory, Server
 
 TRAP = "scenarios/trap.toml"
 KIND = Kind("c", work=0.1)
--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -2,8 +2,9 @@
 import tempfile
 import unittest
 
-from foxspread.lab import experiments, report, scenario
-from foxspread.lab.experiments import ExperimentError
+from foxspread.lab import scenario
+from foxspread.lab.experiments import report, runs as experiments
+from foxspread.lab.experiments.runs import ExperimentError
 from tests.lab.helpers import small
 
 HARMFUL = {"what": "hang_after_read", "at": 1.0, "lasts": 4.0, "part": 1.0}
--- a/tests/lab/test_scenario.py
+++ b/tests/lab/test_scenario.py
@@ -2,7 +2,8 @@
 import tempfile
 import unittest
 
-from foxspread.lab import demand, scenario
+from foxspread.lab import scenario
+from foxspread.lab.world import demand
 from foxspread.lab.scenario import ScenarioError
 from tests.lab.helpers import plain, small
 
--- a/tests/lab/test_sockets.py
+++ b/tests/lab/test_sockets.py
@@ -2,10 +2,13 @@
 import socket
 import unittest
 
-from foxspread.lab import experiments, rules, scenario, sockets
-from foxspread.lab.mutants import MUTANTS
+from foxspread.lab import scenario
+from foxspread.lab.engines import sockets
+from foxspread.lab.experiments import runs as experiments
+from foxspread.lab.judge import rules
+from foxspread.lab.experiments.mutants import MUTANTS
 from foxspread.lab.scenario import ScenarioError, SocketsError
-from foxspread.lab.stand_ins import Listener, Talk
+from foxspread.lab.stand_ins.ends import Listener, Talk
 from tests.helpers import on_loop
 from tests.lab.helpers import TRAP, small, what
 
--- a/tests/lab/test_virtual.py
+++ b/tests/lab/test_virtual.py
@@ -3,11 +3,15 @@
 import sys
 import unittest
 
-from foxspread.lab import experiments, figures, policies, rules, scenario, virtual
+from foxspread.lab import scenario
+from foxspread.lab.engines import virtual
+from foxspread.lab.experiments import figures, policies, runs as experiments
+from foxspread.lab.judge import rules
 from tests.lab.helpers import rows, small, what
 
 DIGEST = """
-from foxspread.lab import scenario, virtual
+from foxspread.lab import scenario
+from foxspread.lab.engines import virtual
 print(virtual.run(scenario.load("scenarios/trap.toml"), 7).ledger.digest())
 """
 
--- a/tests/lab/test_world.py
+++ b/tests/lab/test_world.py
@@ -3,9 +3,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from foxspread.lab.clock import Backwards, Clock
+from foxspread.lab.world.clock import Backwards, Clock
 from foxspread.lab.scenario import Group, Kind, Rules
-from foxspread.lab.world import Job, Machine, Memory
+from foxspread.lab.world.fleet import Job, Machine, Memory
 from tests.lab.helpers import KIND, job, server, what
 
 
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 from foxspread import config
-from foxspread.lab.platform import Platform, call, line
+from foxspread.lab.stand_ins.platform import Platform, call, line
 from foxspread.net import handover
 from foxspread.net.sidecar import Sidecar, handover_path
 from tests.helpers import LOOKUP, OK, StandIn, ask, entry, on_loop, read_answer, told
--- a/tests/net/test_passing.py
+++ b/tests/net/test_passing.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from foxspread.lab.long_bodies import SlowServer, connected, content, exchange, summed
+from foxspread.lab.stand_ins.long_bodies import SlowServer, connected, content, exchange, summed
 from foxspread.net import passing
 from tests.helpers import LOOKUP, entry, on_loop
 from tests.net.test_operations import Running
