Any coordinator answers reads as of now, through its leader; notes between members' hosts

Need: sidecars are to ask any coordinator, not the leader alone. Change: a follower's read goes to the leader, which answers with the index that was committed when a majority confirmed it after the asking (thesis 6.4); an answer names the run that asked, since tokens begin anew with each start. Notes carry what hosts tell each other.

--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -1,5 +1,6 @@
-"""Long measurements of coordinators, written to docs/figures/consensus.md: writes a second, time without a leader,
-what a quiet one costs, recovery and catching up after many versions. Real processes on loopback, real fsync.
+"""Long measurements of coordinators, written to docs/figures/consensus.md: writes a second, time without a
+leader, what a quiet one costs, recovery and catching up after many versions. Real processes on loopback, real
+fsync.
 
     .venv/bin/python bench/consensus.py --out docs/figures/consensus.md
 """
@@ -65,8 +66,10 @@
         until = time.monotonic() + seconds
         await asyncio.gather(*(writer(child, f"w{at}", until, took) for at in range(writers)))
         disk = (await call(child.address, "GET", "/status")).value["disk"]
-        return (f"| {members} | {writers} | {len(took) / seconds:.0f} | {quantiles(took)} | "
-                f"{disk['records'] / disk['commits']:.1f} | {1e3 * disk['seconds'] / disk['commits']:.2f} |")
+        return (
+            f"| {members} | {writers} | {len(took) / seconds:.0f} | {quantiles(took)} | "
+            f"{disk['records'] / disk['commits']:.1f} | {1e3 * disk['seconds'] / disk['commits']:.2f} |"
+        )
 
 
 async def without(kind: str, tries: int, seed: int) -> list[float]:
@@ -110,7 +113,10 @@
     """Until all have applied the same."""
     while True:
         try:
-            rows = [(await call(each.address, "GET", "/status", within=1.0)).value for each in fleet.children.values()]
+            rows = [
+                (await call(each.address, "GET", "/status", within=1.0)).value
+                for each in fleet.children.values()
+            ]
         except ERRORS:
             rows = []
         if rows and len({(row["applied"], row["leader"]) for row in rows}) == 1 and rows[0]["leader"]:
@@ -124,10 +130,15 @@
         leader = await leader_of(fleet)
         before = {each.name: processor(each.process.pid) for each in fleet.children.values()}
         await asyncio.sleep(seconds)
-        used = {name: (processor(fleet.children[name].process.pid) - cpu) / seconds for name, cpu in before.items()}
+        used = {
+            name: (processor(fleet.children[name].process.pid) - cpu) / seconds
+            for name, cpu in before.items()
+        }
         follower = next(each for each in fleet.names if each != leader.name)
-        return "\n".join(f"| {what} | {resident(fleet.children[name].process.pid):.0f} | {100 * used[name]:.1f} % |"
-                         for what, name in (("leader", leader.name), ("follower", follower)))
+        return "\n".join(
+            f"| {what} | {resident(fleet.children[name].process.pid):.0f} | {100 * used[name]:.1f} % |"
+            for what, name in (("leader", leader.name), ("follower", follower))
+        )
 
 
 async def many(versions: int) -> str:
@@ -165,27 +176,43 @@
         await well(fleet)
         fresh = time.monotonic() - begun
         status = (await call(one.address, "GET", "/status")).value
-        return (f"| versions | folder | memory of the leader | start to listening | to having applied all | removed, wiped, "
-                f"added and caught up |\n| --- | --- | --- | --- | --- | --- |\n| {status['version']} | {size:.1f} MB | "
-                f"{memory:.0f} MB | {listens:.2f} s | {again:.2f} s | {fresh:.2f} s |")
+        return (
+            f"| versions | folder | memory of the leader | start to listening | to having applied all | removed, wiped, "
+            f"added and caught up |\n| --- | --- | --- | --- | --- | --- |\n| {status['version']} | {size:.1f} MB | "
+            f"{memory:.0f} MB | {listens:.2f} s | {again:.2f} s | {fresh:.2f} s |"
+        )
 
 
 async def main(out: str, quick: bool) -> None:
-    rows = ["# Coordinators: figures", "",
-            f"`.venv/bin/python bench/consensus.py --out {out}`{' (quick)' if quick else ''}, "
-            f"{datetime.date.today()}, {os.cpu_count()} cores ({platform.machine()}), Python "
-            f"{platform.python_version()}, Linux {platform.release().split('-')[0]}. Real processes on loopback behind "
-            "relays; fsync is the machine's own.", "",
-            "## Writes", "", "Writers put one after another at the leader.", "",
-            "| members | writers | puts a second | p50 ms | p99 ms | largest ms | records a commit | ms a commit |",
-            "| --- | --- | --- | --- | --- | --- | --- | --- |"]
+    rows = [
+        "# Coordinators: figures",
+        "",
+        f"`.venv/bin/python bench/consensus.py --out {out}`{' (quick)' if quick else ''}, "
+        f"{datetime.date.today()}, {os.cpu_count()} cores ({platform.machine()}), Python "
+        f"{platform.python_version()}, Linux {platform.release().split('-')[0]}. Real processes on loopback behind "
+        "relays; fsync is the machine's own.",
+        "",
+        "## Writes",
+        "",
+        "Writers put one after another at the leader.",
+        "",
+        "| members | writers | puts a second | p50 ms | p99 ms | largest ms | records a commit | ms a commit |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
     for members in (3, 5):
         for writers in (1, 16, 64):
             rows.append(await writes(members, writers, 2.0 if quick else 8.0))
             print(rows[-1], flush=True)
-    rows += ["", "## Without a leader", "", "From what befalls the leader to the next put done at another member, asked "
-             "without a pause; three fleets of three side by side.", "",
-             "| what | tries | p50 ms | p99 ms | largest ms |", "| --- | --- | --- | --- | --- |"]
+    rows += [
+        "",
+        "## Without a leader",
+        "",
+        "From what befalls the leader to the next put done at another member, asked "
+        "without a pause; three fleets of three side by side.",
+        "",
+        "| what | tries | p50 ms | p99 ms | largest ms |",
+        "| --- | --- | --- | --- | --- |",
+    ]
     tries = 5 if quick else 70
     kinds = ("kill", "stall", "cut")
     found = await asyncio.gather(*(without(kind, tries, at) for at, kind in enumerate(kinds)))
@@ -193,8 +220,12 @@
         rows.append(f"| {kind} | {len(took)} | {quantiles(took)} |")
         print(rows[-1], statistics.mean(took), flush=True)
     parts: list[tuple[str, Callable[[], Awaitable[str]]]] = [
-        ("## Quiet\n\n| who | resident MB | of a core |\n| --- | --- | --- |", lambda: quiet(3.0 if quick else 20.0)),
-        ("## After many versions\n", lambda: many(500 if quick else 10_000))]
+        (
+            "## Quiet\n\n| who | resident MB | of a core |\n| --- | --- | --- |",
+            lambda: quiet(3.0 if quick else 20.0),
+        ),
+        ("## After many versions\n", lambda: many(500 if quick else 10_000)),
+    ]
     for head, part in parts:
         rows += ["", head + ("" if head.endswith("|") else ""), await part()]
         print(rows[-1], flush=True)
--- a/foxspread/consensus/coordinator.py
+++ b/foxspread/consensus/coordinator.py
@@ -119,6 +119,7 @@
     def left(self, token: int) -> None:
         """Nobody waits for this call's answer any more."""
         self.watches.pop(token, None)
+        self.member.left(token)
 
     def hand_over(self, now: float, token: int, to: str) -> None:
         try:
@@ -154,6 +155,8 @@
         self.member.tick(now)
         for call in [each for each in self.calls.values() if each.until <= now]:
             del self.calls[call.token]
+            if not call.index:
+                self.member.left(call.token)
             if self.by_index.get(call.index) == call.token:  # a later call may wait for the same place
                 del self.by_index[call.index]
             if call.index:
@@ -186,6 +189,8 @@
                 self._restored(ready.restored)
             for index, entry in ready.entries:
                 self._applied(index, entry)
+            for sender, body in ready.notes:
+                self._noted(now, sender, body)
             for token, holds in ready.reads:
                 if (call := self.calls.pop(token, None)) is not None:
                     value = self.versions.get(call.number)
@@ -221,6 +226,9 @@
                     Answer(token, Status.ELSEWHERE, "another leader's entry stands there", self.member.leader)
                 )
 
+    def _noted(self, now: float, sender: str, body: bytes) -> None:
+        """What another member's host says; a coordinator of versions alone says nothing."""
+
     def _compact(self, now: float) -> None:
         """A log as long as what it makes: a snapshot's cost is spread over as many bytes of entries."""
         if self.log_bytes > max(self.compact_bytes, len(self.member.snapshot.data)):
--- a/foxspread/consensus/core.py
+++ b/foxspread/consensus/core.py
@@ -33,7 +33,10 @@
     Known,
     Members,
     Message,
+    Note,
     Objection,
+    ReadAsk,
+    ReadIs,
     Saved,
     Seat,
     Snapshot,
@@ -44,6 +47,7 @@
 )
 
 
+READS_MOST = 4096  # reads under way
 RETIRED_MOST = 64  # members that were removed, whose disks are still known
 
 
@@ -164,15 +168,17 @@
     writes: list[Write] = field(default_factory=list)
     restored: Snapshot | None = None  # goes before the entries
     entries: list[tuple[int, Entry]] = field(default_factory=list)
+    notes: list[tuple[str, bytes]] = field(default_factory=list)  # from other members' hosts
     reads: list[tuple[int, bool]] = field(default_factory=list)  # token; False: this one leads no more
 
     def __bool__(self) -> bool:
-        return bool(self.messages or self.writes or self.restored or self.entries or self.reads)
+        return bool(self.messages or self.writes or self.restored or self.entries or self.notes or self.reads)
 
 
 @dataclass
 class Reading:
     token: int
+    of: tuple[str, str] | None = None  # another member that asks, and its run; None: this one
     index: int = -1  # what must be applied; -1: not known before an entry of this term is committed
     round: int = 0  # what a majority must have answered; 0: not asked yet
 
@@ -221,6 +227,8 @@
         self.progress: dict[str, Progress] = {}
         self.round, self.ask_round = 0, False
         self.reads: list[Reading] = []
+        self.asked: set[int] = set()  # reads that the leader was asked for
+        self.indexed: list[tuple[int, int]] = []  # reads whose index the leader has told
         self.handing: tuple[str, float] | None = None
         self.beat_at = 0.0
         self.own_term_at = 0  # index of the first entry of its own term
@@ -255,7 +263,8 @@
         if role not in LEGAL[self.role]:
             raise Contradiction(f"{self.me}: from {self.role.value} to {role.value} in term {self.term}")
         if self.role is Role.LEADER and self.reads:
-            self.out.reads += [(each.token, False) for each in self.reads]
+            for each in self.reads:
+                self._read_told(each, False)
             self.reads = []
         self.role, self.votes, self.handing = role, set(), None
         self.progress = {}
@@ -444,6 +453,13 @@
                 and self.role in (Role.FOLLOWER, Role.ASKING)
             ):
                 self._campaign(handed=True)
+        elif isinstance(message, ReadAsk):
+            self._read_asked(sender, message)
+        elif isinstance(message, ReadIs):
+            self._read_is(message)
+        elif isinstance(message, Note):
+            if sender in self.members:
+                self.out.notes.append((sender, message.body))
         elif self.role is Role.LEADER and message.term == self.term and sender in self.progress:
             self._answered(sender, message)
 
@@ -481,11 +497,12 @@
                 self._feed(other, beat=True)
             self._answer_reads()
         ready, self.out = self.out, Ready()
-        while (
-            self.applied < self.committed
-        ):  # one after another: an entry in the log that is committed is here
+        while self.applied < self.committed:
             self.applied += 1
             ready.entries.append((self.applied, self.log.entry(self.applied)))
+        if self.indexed:
+            ready.reads += [(token, True) for token, index in self.indexed if index <= self.applied]
+            self.indexed = [each for each in self.indexed if each[1] > self.applied]
         return ready
 
     # Elections ([R] 5.2, 5.4; [T] 9.6)
@@ -753,12 +770,45 @@
     # Reads ([T] 6.4)
 
     def read(self, now: float, token: int) -> None:
-        """Told by `Ready.reads` once all that was committed before this call is applied. Raises `Refused`."""
+        """Told by `Ready.reads` once all that was committed before this call is applied. A follower asks its
+        leader ([T] 6.4). Raises `Refused`."""
         self._at(now)
-        if self.role is not Role.LEADER:
-            raise Refused("it does not lead")
-        self.reads.append(Reading(token))
-        self._index_reads()
+        if self.role is Role.LEADER:
+            self.reads.append(Reading(token))
+            self._index_reads()
+        elif self.role is Role.FOLLOWER and self.leader and len(self.asked) < READS_MOST:
+            self.asked.add(token)
+            self._send(self.leader, ReadAsk(self.term, self.run, token), False)
+        else:
+            raise Refused("it does not lead, and knows of nobody who does")
+
+    def left(self, token: int) -> None:
+        """Nobody waits for this read any more."""
+        self.asked.discard(token)
+        self.reads = [each for each in self.reads if each.token != token or each.of is not None]
+        self.indexed = [each for each in self.indexed if each[0] != token]
+
+    def note(self, now: float, to: str, body: bytes) -> None:
+        """Carried to another member's host."""
+        self._at(now)
+        if self.role is not Role.BARRED:
+            self._send(to, Note(self.term, body), False)
+
+    def _read_asked(self, sender: str, message: ReadAsk) -> None:
+        if self.role is Role.LEADER and len(self.reads) < READS_MOST and sender in self.members:
+            self.reads.append(Reading(message.token, (sender, message.run)))
+            self._index_reads()
+        else:
+            self._send(sender, ReadIs(self.term, message.run, message.token, 0, False), False)
+
+    def _read_is(self, message: ReadIs) -> None:
+        """Of an earlier run of this process, a token says nothing of a read of this one."""
+        if message.run == self.run and message.token in self.asked:
+            self.asked.discard(message.token)
+            if message.led:
+                self.indexed.append((message.token, message.index))
+            else:
+                self.out.reads.append((message.token, False))
 
     def _index_reads(self) -> None:
         if self.committed >= self.own_term_at:
@@ -781,7 +831,15 @@
         answered = rounds[majority(self.members) - 1]
         done = [each for each in self.reads if self._read_holds(each, answered)]
         self.reads = [each for each in self.reads if each not in done]
-        self.out.reads += [(each.token, True) for each in done]
+        for each in done:
+            self._read_told(each, True)
+
+    def _read_told(self, reading: Reading, led: bool) -> None:
+        if reading.of is None:
+            self.out.reads.append((reading.token, led))
+        else:
+            other, run = reading.of
+            self._send(other, ReadIs(self.term, run, reading.token, max(0, reading.index), led), False)
 
     def _read_holds(self, reading: Reading, answered: int) -> bool:
         return 0 < reading.round <= answered
--- a/foxspread/consensus/messages.py
+++ b/foxspread/consensus/messages.py
@@ -127,6 +127,31 @@
     term: int
 
 
+class ReadAsk(Row, frozen=True, tag="read_ask"):
+    """A follower's read, asked of the leader: what is committed as of now? `run` and `token` come back."""
+
+    term: int
+    run: str
+    token: int
+
+
+class ReadIs(Row, frozen=True, tag="read_is"):
+    """All up to `index` was committed when it was asked, and no more; not `led`: this one can't tell."""
+
+    term: int
+    run: str
+    token: int
+    index: int
+    led: bool
+
+
+class Note(Row, frozen=True, tag="note"):
+    """Something between the hosts of two members; the core only carries it. It may be lost, late or twice."""
+
+    term: int
+    body: bytes
+
+
 class Hello(Row, frozen=True, tag="hello"):
     """Asked at each start: does anybody know of later writes of mine?"""
 
@@ -143,7 +168,21 @@
     members_at: int  # index of the members that the sender knows
 
 
-Message = AskVote | Vote | Append | Appended | Install | Installed | HandOver | Hello | Welcome | Objection
+Message = (
+    AskVote
+    | Vote
+    | Append
+    | Appended
+    | Install
+    | Installed
+    | HandOver
+    | ReadAsk
+    | ReadIs
+    | Note
+    | Hello
+    | Welcome
+    | Objection
+)
 
 
 class Envelope(Row, frozen=True):
--- a/foxspread/consensus/versions.py
+++ b/foxspread/consensus/versions.py
@@ -18,7 +18,7 @@
 KEPT = 20_000  # versions; older ones go, their numbers are not used again
 
 
-class Put(Row, frozen=True):
+class Put(Row, frozen=True, tag="put"):
     request: str  # drawn by the writer, once for all tries of one put
     content: bytes
     if_version: int = -1  # what must be the latest; -1: whatever is
--- a/foxspread/lab/processes/explorer.py
+++ b/foxspread/lab/processes/explorer.py
@@ -96,6 +96,7 @@
     twin.pending, twin.held = [list(row) for row in member.pending], list(member.held)
     twin.out, twin.votes, twin.welcomes = Ready(), set(member.votes), set(member.welcomes)
     twin.progress = {each: copy.copy(row) for each, row in member.progress.items()}
+    twin.asked, twin.indexed = set(member.asked), list(member.indexed)
     twin.reads = [copy.copy(each) for each in member.reads]
     return twin
 
--- a/tests/consensus/test_process.py
+++ b/tests/consensus/test_process.py
@@ -223,7 +223,7 @@
             self.assertEqual((value["status"], text in value["why"]), ("refused", True), value)
         refused = (await play.statuses())[leader.name]["refused"]
         self.assertEqual(sum(refused.values()), 3)
-        await self.done([leader, *rest], "goes on")
+        await self.done([leader, *rest], "goes-on")
 
     @with_fleet
     async def test_one_folder_has_one_process(self, play: Play) -> None:
