A disk knows the seat that it was made for; agreed rules begun: leases, phases, a judge of acts

In the lab two operators don't replace one member at once: the second wipes what the first has added, and is refused rightly.

--- /dev/null
+++ b/foxspread/agreed/course.py
@@ -0,0 +1,147 @@
+"""What the coordinators' log makes for sidecars: versions, which of them is in force, which is announced, who
+holds leases. Pure; the same entries give the same course. The phase rises by one with each step, so that what
+is older is known as such.
+"""
+
+import msgspec
+
+from foxspread.agreed import keys, rules
+from foxspread.agreed.holder import Content
+from foxspread.config import ConfigError
+from foxspread.consensus.messages import Row, encoded
+from foxspread.consensus.versions import Conflict, Done, Misused, Put, State, Version, Versions
+
+HOLDERS_MOST = 10_000
+
+
+class Open(Row, frozen=True, tag="open"):
+    """These may be given leases from here on."""
+
+    holders: list[str]
+
+
+class Close(Row, frozen=True, tag="close"):
+    """No leases for these any more; what they were given may still run."""
+
+    holders: list[str]
+
+
+class Announce(Row, frozen=True, tag="announce"):
+    version: int
+
+
+class Force(Row, frozen=True, tag="force"):
+    """The version that was announced with this phase is in force."""
+
+    phase: int
+
+
+class Withdraw(Row, frozen=True, tag="withdraw"):
+    """The version that was announced with this phase is given up, for what a sidecar, or a check, said."""
+
+    phase: int
+    who: str
+    why: str
+
+
+class Drop(Row, frozen=True, tag="drop"):
+    """Nobody can act on this version's alone part any more."""
+
+    version: int
+
+
+Command = Put | Open | Close | Announce | Force | Withdraw | Drop
+
+
+class CourseState(Row):
+    state: State
+    phase: int
+    settled: int
+    next: int
+    holders: list[str]
+    alones: list[int]
+    withdrawn: dict[int, str]
+
+
+def content(text: bytes) -> Content:
+    """A version's text as it is acted on. Raises `ConfigError`, `keys.NoRule` with key and value."""
+    found = rules.read(text)
+    full = keys.checked(found.rules)
+    return Content(full, keys.alone_of(full, found.alone))
+
+
+class Course(Versions):
+    def __init__(self) -> None:
+        super().__init__()
+        self.phase, self.settled, self.next = 0, 0, 0
+        self.holders: set[str] = set()
+        self.alones: list[int] = []  # versions whose alone part somebody may act on
+        self.withdrawn: dict[int, str] = {}  # by number, why
+
+    def apply(self, body: bytes) -> Done | Conflict | Misused | None:
+        command = msgspec.msgpack.decode(body, type=Command)
+        if isinstance(command, Put):
+            return self.put(command)
+        if isinstance(command, Open):
+            self.holders |= set(command.holders[: max(0, HOLDERS_MOST - len(self.holders))])
+        elif isinstance(command, Close):
+            self.holders -= set(command.holders)
+        elif isinstance(command, Announce):
+            if not self.next and command.version == self.due():
+                self.phase, self.next = self.phase + 1, command.version
+        elif isinstance(command, Drop):
+            if command.version not in (self.settled, self.next) and command.version in self.alones:
+                self.alones.remove(command.version)
+        elif command.phase == self.phase and self.next:
+            version, self.next, self.phase = self.next, 0, self.phase + 1
+            if isinstance(command, Force):
+                self.settled = version
+                self.alones.append(version)
+            else:
+                self.withdrawn[version] = f"{command.who}: {command.why}"
+        return None
+
+    def due(self) -> int:
+        """The version to be announced next, 0 where there is none: the latest, and no older one."""
+        return self.latest if self.latest > self.settled and self.latest not in self.withdrawn else 0
+
+    def unfit(self, number: int) -> str:
+        """Why a version can't be announced now: what somebody alone would do that it doesn't allow."""
+        try:
+            mine = content(self.by_number[number].content)
+            for faults in (
+                keys.faults(mine.alone, mine.rules),
+                *(
+                    keys.faults(content(self.by_number[each].content).alone, mine.rules)
+                    for each in self.alones
+                ),
+            ):
+                for fault in faults:
+                    return fault
+        except (ConfigError, keys.NoRule) as error:
+            return str(error)
+        return ""
+
+    def saved(self) -> bytes:
+        return encoded(
+            CourseState(
+                State(self.latest, list(self.by_number.values())),
+                self.phase,
+                self.settled,
+                self.next,
+                sorted(self.holders),
+                self.alones,
+                self.withdrawn,
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        if not data:
+            return super().restore(data)
+        told = msgspec.msgpack.decode(data, type=CourseState)
+        super().restore(encoded(told.state))
+        self.phase, self.settled, self.next = told.phase, told.settled, told.next
+        self.holders, self.alones, self.withdrawn = set(told.holders), told.alones, told.withdrawn
+
+    def version(self, number: int) -> Version | None:
+        return self.by_number.get(number)
--- a/foxspread/agreed/holder.py
+++ b/foxspread/agreed/holder.py
@@ -112,9 +112,11 @@
     # What it may do
 
     def acting(self, now: float) -> Acting:
-        if now < self.until:
+        if now < self.until and self.settled:
             return Acting(Mode.BETWEEN if self.next else Mode.SETTLED, self.phase, self.rules)
-        return Acting(Mode.ALONE, self.phase, self.alone) if now < self.alone_until else NOTHING
+        if now < self.alone_until and self.alone:
+            return Acting(Mode.ALONE, self.phase, self.alone)
+        return NOTHING
 
     def may(self, now: float, decided: Acting) -> bool:
         """Whether what was decided under that may still be done. To be asked where nothing lies between the
@@ -197,8 +199,6 @@
     def _take_up(self) -> None:
         """A version that is announced and follows none is acted on by nobody yet."""
         if not self.settled:
-            self.rules, self.alone = {}, {}
-            self.until = float("-inf")
             return
         settled = self.contents[self.settled]
         self.rules = (
--- a/foxspread/agreed/keys.py
+++ b/foxspread/agreed/keys.py
@@ -32,11 +32,12 @@
 class Key:
     kind: Kind
     seen: str  # how a contradiction is seen from outside
+    default: Any = None  # as `config.settings` has it; None: it has to be stated, or (FREE) it doesn't matter
 
 
 # Paths of the rules; * stands for each row of a list, known by its name.
 KEYS: dict[str, Key] = {
-    "settings.siblings": Key(Kind.MOST, "sums over all sidecars: each keeps to its part of a limit"),
+    "settings.siblings": Key(Kind.MOST, "sums over all sidecars: each keeps to its part of a limit", 1),
     "settings.surplus_benefit": Key(Kind.FREE, "which lookups are dismissed first, in one sidecar"),
     "settings.period_us": Key(Kind.FREE, "when a sidecar looks again"),
     "settings.discovery": Key(Kind.FREE, "how one sidecar asks for its list"),
@@ -45,30 +46,33 @@
     "settings.categories.*.benefit": Key(Kind.FREE, "which lookups are dismissed first, in one sidecar"),
     "settings.categories.*.late_benefit": Key(Kind.FREE, "as benefit"),
     "settings.categories.*.semantics": Key(
-        Kind.EFFECT, "a lookup that must not run twice is repeated by another"
+        Kind.EFFECT, "a lookup that must not run twice is repeated by another", "single_shot"
+    ),
+    "settings.categories.*.key_scope": Key(
+        Kind.SWITCH, "a labelled lookup goes to servers of two groups", "cell"
     ),
-    "settings.categories.*.key_scope": Key(Kind.SWITCH, "a labelled lookup goes to servers of two groups"),
     "settings.categories.*.repeat_window_us": Key(
-        Kind.LEAST, "a repeat after servers have forgotten the first"
+        Kind.LEAST, "a repeat after servers have forgotten the first", 0
     ),
-    "settings.categories.*.stream": Key(Kind.SWITCH, "how a body is passed"),
-    "settings.tenants.*.share": Key(Kind.LEAST, "a customer gets more than its share from all together"),
-    "settings.tenants.*.quota_per_s": Key(Kind.LEAST, "a customer's lookups a second, over all sidecars"),
-    "settings.limits.max_hand_offs": Key(Kind.LEAST, "further hand-offs at servers, over all sidecars"),
-    "settings.limits.parallel_tries": Key(Kind.BOTH, "copies of one lookup at two servers"),
-    "settings.limits.cancelling": Key(Kind.BOTH, "hand-offs that are called off"),
-    "settings.limits.retry_after": Key(Kind.BOTH, "return times told to clients"),
-    "settings.limits.max_retry_after_us": Key(Kind.LEAST, "return times told to clients"),
-    "settings.limits.multiplex": Key(Kind.LEAST, "lookups on one connection"),
-    "settings.contract.cold_from": Key(Kind.LEAST, "what a cold server gets from all together"),
-    "settings.contract.cold_us": Key(Kind.MOST, "as cold_from"),
-    "settings.contract.fall_multiple": Key(Kind.LEAST, "as cold_from"),
+    "settings.categories.*.stream": Key(Kind.SWITCH, "how a body is passed", False),
+    "settings.tenants.*.share": Key(Kind.LEAST, "a customer gets more than its share from all together", 0),
+    "settings.tenants.*.quota_per_s": Key(Kind.LEAST, "a customer's lookups a second, over all sidecars", 0),
+    "settings.limits.max_hand_offs": Key(Kind.LEAST, "further hand-offs at servers, over all sidecars", 1),
+    "settings.limits.parallel_tries": Key(Kind.BOTH, "copies of one lookup at two servers", False),
+    "settings.limits.cancelling": Key(Kind.BOTH, "hand-offs that are called off", False),
+    "settings.limits.retry_after": Key(Kind.BOTH, "return times told to clients", False),
+    "settings.limits.max_retry_after_us": Key(Kind.LEAST, "return times told to clients", 0),
+    "settings.limits.multiplex": Key(Kind.LEAST, "lookups on one connection", 1),
+    "settings.contract.cold_from": Key(Kind.LEAST, "what a cold server gets from all together", 1.0),
+    "settings.contract.cold_us": Key(Kind.MOST, "as cold_from", 0),
+    "settings.contract.fall_multiple": Key(Kind.LEAST, "as cold_from", 1.0),
     "settings.specifics.warm_keys": Key(Kind.FREE, "where one sidecar sends keys that it knows"),
     "settings.tariffs.waste": Key(Kind.FREE, "what one sidecar calls off"),
 }
 # What each sidecar has for itself: its place, its zone, its seed. A version that holds one is refused.
 OWN = {"settings.az", "settings.position", "settings.seed"}
 LISTS = ("settings.categories", "settings.tenants")
+ROWS = tuple(each + "." for each in LISTS)
 
 Flat = dict[str, Any]  # values by path, rows of lists by name: settings.categories.docs.benefit
 
@@ -113,12 +117,46 @@
 
 
 def checked(rules: dict[str, Any]) -> Flat:
+    """All values by path, with the defaults of those that are not stated: what isn't said is a value too, and
+    another version may say it. Raises `NoRule` with key and value."""
     found = flat(rules)
     for path in found:
         key_of(path)
+    rows = [path for path in found if path.endswith(".")]
+    for path, key in KEYS.items():
+        section = path.partition(".*.")[0]
+        for here in (
+            [path]
+            if "*" not in path
+            else [row + path.rpartition(".")[2] for row in rows if row.startswith(section + ".")]
+        ):
+            if here in found or key.kind is Kind.FREE:
+                continue
+            if key.default is None:
+                raise NoRule(f"'{here}' must be stated: it changes what others may do")
+            found[here] = key.default
     return found
 
 
+def alone_of(rules: Flat, alone: dict[str, Any]) -> Flat:
+    """What one whose lease has run out acts on: the version's rules, for the rows that stand in its `alone`
+    part and with the values that stand there. Nothing where it has no such part."""
+    told = flat(alone)
+    if not told:
+        return {}
+    rows = [path for path in told if path.endswith(".")]
+    for path in told:
+        key_of(path)
+        if path.endswith(".") and path not in rules:
+            raise NoRule(f"'alone': {path.rstrip('.')!r} does not stand in the settings")
+    found = {
+        path: value
+        for path, value in rules.items()
+        if _row(path) == path and not path.endswith(".") or _row(path) in rows
+    }
+    return found | told
+
+
 def stricter(key: Key, one: Any, other: Any) -> Any:
     """What neither of two values forbids; for `FREE` and `SWITCH` the first."""
     if key.kind is Kind.LEAST:
@@ -136,29 +174,21 @@
     """Whether an act under `value` of this key is one that `rules` allow."""
     key = key_of(path)
     if key is None or path not in rules:
-        return key is not None or path in rules
-    if key.kind is Kind.FREE:
-        return True
+        return path in rules or key is not None and key.kind is Kind.FREE
+    if key.kind in (Kind.FREE, Kind.SWITCH):
+        return key.kind is Kind.FREE or value == rules[path]
     return stricter(key, value, rules[path]) == value
 
 
 def between(old: Flat, new: Flat) -> Flat:
     """What neither of two versions forbids. A category or customer that only one of them has is not there:
-    its lookups are dismissed with a return time, as those that no version knows. A key that only one of them
-    states stays as it was."""
+    its lookups are dismissed with a return time, as those that no version knows."""
     found: Flat = {}
     for path, value in old.items():
-        key = key_of(path)
-        if key is None:
-            if path in new:
-                found[path] = value
-        elif path in new:
-            found[path] = stricter(key, value, new[path])
-        else:
-            found[path] = value
-    rows = {each for each in {*old, *new} if each.endswith(".")}
-    gone = tuple(each for each in rows if each not in found)
-    return {path: value for path, value in found.items() if not path.startswith(gone)} if gone else found
+        if not path.startswith(ROWS) or _row(path) in new:
+            key = key_of(path)
+            found[path] = stricter(key, value, new[path]) if key is not None and path in new else value
+    return found
 
 
 def switches(old: Flat, new: Flat) -> list[str]:
--- a/foxspread/agreed/rules.py
+++ b/foxspread/agreed/rules.py
@@ -3,7 +3,7 @@
 """
 
 import tomllib
-from typing import Any
+from typing import Any, NamedTuple
 
 from foxspread.config import ConfigError, Section, settings, show
 
@@ -38,25 +38,44 @@
     return [noted(each) for each in value] if isinstance(value, list) else value
 
 
-def read(content: bytes) -> dict[str, Any]:
-    """The settings, as keyword arguments of the balancer. Raises `ConfigError` with key and value."""
+class Found(NamedTuple):
+    """A content: as keyword arguments of the balancer, as its tree, and what one whose lease has run out acts
+    on."""
+
+    settings: dict[str, Any]
+    rules: dict[str, Any]
+    alone: dict[str, Any]
+
+
+def read(content: bytes) -> Found:
+    """Raises `ConfigError` with key and value."""
     if len(content) > LONGEST:
         raise ConfigError(f"the rules take {len(content)} bytes, at most {LONGEST} are taken")
     try:
         told = tomllib.loads(content.decode())
     except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise ConfigError(f"the rules can't be read: {error}") from None
-    for key in told.keys() - {"settings"}:
+    for key in told.keys() - {"settings", "alone"}:
         raise ConfigError(f"'{key}' is not known, with {show(told[key])}")
-    if not isinstance(told.get("settings"), dict):
-        raise ConfigError(f"'settings' must be a section, not {show(told.get('settings'))}")
-    values = Noted(told["settings"])
+    found = checked(told.get("settings"), "settings")
+    alone: dict[str, Any] = {}
+    if "alone" in told:
+        checked(told["alone"], "alone")
+        alone = {"settings": told["alone"]}
+    return Found(found, {"settings": told["settings"]}, alone)
+
+
+def checked(section: Any, path: str) -> dict[str, Any]:
+    """The settings of a section, each key of which must be one that somebody reads."""
+    if not isinstance(section, dict):
+        raise ConfigError(f"'{path}' must be a section, not {show(section)}")
+    values = Noted(section)
     try:
-        found = settings(Section(values, "settings"), 0)
+        found = settings(Section(values, path), 0)
     except TypeError as error:  # a date, say, can't be shown as JSON
-        raise ConfigError(f"'settings': {error}") from None
-    if left := values.unread("settings"):
+        raise ConfigError(f"'{path}': {error}") from None
+    if left := values.unread(path):
         raise ConfigError(f"'{left[0]}' is not known")
     if not found["categories"]:
-        raise ConfigError("'settings.categories' must name at least one category")
+        raise ConfigError(f"'{path}.categories' must name at least one category")
     return found
--- a/foxspread/consensus/coordinator.py
+++ b/foxspread/consensus/coordinator.py
@@ -192,6 +192,8 @@
             for sender, body in ready.notes:
                 self._noted(now, sender, body)
             for token, holds in ready.reads:
+                if self._read_done(now, token, holds):
+                    continue
                 if (call := self.calls.pop(token, None)) is not None:
                     value = self.versions.get(call.number)
                     self.answers.append(
@@ -229,6 +231,10 @@
     def _noted(self, now: float, sender: str, body: bytes) -> None:
         """What another member's host says; a coordinator of versions alone says nothing."""
 
+    def _read_done(self, now: float, token: int, holds: bool) -> bool:
+        """True where the read was one of the host's own."""
+        return False
+
     def _compact(self, now: float) -> None:
         """A log as long as what it makes: a snapshot's cost is spread over as many bytes of entries."""
         if self.log_bytes > max(self.compact_bytes, len(self.member.snapshot.data)):
--- a/foxspread/consensus/core.py
+++ b/foxspread/consensus/core.py
@@ -157,6 +157,7 @@
     since: float | None = None  # when what it has not answered yet was sent
     at: int = 0  # bytes of the snapshot that it has
     of: int = 0  # index of that snapshot
+    identity: str = ""  # of its disk, as it last said
 
 
 @dataclass
@@ -211,6 +212,7 @@
             saved.barred,
         )
         self.retired = dict(saved.retired)  # disks of members that were removed
+        self.seat = saved.seat if saved.count else 0 if members else -1
         self.snapshot = saved.snapshot if saved.count else Snapshot(members=members)
         self.log = Log(self.snapshot.index, self.snapshot.term, list(saved.entries))
         self.committed = self.applied = self.snapshot.index
@@ -244,7 +246,7 @@
     # What it is
 
     def stamp(self) -> Stamp:
-        return Stamp(self.identity, self.generation, self.run, self.began, self.began + self.saved)
+        return Stamp(self.identity, self.generation, self.run, self.began, self.began + self.saved, self.seat)
 
     def _voter(self, member: str) -> bool:
         return member in self.members and self.members[member].voter
@@ -318,6 +320,7 @@
                 entries or [],
                 snapshot,
                 kept,
+                self.seat,
             )
         )
 
@@ -371,9 +374,16 @@
         why = ""
         if stamp.identity == self.retired.get(sender):
             why = "this disk's member was removed"
-        elif known is None or seat is not None and seat.since != known.since:
-            if seat is not None:
-                self.known[sender] = Known(stamp, seat.since)
+        elif seat is None or stamp.since > seat.since:
+            return True  # this member has missed a change, and can't tell
+        elif stamp.since < seat.since:
+            if stamp.since < 0 and not seat.voter:
+                return True  # it is being added, and has not heard of its seat yet
+            if self.members_at > self.committed:
+                return False  # a change that may come to nothing
+            why = "another disk: it is not the one that was added last"
+        elif known is None or known.since != seat.since:
+            self.known[sender] = Known(stamp, seat.since)
         elif stamp.identity != known.stamp.identity:
             why = "another disk: wiped, or copied"
         elif (
@@ -387,7 +397,7 @@
         elif stamp.generation > known.stamp.generation or stamp.count > known.stamp.count:
             self.known[sender] = Known(stamp, known.since)
         if why:
-            self._send(sender, Objection(stamp.run, why, self.members_at), False)
+            self._send(sender, Objection(stamp.run, why, self.members_at, stamp.since), False)
         return not why
 
     def _heard_of(self, known: dict[str, Known]) -> None:
@@ -423,6 +433,7 @@
             # of that.
             if (
                 message.run == self.run
+                and message.since == self.stamp().since  # and not of what it said before it knew its seat
                 and message.members_at >= self.members_at
                 and (self.members or sender == self.leader)
             ):
@@ -461,6 +472,7 @@
             if sender in self.members:
                 self.out.notes.append((sender, message.body))
         elif self.role is Role.LEADER and message.term == self.term and sender in self.progress:
+            self.progress[sender].identity = envelope.stamp.identity
             self._answered(sender, message)
 
     def tick(self, now: float) -> None:
@@ -640,6 +652,8 @@
                 entries,
                 self.committed,
                 self.round,
+                self.members[other].since,
+                row.identity,
                 dict(self.known) if beat else {},
             ),
             False,
@@ -662,6 +676,8 @@
                 data,
                 row.at + len(data) >= len(self.snapshot.data),
                 self.round,
+                self.members[other].since,
+                row.identity,
             ),
             False,
         )
@@ -672,6 +688,7 @@
         if self.role is Role.LEADER:
             raise Contradiction(f"{self.me} and {sender} both lead term {self.term}")
         self._follow(message.term, sender)
+        self._seated(message)
         self._heard_of(message.known)
         previous, entries = message.previous, message.entries
         if previous < self.log.base:  # what the snapshot stands for is committed, and so the same
@@ -693,6 +710,13 @@
     def _differs(self, index: int, entry: Entry) -> bool:
         return self.log.term(index) != entry.term
 
+    def _seated(self, message: Append | Install) -> None:
+        """A disk that joins is made for the seat that the leader first names; what it then reads in the log
+        of a former member of its name is not about it, nor is what was sent to that one and comes late."""
+        if self.seat < 0 <= message.seat and message.identity == self.identity:
+            self.seat = message.seat
+            self._write()
+
     def _back(self, previous: int) -> int:
         """Where the leader should try next: before all entries of the term that didn't fit ([R] 5.3)."""
         if previous > self.log.last:
@@ -925,6 +949,7 @@
         if message.term < self.term:
             return self._send(sender, Installed(self.term, 0, 0, message.round))
         self._follow(message.term, sender)
+        self._seated(message)
         if message.index <= self.committed:
             self.coming = None
             return self._send(sender, Appended(self.term, True, self.committed, message.round))
--- a/foxspread/consensus/disk.py
+++ b/foxspread/consensus/disk.py
@@ -72,6 +72,7 @@
                     term=0,
                     vote="",
                     barred="",
+                    seat=-1,
                     known={},
                     retired={},
                     snapshot=Snapshot(),
@@ -134,6 +135,7 @@
             self._value("known", dict[str, Known]),
             self._value("retired", dict[str, str]),
             self._value("barred", str),
+            self._value("seat", int),
             snapshot,
             [msgspec.msgpack.decode(entry, type=Entry) for _, entry in rows],
         )
@@ -185,6 +187,7 @@
             known=last.known,
             retired=last.retired,
             barred=last.barred,
+            seat=last.seat,
             count=count,
         )
         self.sync()
--- a/foxspread/consensus/messages.py
+++ b/foxspread/consensus/messages.py
@@ -51,6 +51,7 @@
     run: str  # drawn at each start
     began: int  # count at that start
     count: int
+    since: int = -1  # of the seat that it takes itself to have; -1: it knows of none
 
 
 class Known(Row, frozen=True):
@@ -86,6 +87,8 @@
     entries: list[Entry]
     committed: int
     round: int
+    seat: int = -1  # of whom it goes to, as the leader knows it...
+    identity: str = ""  # ... and that one's disk, once it was heard
     known: dict[str, Known] = {}
 
 
@@ -110,6 +113,8 @@
     data: bytes
     whole: bool  # this is its last piece
     round: int
+    seat: int = -1
+    identity: str = ""
 
 
 class Installed(Row, frozen=True, tag="installed"):
@@ -166,6 +171,7 @@
     run: str
     why: str
     members_at: int  # index of the members that the sender knows
+    since: int  # as the stamp said that is objected to
 
 
 Message = (
@@ -217,6 +223,7 @@
     entries: list[Entry] = []
     snapshot: Snapshot | None = None  # entries up to its index go
     kept: bool = True  # the log after the snapshot's index is kept
+    seat: int = -1  # `Seat.since` of the seat that this disk was made for; -1: not known yet
 
 
 class Saved(msgspec.Struct):
@@ -230,13 +237,14 @@
     known: dict[str, Known] = {}
     retired: dict[str, str] = {}
     barred: str = ""
+    seat: int = -1
     snapshot: Snapshot = Snapshot()
     entries: list[Entry] = []
 
     def apply(self, write: Write) -> None:
         """What the disk does with a record; the simulated disk and the tests' use it, SQLite has its own."""
         self.term, self.vote, self.barred = write.term, write.vote, write.barred
-        self.known, self.retired = write.known, write.retired
+        self.known, self.retired, self.seat = write.known, write.retired, write.seat
         self.count += 1
         base = self.snapshot.index
         if write.snapshot is not None:
--- a/foxspread/lab/processes/real.py
+++ b/foxspread/lab/processes/real.py
@@ -23,7 +23,7 @@
 ERRORS = (OSError, TimeoutError, BadMessage)
 CONTENT = """# {name}
 [settings]
-az = "a"
+siblings = 1
 [[settings.categories]]
 name = "docs"
 expected_time_us = 500000
--- a/foxspread/lab/processes/virtual.py
+++ b/foxspread/lab/processes/virtual.py
@@ -145,6 +145,7 @@
         self.disk = (world.broken.disk or Disk)(world, chance)
         self.rate, self.offset = 1.0, chance.uniform(1.0, 1000.0)
         self.run = 0  # starts
+        self.replacing = False
         self.down, self.kill_at_write, self.lost = True, False, False  # lost: its disk lost promises
         self.stalled: list[Callable[[], None]] | None = None
         self.wake: int | None = None
@@ -157,7 +158,7 @@
     def start(self) -> None:
         if self.down:
             self.run, self.down, self.stalled, self.wake = self.run + 1, False, None, None
-            self.host = Watched(
+            self.host = self.world.host(
                 self,
                 self.local(),
                 self.id,
@@ -236,13 +237,13 @@
         self.tries = 0
 
     def begin(self) -> None:
-        if self.world.now > self.world.plan.seconds + self.world.plan.settle - 2.5:
+        if self.world.now > self.world.writers_until:
             return
         self.count += 1
         kind = self.chance.choices(("put", "set", "get"), (3, 3, 4))[0]
-        content = f"{self.id} {self.count}".encode()
+        content = self.world.content(self)
         if self.chance.random() < self.world.plan.long:
-            content += b"." * self.chance.choice((3_000, 30_000))
+            content += b"#" + b"." * self.chance.choice((3_000, 30_000))
         put = Put(f"{self.id}-{self.count}", content, self.seen if kind == "set" else -1, self.id)
         self.op = {
             "get": kind == "get",
@@ -317,6 +318,8 @@
 
 
 class World:
+    host = Watched
+
     def __init__(self, plan: Plan, seed: int, broken: Broken | None = None) -> None:
         self.plan, self.seed, self.broken = plan, seed, broken or Broken()
         self.clock, self.chance = Clock(), self.rng("world")
@@ -338,6 +341,14 @@
     def now(self) -> float:
         return self.clock.now / 1e6
 
+    @property
+    def writers_until(self) -> float:
+        return self.plan.seconds + self.plan.settle - 2.5
+
+    def content(self, writer: Writer) -> bytes:
+        """Of a put; no two are the same."""
+        return f"{writer.id} {writer.count}".encode()
+
     def rng(self, name: str) -> random.Random:
         return random.Random(zlib.crc32(f"{name}:{self.seed}".encode()))
 
@@ -479,7 +490,10 @@
         elif kind == "hand_over":
             node.step(lambda host, now: host.hand_over(now, 0, self.chance.choice(self.ids)))
         elif kind == "replace":
-            Replacing(self, node)
+            if (
+                not node.replacing
+            ):  # an operator who wipes what another one has just added is right to be refused
+                Replacing(self, node)
 
     def _resume(self, node: Node, run: int) -> None:
         if node.run == run and not node.down:
@@ -562,12 +576,12 @@
     def __init__(self, world: World, node: Node) -> None:
         self.world, self.node, self.adding = world, node, False
         self.until = world.now + 6.0
-        self.begun = False
-        self.tries = 0
+        self.tries, node.replacing = 0, True
         self.ask()
 
     def ask(self) -> None:
         if self.world.now > self.until or self.tries > 40:
+            self.node.replacing = False
             return
         self.tries += 1
         token = self.world.token(self, self.tries)
@@ -597,7 +611,7 @@
             else "is a member already" in str(answer.value)
         )
         if done and self.adding:
-            self.tries = 99
+            self.tries, self.node.replacing = 99, False
         elif done:
             self.adding = True
             self.node.kill()
