--- a/foxspread/agreed/course.py
+++ b/foxspread/agreed/course.py
@@ -12,6 +12,28 @@
 from foxspread.consensus.versions import Conflict, Done, Misused, Put, State, Version, Versions
 
 HOLDERS_MOST = 10_000
+ALONES_MOST = 64  # alone parts that somebody may act on; a further version waits until one has run out
+
+
+class Terms(Row, frozen=True, tag="terms"):
+    """Seconds. `drift`: by how much a clock may run fast or slow. `alone`: how long a sidecar acts on the
+    alone part after it last asked. `refusals`: how many may turn a version down without it being withdrawn.
+    They stand in the log, for a member that waits for shorter leases than another gives would let two
+    contradict each other."""
+
+    lease: float = 10.0
+    alone: float = 300.0
+    drift: float = 0.02
+    refusals: int = 0
+
+    def runs_out(self, seconds: float) -> float:
+        """By when, on a clock of a coordinator, what was given for so long has run out on any other."""
+        return seconds * (1 + self.drift)
+
+    def bound(self) -> float:
+        """For keys with nothing between: how long two may contradict each other, without the way of one
+        message."""
+        return self.lease * (1 + self.drift)
 
 
 class Open(Row, frozen=True, tag="open"):
@@ -50,7 +72,7 @@
     version: int
 
 
-Command = Put | Open | Close | Announce | Force | Withdraw | Drop
+Command = Put | Terms | Open | Close | Announce | Force | Withdraw | Drop
 
 
 class CourseState(Row):
@@ -61,6 +83,7 @@
     holders: list[str]
     alones: list[int]
     withdrawn: dict[int, str]
+    terms: Terms | None
 
 
 def content(text: bytes) -> Content:
@@ -77,12 +100,15 @@
         self.holders: set[str] = set()
         self.alones: list[int] = []  # versions whose alone part somebody may act on
         self.withdrawn: dict[int, str] = {}  # by number, why
+        self.terms: Terms | None = None  # the first that were proposed; no lease is given before
 
     def apply(self, body: bytes) -> Done | Conflict | Misused | None:
         command = msgspec.msgpack.decode(body, type=Command)
         if isinstance(command, Put):
             return self.put(command)
-        if isinstance(command, Open):
+        if isinstance(command, Terms):
+            self.terms = self.terms or command
+        elif isinstance(command, Open):
             self.holders |= set(command.holders[: max(0, HOLDERS_MOST - len(self.holders))])
         elif isinstance(command, Close):
             self.holders -= set(command.holders)
@@ -96,14 +122,23 @@
             version, self.next, self.phase = self.next, 0, self.phase + 1
             if isinstance(command, Force):
                 self.settled = version
-                self.alones.append(version)
+                if self._has_alone(version):
+                    self.alones.append(version)
             else:
                 self.withdrawn[version] = f"{command.who}: {command.why}"
         return None
 
     def due(self) -> int:
         """The version to be announced next, 0 where there is none: the latest, and no older one."""
-        return self.latest if self.latest > self.settled and self.latest not in self.withdrawn else 0
+        if self.latest <= self.settled or self.latest in self.withdrawn or len(self.alones) >= ALONES_MOST:
+            return 0
+        return self.latest
+
+    def _has_alone(self, number: int) -> bool:
+        try:
+            return bool(content(self.by_number[number].content).alone)
+        except (ConfigError, keys.NoRule):
+            return True
 
     def unfit(self, number: int) -> str:
         """Why a version can't be announced now: what somebody alone would do that it doesn't allow."""
@@ -132,6 +167,7 @@
                 sorted(self.holders),
                 self.alones,
                 self.withdrawn,
+                self.terms,
             )
         )
 
@@ -142,6 +178,7 @@
         super().restore(encoded(told.state))
         self.phase, self.settled, self.next = told.phase, told.settled, told.next
         self.holders, self.alones, self.withdrawn = set(told.holders), told.alones, told.withdrawn
+        self.terms = told.terms
 
     def version(self, number: int) -> Version | None:
         return self.by_number.get(number)
--- a/foxspread/agreed/steward.py
+++ b/foxspread/agreed/steward.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from foxspread.agreed.course import Announce, Close, Course, Drop, Force, Open, Withdraw
+from foxspread.agreed.course import Announce, Close, Course, Drop, Force, Open, Terms, Withdraw
 from foxspread.agreed.holder import Ask, Grant
 from foxspread.consensus.coordinator import Answer, Coordinator, Out, Status
 from foxspread.consensus.core import Refused, Role
@@ -27,27 +27,6 @@
 STRAY_MOST = 4096  # holders of which something was heard, beyond those that are open
 
 
-@dataclass(frozen=True)
-class Terms:
-    """Seconds. `drift`: by how much a clock may run fast or slow. `alone`: how long a sidecar acts on the
-    alone part after it last asked. `refusals`: how many may turn a version down without it being
-    withdrawn."""
-
-    lease: float = 10.0
-    alone: float = 300.0
-    drift: float = 0.02
-    refusals: int = 0
-
-    def runs_out(self, seconds: float) -> float:
-        """By when, on a clock of this member, what was given for so long has run out on any other."""
-        return seconds * (1 + self.drift)
-
-    def bound(self) -> float:
-        """For keys with nothing between: how long two may contradict each other, without the way of one
-        message."""
-        return self.lease * (1 + self.drift)
-
-
 class Heard(Row):
     """What a holder last said: the phase that it acts on, one that it refuses and why."""
 
@@ -81,10 +60,9 @@
 
 class Steward(Coordinator):
     versions_kind = Course
-    terms = Terms()
 
-    def __init__(self, now: float, *told: Any, terms: Terms | None = None, **more: Any) -> None:
-        self.terms = terms or self.terms
+    def __init__(self, now: float, *told: Any, terms: Terms = Terms(), **more: Any) -> None:
+        self.wish = terms  # what it proposes where none are agreed yet
         # What follows is set before the log is read: entries are applied later, by `take`.
         self.asks: dict[int, Waiting] = {}
         self.reading: dict[int, list[int]] = {}  # reads under way, and the asks that wait for each
@@ -103,6 +81,10 @@
     def course(self) -> Course:
         return self.versions
 
+    @property
+    def terms(self) -> Terms:
+        return self.course.terms or self.wish
+
     # What sidecars ask
 
     def ask(self, now: float, token: int, ask: Ask) -> None:
@@ -176,7 +158,9 @@
         waiting = self.asks.get(token)
         if waiting is None:
             return
-        if waiting.ask.holder not in self.course.holders:  # it is being opened: with the next read
+        if (
+            waiting.ask.holder not in self.course.holders or self.course.terms is None
+        ):  # it is being opened: with the next read
             self.flush_at = min(self.flush_at, now + GATHER)
             return
         del self.asks[token]
@@ -198,6 +182,9 @@
         if member.applied < member.own_term_at:
             return  # it doesn't know yet what is committed
         lead, course, terms = self.lead, self.course, self.terms
+        if course.terms is None:
+            self._propose(now, "terms", self.wish)
+            return
         opening = [each for each in lead.told if each not in course.holders][:BATCH]
         if opening:
             self._propose(now, "open", Open(opening))
--- a/foxspread/cli/coordinator.py
+++ b/foxspread/cli/coordinator.py
@@ -94,10 +94,9 @@
     import uvloop
     from loguru import logger
 
-    from foxspread.agreed import rules
+    from foxspread.agreed import process as agreed
     from foxspread.consensus import file as files
     from foxspread.consensus.disk import DiskError
-    from foxspread.consensus.process import Process
     from foxspread.net import log
 
     async def main() -> None:
@@ -107,10 +106,10 @@
         loop.set_exception_handler(
             lambda loop, found: logger.opt(exception=found.get("exception")).error("{}", found.get("message"))
         )
-        await (process or Process)(loop, told, rules.read).run(stop)
+        await (process or agreed.StewardProcess)(loop, told, agreed.check).run(stop)
 
     try:
-        told = files.read(file)
+        told = agreed.with_terms(files.read(file), file)
     except ConfigError as error:
         click.echo(f"foxspread: {error}", err=True)
         return 2
--- a/foxspread/cli/rules.py
+++ b/foxspread/cli/rules.py
@@ -7,14 +7,18 @@
 import pathlib
 import secrets
 import sys
+import time
 from typing import Any
 
 import click
 
-from foxspread.agreed import rules as content
-from foxspread.cli.coordinator import AT, JSON, WITHIN, printed
+from foxspread.agreed import process as content
+from foxspread.agreed import keys
+from foxspread.agreed.course import Terms
+from foxspread.cli.coordinator import AT, JSON, WITHIN, asked, printed
 from foxspread.config import Address, ConfigError
-from foxspread.consensus.client import Client, Reply, Unreached
+from foxspread.consensus.client import Client, Reply, Unreached, call
+from foxspread.net.http import BadMessage
 
 FILE = click.Path(exists=True, dir_okay=False)
 
@@ -33,7 +37,7 @@
 def checked(file: str) -> str:
     text = pathlib.Path(file).read_bytes()
     try:
-        content.read(text)
+        content.check(text)
     except ConfigError as error:
         raise click.UsageError(f"{file}: {error}") from None
     return text.decode()
@@ -206,3 +210,93 @@
     text = version_of(number, at, within, as_json).value["version"]["content"]
     latest = version_of(0, at, within, as_json).value["version"]["number"]
     write(text, latest, why or f"back to version {number}", who, None, at, within, as_json)
+
+
+def course(at: list[Address], within: float) -> dict[str, Any]:
+    """As the one that leads sees it; as another does where none leads."""
+
+    async def ask(client: Client) -> dict[str, Any]:
+        found = []
+        for address in client.addresses:
+            try:
+                found.append((await call(address, "GET", "/course", within=min(2.0, within))).value)
+            except (OSError, TimeoutError, BadMessage):
+                continue
+        if not found:
+            raise Unreached("no coordinator answers", False)
+        return max(found, key=lambda row: (row["leads"], row["phase"]))
+
+    return asked(at, within, ask)
+
+
+@rules.command()
+@AT
+@WITHIN
+@JSON
+def status(at: list[Address], within: float, as_json: bool) -> None:
+    """What is in force, what is announced, and who acts on what."""
+    found = course(at, within)
+    if as_json:
+        return click.echo(json.dumps(found))
+    click.echo(
+        f"phase {found['phase']}  in force {found['settled'] or '-'}  announced {found['next'] or '-'}  "
+        f"latest {found['latest'] or '-'}" + ("" if found["leads"] else "  (nobody is known to lead)")
+    )
+    for number, why in found["withdrawn"].items():
+        click.echo(f"withdrawn {number}: {why}")
+    for name, row in sorted(found["holders"].items()):
+        state = "confirmed" if row["phase"] >= found["phase"] else f"on phase {row['phase']}"
+        click.echo(
+            f"{name}  {state}  heard {row['heard']:.1f} s ago"
+            + (f"  turned down: {row['why']}" if row["why"] else "")
+        )
+    for name in found["silent"]:
+        click.echo(f"{name}  not heard by the one that leads")
+
+
+@rules.command()
+@AT
+@WITHIN
+@JSON
+def bound(at: list[Address], within: float, as_json: bool) -> None:
+    """For how long two sidecars may contradict each other, by key."""
+    terms = course(at, within)["terms"]
+    if terms is None:
+        raise click.ClickException("no terms are agreed yet")
+    longest = Terms(**terms).bound()
+    rows = {path: longest if key.kind is keys.Kind.SWITCH else 0.0 for path, key in keys.KEYS.items()}
+    if as_json:
+        return click.echo(json.dumps(rows))
+    for path, seconds in rows.items():
+        click.echo(f"{path}  {seconds:g} s  {keys.KEYS[path].kind.value}")
+
+
+@rules.command()
+@click.argument("number", type=click.IntRange(1))
+@click.option(
+    "--settled", is_flag=True, help="Until nobody acts on what was before it, and it alone is in force."
+)
+@AT
+@WITHIN
+@JSON
+def wait(number: int, settled: bool, at: list[Address], within: float, as_json: bool) -> None:
+    """Until version NUMBER, or a later one, is in force. Exit code 1 where it is withdrawn, or not in
+    time."""
+    end = time.monotonic() + within
+    while True:
+        found = course(at, within)
+        if str(number) in found["withdrawn"]:
+            raise click.ClickException(f"version {number} was withdrawn: {found['withdrawn'][str(number)]}")
+        done = found["settled"] >= number
+        if done and settled:
+            done = (
+                all(row["phase"] >= found["phase"] for row in found["holders"].values())
+                and not found["silent"]
+            )
+        if done:
+            return click.echo(json.dumps(found) if as_json else f"version {found['settled']} is in force")
+        if time.monotonic() > end:
+            raise click.ClickException(
+                f"version {number} is not in force after {within:g} s; see `foxspread rules status`"
+            )
+        time.sleep(0.05)
--- a/foxspread/consensus/file.py
+++ b/foxspread/consensus/file.py
@@ -8,7 +8,7 @@
 from foxspread.consensus.core import Settings
 
 SIZES = (3, 5, 7)
-TOP = {"fleet", "name", "listen", "folder", "joins", "members", "reach", "times"}
+TOP = {"fleet", "name", "listen", "folder", "joins", "members", "reach", "times", "leases"}
 
 
 @dataclass(frozen=True)
@@ -23,6 +23,7 @@
     reach: dict[str, str] = field(default_factory=dict)
     settings: Settings = Settings()
     patience: float = 2.0  # seconds within which each call is answered
+    more: dict[str, Any] = field(default_factory=dict)  # for what the log makes
 
 
 def read(path: str) -> Told:
--- a/foxspread/consensus/process.py
+++ b/foxspread/consensus/process.py
@@ -35,7 +35,7 @@
 class Process:
     """`check` looks at a content before it is proposed and raises `ConfigError`."""
 
-    disk_kind = Disk
+    disk_kind, host_kind = Disk, Coordinator
 
     def __init__(
         self,
@@ -51,8 +51,16 @@
         self.disk = self.disk_kind(told.folder, told.fleet, told.name, f"{chance.getrandbits(64):016x}")
         saved = self.disk.open()
         members = {} if told.joins else {each: Seat(at) for each, at in told.members.items()}
-        self.host = Coordinator(
-            self.clock(), told.name, told.fleet, saved, members, told.settings, self.chance, told.patience
+        self.host = self.host_kind(
+            self.clock(),
+            told.name,
+            told.fleet,
+            saved,
+            members,
+            told.settings,
+            self.chance,
+            patience=told.patience,
+            **told.more,
         )
         self.disk.done = lambda number: loop.call_soon_threadsafe(self._input, self.host.confirmed, number)
         self.disk.failed = lambda why: loop.call_soon_threadsafe(self._failed, why)
--- a/foxspread/lab/processes/agreed.py
+++ b/foxspread/lab/processes/agreed.py
@@ -1,6 +1,6 @@
 """Coordinators and sidecars that act on agreed rules, in virtual time: the same `Steward` and `Holder` as
 behind sockets. Each act of a sidecar is a row of the ledger, at the moment at which a server would have seen
-it, and is judged against the version that was in force then, by the coordinators' history: nothing in the
+it, and is judged against the version in force then, by the coordinators' history: nothing in the
 sidecar is asked.
 """
 
@@ -9,10 +9,10 @@
 from typing import Any
 
 from foxspread.agreed import keys
-from foxspread.agreed.course import Course, content
+from foxspread.agreed.course import Course, Terms, content
 from foxspread.agreed.holder import Acting, Ask, Content, Grant, Holder, Kept, Mode
 from foxspread.agreed.keys import Kind
-from foxspread.agreed.steward import Steward, Terms
+from foxspread.agreed.steward import Steward
 from foxspread.consensus.coordinator import Answer, Status
 from foxspread.consensus.messages import Snapshot
 from foxspread.lab.processes import virtual
@@ -38,9 +38,9 @@
 )
 RULES = {
     "in_force": "an act is one that the version in force at that moment allows",
-    "bound": "where nothing lies between two versions, an act on the older one comes within the bound at the latest",
+    "bound": "where nothing lies between two versions, an act on the older one comes within the bound",
     "none_yet": "nobody acts before a version is in force",
-    "settles": "once nothing fails any more, the latest version is in force, or withdrawn with a reason, and all act on it",
+    "settles": "once nothing fails, the latest version is in force, or withdrawn; all act on one",
 }
 
 
@@ -78,16 +78,14 @@
         rows.append(("extra", 1.0, "free", "cell"))
     text = f"# {count}\n[settings]\nsiblings = {chance.choice((cars, 2 * cars))}\n"
     for name, abandon, semantics, scope in rows:
-        text += (
-            f'[[settings.categories]]\nname = "{name}"\nabandon_time_us = {abandon * 1e6:.0f}\n'
-            f'semantics = "{semantics}"\nkey_scope = "{scope}"\n'
-        )
-    text += f"[settings.limits]\nmax_hand_offs = {chance.randint(1, 6)}\nparallel_tries = {chance.choice(('true', 'false'))}\n"
-    hands = 2 if chance.random() < 0.1 else 1
+        text += f'[[settings.categories]]\nname = "{name}"\nabandon_time_us = {abandon * 1e6:.0f}\n'
+        text += f'semantics = "{semantics}"\nkey_scope = "{scope}"\n'
+    copies, hands = chance.choice(("true", "false")), 2 if chance.random() < 0.1 else 1
+    text += f"[settings.limits]\nmax_hand_offs = {chance.randint(1, 6)}\nparallel_tries = {copies}\n"
     text += (
         f'[alone]\nsiblings = {2 * cars}\n[[alone.categories]]\nname = "docs"\nabandon_time_us = 1000000\n'
-        f'semantics = "single_shot"\n[alone.limits]\nmax_hand_offs = {hands}\nparallel_tries = false\n'
     )
+    text += f'semantics = "single_shot"\n[alone.limits]\nmax_hand_offs = {hands}\nparallel_tries = false\n'
     return text.encode()
 
 
--- a/foxspread/lab/processes/child.py
+++ b/foxspread/lab/processes/child.py
@@ -10,11 +10,12 @@
 import sys
 from typing import Any
 
+from foxspread.agreed.course import Course
+from foxspread.agreed.process import StewardProcess
+from foxspread.agreed.steward import Steward
 from foxspread.cli.coordinator import serve
 from foxspread.consensus.clock import Clock
-from foxspread.consensus.coordinator import Coordinator
 from foxspread.consensus.disk import Disk
-from foxspread.consensus.process import Process
 
 FAILS = "fsync-fails"  # a file of this name in the folder
 
@@ -32,10 +33,10 @@
         from foxspread.lab.processes.mutants import MUTANTS
 
         broken = MUTANTS[args[2]].broken
-        Coordinator.kind = broken.member
-        Coordinator.versions_kind = broken.versions
+        Steward.kind = broken.member
+        Steward.versions_kind = type("Broken", (Course,), dict(vars(broken.versions)))
 
-    class Child(Process):
+    class Child(StewardProcess):
         disk_kind = FailingDisk
 
         def __init__(self, *told: Any) -> None:
--- a/foxspread/lab/processes/fleet.py
+++ b/foxspread/lab/processes/fleet.py
@@ -56,6 +56,9 @@
             "[times]",
             f"beat = {self.fleet.scenario.beat}",
             f"election = {self.fleet.scenario.election}",
+            "[leases]",
+            f"lease = {self.fleet.scenario.lease}",
+            f"alone = {self.fleet.scenario.alone}",
         ]
         self.file.write_text("\n".join(rows) + "\n")
 
--- a/foxspread/lab/processes/real.py
+++ b/foxspread/lab/processes/real.py
@@ -26,7 +26,7 @@
 siblings = 1
 [[settings.categories]]
 name = "docs"
-expected_time_us = 500000
+abandon_time_us = 1500000
 """
 
 
--- a/foxspread/lab/processes/scenario.py
+++ b/foxspread/lab/processes/scenario.py
@@ -50,6 +50,8 @@
     settle: float = 6.0  # then nothing fails, and all must be well by its end
     beat: float = 0.06
     election: float = 0.3
+    lease: float = 10.0
+    alone: float = 300.0
     writers: Writers = msgspec.field(default_factory=Writers)
     drawn: Drawn = msgspec.field(default_factory=Drawn)
     faults: list[Fault] = []
--- /dev/null
+++ b/tests/agreed/test_virtual.py
@@ -0,0 +1,61 @@
+"""Sidecars and coordinators together in virtual time: acts are judged by the version that was in force
+then."""
+
+import unittest
+from dataclasses import replace
+
+from foxspread.lab.processes import agreed, agreed_mutants
+from foxspread.lab.processes.agreed import AgreedPlan, AgreedWorld
+
+SMALL = AgreedPlan(cars=6, seconds=8.0)
+CAUGHT_EARLY = ("checks_early", "newest", "forgets_closed", "loose_alone", "forces_at_once", "confirms_early")
+
+
+class Sound(unittest.TestCase):
+    def test_seeds(self) -> None:
+        for seed in range(1, 9):
+            result = agreed.played(SMALL, seed)
+            self.assertEqual((seed, result.faults), (seed, []))
+            self.assertGreater(result.acts["settled"], 100)
+            self.assertGreater(result.versions, 0)
+
+    def test_hard_cases(self) -> None:
+        """Each by name: what befalls whom, and when."""
+        for name, script in {
+            "a sidecar behind a cut while versions change": [(2.0, "car_silent", 5.0, "s1")],
+            "a sidecar that is stopped for longer than its lease": [
+                (3.0, "car_stall", 3.0, "s1"),
+                (2.5, "car_in", 1.0, "s1"),
+            ],
+            "one that hears, and is not heard": [(2.0, "car_out", 4.0, "s2")],
+            "one that is heard, and hears nothing": [(2.0, "car_in", 4.0, "s2")],
+            "a third cut off while a limit falls": [
+                (2.0, "cars_cut", 4.0, "s0"),
+                (5.0, "cars_cut", 3.0, "s1"),
+            ],
+            "the leader killed between the steps": [
+                (at, "kill", 0.6, "leader") for at in (2.0, 3.5, 5.0, 6.5)
+            ],
+            "no majority for a while": [(3.0, "silent", 3.0, each) for each in ("c1", "c2", "c3")],
+            "restarted from nothing, a kept and an older file": [
+                (at, "car_restart", 0.4, "s3") for at in (2.0, 3.0, 4.0, 6.0)
+            ],
+            "every link loses": [(1.0, "loss", 7.0, "c1")],
+        }.items():
+            with self.subTest(name):
+                world = AgreedWorld(SMALL, 3)
+                for car in world.cars.values():
+                    car.start()
+                judge = world.follow(script)
+                self.assertEqual(judge.faults, [])
+                self.assertGreater(world.steps[-1][2], 1)
+
+
+class Mutants(unittest.TestCase):
+    def test_caught_by_their_rules(self) -> None:
+        base = replace(AgreedPlan(), cars=8)
+        for name in CAUGHT_EARLY:
+            with self.subTest(name):
+                found = next(agreed_mutants.caught(name, range(1, 8), base), None)
+                self.assertIsNotNone(found)
+                self.assertIn(found.faults[0].rule, agreed_mutants.MUTANTS[name].rules)
