--- a/foxspread/cli/processes.py
+++ b/foxspread/cli/processes.py
@@ -11,7 +11,7 @@
 
 import click
 
-from foxspread.lab.processes import explorer, mutants, real, scenario, virtual
+from foxspread.lab.processes import agreed, agreed_mutants, explorer, mutants, real, scenario, virtual
 from foxspread.lab.processes.scenario import Scenario
 from foxspread.lab.scenario import ScenarioError, SocketsError
 
@@ -152,3 +152,59 @@
         where = f"case {mutant.case}" if mutant.case else f"seed {seed}"
         click.echo(f"{name}: {rule or 'missed'} ({where}): {text}")
     sys.exit(1 if missed else 0)
+
+
+def acted(plan: agreed.AgreedPlan, seed: int, mutant: str) -> agreed.Result:
+    """A seed of sidecars that act on agreed rules."""
+    if not mutant:
+        return agreed.played(plan, seed)
+    broken = agreed_mutants.MUTANTS[mutant]
+    agreed_mutants.LEASES.clear()
+    return agreed.played(replace(plan, **broken.plan), seed, broken.broken)
+
+
+@processes.command("agreed")
+@click.option("--seeds", default="1-40", show_default=True, callback=seeds_of, metavar="A-B")
+@click.option("--sidecars", default=12, show_default=True, type=click.IntRange(1, 5000))
+@click.option(
+    "--jobs", default=os.cpu_count() or 1, type=click.IntRange(1, 256), help="Processes that search."
+)
+@click.option("--mutant", type=click.Choice(list(agreed_mutants.MUTANTS)), help="A broken one in its place.")
+@JSON
+def agreed_(seeds: range, sidecars: int, jobs: int, mutant: str | None, as_json: bool) -> None:
+    """Sidecars that act on agreed rules, in virtual time: each act is judged by the version in force at its
+    moment. Exit code 1 where a rule is broken."""
+    plan, broken = replace(agreed.AgreedPlan(), cars=sidecars), 0
+    acts: dict[str, int] = {}
+    worst: dict[str, float] = {}
+    settling: list[float] = []
+    versions = withdrawn = 0
+    with ProcessPoolExecutor(min(jobs, len(seeds)), mp_context=get_context("spawn")) as pool:
+        for result in pool.map(acted, [plan] * len(seeds), seeds, [mutant or ""] * len(seeds)):
+            broken += bool(result.faults)
+            versions, withdrawn = versions + result.versions, withdrawn + result.withdrawn
+            settling += result.settling
+            for mode, count in result.acts.items():
+                acts[mode] = acts.get(mode, 0) + count
+            for path, seconds in result.worst.items():
+                worst[path] = max(worst.get(path, 0.0), seconds)
+            if as_json:
+                click.echo(json.dumps(asdict(result)))
+            elif result.faults and broken <= 5:
+                first = result.faults[0]
+                click.echo(
+                    f"seed {result.seed}: {first.rule}: {first.text}; befell: {'; '.join(result.told)}"
+                )
+    if not as_json:
+        settling.sort()
+        told = ", ".join(f"{count} {mode}" for mode, count in acts.items())
+        click.echo(
+            f"{len(seeds)} seeds, {broken} with a rule broken; acts: {told}; {versions} versions in force, "
+            f"{withdrawn} withdrawn; bound {plan.terms.bound():.3f} s"
+        )
+        if settling:
+            at = [settling[int(share * (len(settling) - 1))] for share in (0.5, 0.99, 1.0)]
+            click.echo("from announced to in force: p50 %.3f, p99 %.3f, longest %.3f s" % tuple(at))
+        for path, seconds in sorted(worst.items()):
+            click.echo(f"longest after the change: {path} {seconds:.3f} s")
+    sys.exit(1 if broken else 0)
