Agreed rules on real processes: a part of a sidecar with relays, stalls and restarts, judged by what a server saw

The way of today, newest heard of, is caught. Tests of the commands status, bound, wait and of a version that one sidecar turns down.

--- a/foxspread/agreed/process.py
+++ b/foxspread/agreed/process.py
@@ -19,7 +19,7 @@
 from foxspread.config import ConfigError, Section
 from foxspread.consensus.coordinator import Status
 from foxspread.consensus.file import Told
-from foxspread.consensus.process import ID, WAIT_MOST, Process, told
+from foxspread.consensus.process import ID, Process, told, waits
 from foxspread.net import http
 
 
@@ -59,14 +59,7 @@
         if call == (b"POST", "/lease"):
             return await self._lease(msgspec.json.decode(message.body, type=dict[str, Any]))
         if call == (b"GET", "/phase"):
-            known, wait = (http.parameter(message.target, each) or "0" for each in ("known", "wait"))
-            if not (
-                known.isascii() and known.isdigit() and len(known) < 12 and wait.isascii() and wait.isdigit()
-            ):
-                raise ValueError(
-                    f"'known' and 'wait' must be whole numbers, not {known[:20]!r}, {wait[:20]!r}"
-                )
-            answer = await self._ask(self.host.watch_phase, int(known), min(float(wait), WAIT_MOST))
+            answer = await self._ask(self.host.watch_phase, *waits(message))
             return told(200, status="done", phase=answer.value)
         if call == (b"GET", "/course"):
             return told(200, **self.course())
--- a/foxspread/cli/processes.py
+++ b/foxspread/cli/processes.py
@@ -11,7 +11,16 @@
 
 import click
 
-from foxspread.lab.processes import agreed, agreed_mutants, explorer, mutants, real, scenario, virtual
+from foxspread.lab.processes import (
+    agreed,
+    agreed_mutants,
+    agreed_real,
+    explorer,
+    mutants,
+    real,
+    scenario,
+    virtual,
+)
 from foxspread.lab.processes.scenario import Scenario
 from foxspread.lab.scenario import ScenarioError, SocketsError
 
@@ -165,15 +174,22 @@
 
 @processes.command("agreed")
 @click.option("--seeds", default="1-40", show_default=True, callback=seeds_of, metavar="A-B")
+@click.option(
+    "--real", "as_processes", is_flag=True, help="Real processes on loopback, one run of 20 s after another."
+)
 @click.option("--sidecars", default=12, show_default=True, type=click.IntRange(1, 5000))
 @click.option(
     "--jobs", default=os.cpu_count() or 1, type=click.IntRange(1, 256), help="Processes that search."
 )
 @click.option("--mutant", type=click.Choice(list(agreed_mutants.MUTANTS)), help="A broken one in its place.")
 @JSON
-def agreed_(seeds: range, sidecars: int, jobs: int, mutant: str | None, as_json: bool) -> None:
+def agreed_(
+    seeds: range, as_processes: bool, sidecars: int, jobs: int, mutant: str | None, as_json: bool
+) -> None:
     """Sidecars that act on agreed rules, in virtual time: each act is judged by the version in force at its
     moment. Exit code 1 where a rule is broken."""
+    if as_processes:
+        return sys.exit(really(seeds, sidecars, mutant or "", as_json))
     plan, broken = replace(agreed.AgreedPlan(), cars=sidecars), 0
     acts: dict[str, int] = {}
     worst: dict[str, float] = {}
@@ -208,3 +224,20 @@
         for path, seconds in sorted(worst.items()):
             click.echo(f"longest after the change: {path} {seconds:.3f} s")
     sys.exit(1 if broken else 0)
+
+
+def really(seeds: range, sidecars: int, mutant: str, as_json: bool) -> int:
+    broken = False
+    for seed in seeds:
+        found = asyncio.run(agreed_real.played(seed, cars=sidecars, mutant=mutant))
+        broken |= bool(found.faults)
+        if as_json:
+            click.echo(json.dumps(asdict(found)))
+            continue
+        acts = ", ".join(f"{count} {mode}" for mode, count in found.acts.items())
+        worst = "".join(f"; longest after the change: {each} {at:.3f} s" for each, at in found.worst.items())
+        told = f"{found.versions} versions in force; {len(found.befell)} faults befell{worst}"
+        click.echo(f"seed {seed}: acts: {acts}; {told}")
+        for each in found.faults:
+            click.echo(f"  {each}")
+    return 1 if broken else 0
--- a/foxspread/consensus/process.py
+++ b/foxspread/consensus/process.py
@@ -163,15 +163,8 @@
         if call == (b"POST", "/rules"):
             return await self._put(message)
         if call == (b"GET", "/watch"):
-            known, wait = (http.parameter(message.target, each) or "0" for each in ("known", "wait"))
-            if not (
-                known.isascii() and known.isdigit() and len(known) < 12 and wait.isascii() and wait.isdigit()
-            ):
-                raise ValueError(
-                    f"'known' and 'wait' must be whole numbers, not {known[:20]!r}, {wait[:20]!r}"
-                )
-            answer = await self._ask(self.host.watch, int(known), min(float(wait), WAIT_MOST))
-            return self._answered(answer, whole=True)
+            known, wait = waits(message)
+            return self._answered(await self._ask(self.host.watch, known, wait), whole=True)
         if message.method == b"GET" and path.startswith("/rules"):
             number = path.removeprefix("/rules").strip("/")
             if number and not (number.isascii() and number.isdigit() and len(number) < 12):
@@ -333,6 +326,14 @@
                         await asyncio.sleep(0.01)
 
 
+def waits(message: http.Message) -> tuple[int, float]:
+    """What a watch knows already, and for how long it waits. Raises ValueError."""
+    known, wait = (http.parameter(message.target, each) or "0" for each in ("known", "wait"))
+    if not (known.isascii() and known.isdigit() and len(known) < 12 and wait.isascii() and wait.isdigit()):
+        raise ValueError(f"'known' and 'wait' must be whole numbers, not {known[:20]!r}, {wait[:20]!r}")
+    return int(known), min(float(wait), WAIT_MOST)
+
+
 def told(code: int, **values: Any) -> tuple[int, bytes]:
     return code, json.dumps(values).encode() + b"\n"
 
--- a/foxspread/lab/processes/fleet.py
+++ b/foxspread/lab/processes/fleet.py
@@ -163,6 +163,7 @@
         self.names = [f"c{at}" for at in range(1, scenario.members + 1)]
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="foxspread-lab-"))
         self.children = {each: Child(self, each) for each in self.names}
+        self.more: dict[str, list[Relay]] = {}  # further ways to each, as of sidecars
         self.writers: dict[str, Relay] = {}  # the way of all writers to each
 
     def seat(self, name: str) -> str:
@@ -170,9 +171,8 @@
         return f"127.0.0.1:{self.names.index(name) + 1}"
 
     def to(self, name: str) -> list[Relay]:
-        return [child.reach[name] for child in self.children.values() if name in child.reach] + [
-            self.writers[name]
-        ]
+        ways = [child.reach[name] for child in self.children.values() if name in child.reach]
+        return [*ways, self.writers[name], *self.more.get(name, [])]
 
     def links(self, name: str) -> list[Relay]:
         """All of a member, both ways."""
@@ -207,6 +207,7 @@
         relays = [
             *self.writers.values(),
             *(each for child in self.children.values() for each in child.reach.values()),
+            *(each for several in self.more.values() for each in several),
         ]
         await asyncio.gather(*(relay.close() for relay in relays))
         if kind is None:
--- /dev/null
+++ b/tests/agreed/test_process.py
@@ -0,0 +1,106 @@
+"""Real coordinators, and what follows them: commands as typed, and processes with faults between them."""
+
+import asyncio
+import json
+import random
+import unittest
+from typing import Any
+
+from click.testing import CliRunner, Result
+
+from foxspread.agreed.course import content
+from foxspread.agreed.follower import Follower
+from foxspread.agreed.holder import Holder, Mode
+from foxspread.cli.main import foxspread
+from foxspread.consensus.clock import Clock
+from foxspread.lab.processes import agreed_real
+from foxspread.lab.processes.fleet import Fleet
+from foxspread.lab.processes.scenario import Scenario
+
+TEXT = """[settings]
+siblings = 4
+[[settings.categories]]
+name = "docs"
+abandon_time_us = 1500000
+[settings.limits]
+max_hand_offs = {hands}
+"""
+
+
+def picky(text: bytes) -> Any:
+    """An older build, which knows no more than eight hand-offs."""
+    found = content(text)
+    if found.rules["settings.limits.max_hand_offs"] > 8:
+        raise ValueError("'settings.limits.max_hand_offs' must be at most 8, not 9")
+    return found
+
+
+class Commands(unittest.TestCase):
+    def test_put_status_bound_wait_and_a_version_that_one_turns_down(self) -> None:
+        async def main() -> None:
+            async with Fleet(Scenario("agreed", lease=1.0, alone=2.0), 1) as fleet:
+                at = [relay.address for relay in fleet.writers.values()]
+                clock, chance = Clock(), random.Random(1).random
+                checks = [content, content, picky]
+                followers = [
+                    Follower(Holder(clock(), f"s{each}/1", check, chance), clock, at, chance)
+                    for each, check in enumerate(checks)
+                ]
+                file = fleet.folder / "rules.toml"
+
+                async def run(*words: str) -> Result:
+                    told = {"FOXSPREAD_COORDINATORS": ",".join(map(str, at))}
+                    return await asyncio.to_thread(CliRunner().invoke, foxspread, ("rules", *words), env=told)
+
+                async def put(hands: int) -> None:
+                    file.write_text(TEXT.format(hands=hands))
+                    self.assertEqual((await run("put", str(file))).exit_code, 0)
+
+                await put(3)
+                done = await run("wait", "1", "--settled")
+                self.assertEqual((done.exit_code, done.output), (0, "version 1 is in force\n"))
+                acting = [each.holder.acting(clock()) for each in followers]
+                self.assertEqual({each.mode for each in acting}, {Mode.SETTLED})
+                self.assertEqual({each.rules["settings.limits.max_hand_offs"] for each in acting}, {3})
+                await put(9)
+                turned = await run("wait", "2")
+                self.assertEqual(turned.exit_code, 1)
+                self.assertIn(
+                    "version 2 was withdrawn: s2/1: 'settings.limits.max_hand_offs' must be at most 8",
+                    turned.output,
+                )
+                await put(5)
+                self.assertEqual((await run("wait", "3", "--settled")).exit_code, 0)
+                status = await run("status")
+                for text in ("in force 3", "withdrawn 2", "s0/1  confirmed"):
+                    self.assertIn(text, status.output)
+                bounds = json.loads((await run("bound", "--json")).output)
+                self.assertEqual(
+                    (bounds["settings.limits.max_hand_offs"], bounds["settings.categories.*.key_scope"]),
+                    (0.0, 1.02),
+                )
+                for (
+                    child
+                ) in fleet.children.values():  # nobody is left to ask: it goes alone, which here is nothing
+                    await child.end()
+                while followers[0].holder.acting(clock()).mode is not Mode.NONE:
+                    await asyncio.sleep(0.02)
+                for each in followers:
+                    await each.close()
+
+        asyncio.run(asyncio.wait_for(main(), 60))
+
+
+class Processes(unittest.TestCase):
+    def test_drawn_faults_and_the_newest_heard_of(self) -> None:
+        found = asyncio.run(agreed_real.played(2, cars=4, seconds=6.0, lease=1.0))
+        self.assertEqual(found.faults, [])
+        self.assertGreater(found.acts["settled"], 50)
+        self.assertGreater(found.versions, 1)
+        for seed in range(3, 8):
+            found = asyncio.run(
+                agreed_real.played(seed, cars=4, seconds=6.0, lease=1.0, every=0.3, mutant="newest")
+            )
+            if found.faults:
+                break
+        self.assertIn("is in force", found.faults[0])
