--- a/foxspread/lab/processes/agreed.py
+++ b/foxspread/lab/processes/agreed.py
@@ -126,7 +126,8 @@
 
     def __init__(self, world: "AgreedWorld", id: str, chance: random.Random) -> None:
         self.world, self.id, self.chance = world, id, chance
-        self.rate, self.offset = chance.uniform(0.98, 1.02), chance.uniform(1, 1000)
+        drift = world.plan.terms.drift
+        self.rate, self.offset = chance.choice((1 - drift, 1.0, 1 + drift)), chance.uniform(1, 1000)
         self.run, self.down, self.slept = 0, True, 0.0
         self.stalled: list[Any] | None = None
         self.holder: Holder | None = None
@@ -140,7 +141,13 @@
     def start(self, kept: Kept | None = None) -> None:
         self.run, self.down, self.stalled, self.wake = self.run + 1, False, None, None
         self.holder = self.world.broken.holder(
-            self.local(), f"{self.id}/{self.run}", self.world.checked, self.chance.random, 0.02, "boot", kept
+            self.local(),
+            f"{self.id}/{self.run}",
+            self.world.checked,
+            self.chance.random,
+            self.world.plan.terms.drift,
+            "boot",
+            kept,
         )
         self.watch()
         self.world.clock.after(self.chance.expovariate(self.world.plan.acts), self.act, self.run)
@@ -266,7 +273,9 @@
     def __init__(self, plan: AgreedPlan, seed: int, broken: Broken | None = None) -> None:
         super().__init__(plan, seed, broken or Broken())
         self.host = watched(self.broken.steward)
-        self.judge: Judge = self.judge
+        drift = plan.terms.drift
+        for node in self.nodes.values():
+            node.rate = self.chance.choice((1 - drift, 1.0, 1 + drift))
         self.cars = {f"s{at}": Car(self, f"s{at}", self.rng(f"s{at}")) for at in range(plan.cars)}
         self.steps: list[tuple[float, int, int, int]] = [
             (0.0, 0, 0, 0)
@@ -368,7 +377,8 @@
             self.clock.after(min(lasts, 0.5), self._car_starts, car, kept)
         elif kind == "car_clock" and not car.down:
             local = car.local()
-            car.rate = self.chance.choice((0.98, 1.02))
+            drift = self.plan.terms.drift
+            car.rate = self.chance.choice((1 - drift, 1 + drift))
             car.offset = local - car.rate * (self.now - car.slept)
 
     def _car_resumes(self, car: Car, run: int, began: float) -> None:
--- a/foxspread/lab/processes/agreed_mutants.py
+++ b/foxspread/lab/processes/agreed_mutants.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from foxspread.agreed.course import Course
+from foxspread.agreed.course import Course, Terms
 from foxspread.agreed.holder import Acting, Ask, Grant, Holder, Kept, Mode
 from foxspread.agreed.steward import Heard, Lead, Steward
 from foxspread.consensus.coordinator import Answer, Status
@@ -147,6 +147,7 @@
     plan: dict[str, Any] = field(default_factory=dict)
 
 
+WILD = Terms(lease=1.5, alone=4.0, drift=0.1)  # clocks that run a tenth fast or slow
 CUT = {"faults": ("car_silent", "car_in", "car_out", "cars_cut"), "most": 12}
 MUTANTS: dict[str, Mutant] = {
     "from_answer": Mutant(
@@ -157,14 +158,16 @@
     "no_drift": Mutant(
         Broken(holder=NoDrift),
         ("in_force", "bound"),
-        {"faults": ("car_clock", "clock", "car_out", "cars_cut"), "most": 14, "acts": 60.0},
+        {"faults": ("cars_cut",), "most": 24, "acts": 20.0, "pause": 0.6, "terms": WILD},
     ),
     "checks_early": Mutant(Broken(holder=ChecksEarly), ("in_force", "bound", "none_yet")),
     "confirms_early": Mutant(
         Broken(holder=ConfirmsEarly), ("in_force", "bound"), {"acts": 20.0, "pause": 0.8}
     ),
     "goes_back": Mutant(
-        Broken(holder=GoesBack), ("in_force", "bound", "none_yet"), {"faults": ("car_restart",), "most": 12}
+        Broken(holder=GoesBack),
+        ("in_force", "bound", "none_yet"),
+        {"faults": ("car_restart", "cars_cut", "car_restart", "car_silent"), "most": 18, "acts": 20.0},
     ),
     "takes_older": Mutant(
         Broken(holder=TakesOlder), ("in_force", "bound"), {"faults": ("held", "loss"), "most": 8}
