--- a/foxspread/consensus/core.py
+++ b/foxspread/consensus/core.py
@@ -929,6 +929,11 @@
         self.handing = (to, now + self.settings.election)
         self._hand(to)
 
+    def heir(self) -> str:
+        """Whom one that leads would best hand over to: the voter that has most. "" where there is none."""
+        voters = [(row.match, each) for each, row in self.progress.items() if self._voter(each)]
+        return max(voters)[1] if self.role is Role.LEADER and voters else ""
+
     def _hand(self, to: str) -> None:
         if self.handing and self.handing[0] == to and self.progress[to].match == self.log.last:
             self._send(to, HandOver(self.term), False)
--- a/foxspread/consensus/process.py
+++ b/foxspread/consensus/process.py
@@ -314,11 +314,7 @@
         """A leader that ends gives its place to the one that has most, rather than let the others find
         out."""
         member = self.host.member
-        voters = [
-            each for each, row in member.progress.items() if member.members.get(each, Seat("", False)).voter
-        ]
-        if member.role is Role.LEADER and voters:
-            to = max(voters, key=lambda each: (member.progress[each].match, each))
+        if to := member.heir():
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(2 * self.told.settings.election):
                     await self._ask(self.host.hand_over, to)
