Whole sidecars in the lab of processes, judged by what their servers and clients saw

Need: the judge of agreed rules read what parts of sidecars said they acted on; the issue asks for what servers saw.

Each hand-off is judged by the version in force at its moment, known from the first line of any sidecar's log; each lookup by its one answer in time. Five broken ones (whole_child). A relay that was told to refuse closed its socket while the loop still watched it, so the next socket with that number wasn't watched (ENOENT from a connect, seen as a lookup without an answer): closed once its task has ended.

--- a/foxspread/cli/processes.py
+++ b/foxspread/cli/processes.py
@@ -20,6 +20,7 @@
     real,
     scenario,
     virtual,
+    whole as wholes,
 )
 from foxspread.lab.processes.scenario import Scenario
 from foxspread.lab.scenario import ScenarioError, SocketsError
@@ -177,6 +178,9 @@
 @click.option(
     "--real", "as_processes", is_flag=True, help="Real processes on loopback, one run of 20 s after another."
 )
+@click.option(
+    "--whole", is_flag=True, help="Whole sidecars with servers and clients, judged by what these saw."
+)
 @click.option("--sidecars", default=12, show_default=True, type=click.IntRange(1, 5000))
 @click.option(
     "--jobs", default=os.cpu_count() or 1, type=click.IntRange(1, 256), help="Processes that search."
@@ -184,10 +188,18 @@
 @click.option("--mutant", type=click.Choice(list(agreed_mutants.MUTANTS)), help="A broken one in its place.")
 @JSON
 def agreed_(
-    seeds: range, as_processes: bool, sidecars: int, jobs: int, mutant: str | None, as_json: bool
+    seeds: range,
+    as_processes: bool,
+    whole: bool,
+    sidecars: int,
+    jobs: int,
+    mutant: str | None,
+    as_json: bool,
 ) -> None:
     """Sidecars that act on agreed rules, in virtual time: each act is judged by the version in force at its
     moment. Exit code 1 where a rule is broken."""
+    if whole:
+        return sys.exit(wholly(seeds, sidecars, mutant or "", as_json))
     if as_processes:
         return sys.exit(really(seeds, sidecars, mutant or "", as_json))
     plan, broken = replace(agreed.AgreedPlan(), cars=sidecars), 0
@@ -241,3 +253,23 @@
         for each in found.faults:
             click.echo(f"  {each}")
     return 1 if broken else 0
+
+
+def wholly(seeds: range, sidecars: int, mutant: str, as_json: bool) -> int:
+    broken = False
+    for seed in seeds:
+        found = asyncio.run(wholes.played(seed, cars=sidecars, mutant=mutant))
+        broken |= bool(found.faults)
+        if as_json:
+            click.echo(json.dumps(asdict(found)))
+            continue
+        lookups = ", ".join(f"{count} {word}" for word, count in sorted(found.lookups.items()))
+        worst = "".join(f"; longest after the change: {each} {at:.3f} s" for each, at in found.worst.items())
+        click.echo(
+            f"seed {seed}: lookups: {lookups}; {found.hand_offs} hand-offs, {found.repeats} repeats; "
+            f"{found.versions} versions in force; {len(found.befell)} faults befell{worst}; "
+            + ("rules broken:" if found.faults else "no rule broken")
+        )
+        for each in found.faults:
+            click.echo(f"  {each}")
+    return 1 if broken else 0
--- a/foxspread/lab/processes/agreed_real.py
+++ b/foxspread/lab/processes/agreed_real.py
@@ -7,6 +7,7 @@
 import contextlib
 import json
 import pathlib
+import random
 import shutil
 import signal
 import sys
@@ -118,6 +119,11 @@
 
 
 class Sidecars:
+    """With parts of sidecars (`car`); `whole` has its own cars, and judges by what its servers saw."""
+
+    car_kind = Car
+    car_faults = CAR_FAULTS
+
     def __init__(
         self,
         seed: int,
@@ -164,7 +170,7 @@
         chance, count = self.fleet.rng("writer"), 0
         while self.now() < self.scenario.seconds:
             count += 1
-            text = drawn(chance, self.count, count)
+            text = self.drawn(chance, count)
             body = json.dumps({"content": text.decode(), "request": f"v{count}", "who": "lab"}).encode()
             while self.now() < self.scenario.seconds:
                 with contextlib.suppress(*ERRORS):
@@ -177,6 +183,21 @@
                 await asyncio.sleep(0.05)
             await self.wait(chance.uniform(0.5, 2.5))
 
+    def drawn(self, chance: random.Random, count: int) -> bytes:
+        return drawn(chance, self.count, count)
+
+    async def opened(self) -> None:
+        """Before the sidecars start."""
+        self.server = await asyncio.start_server(self._server, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def ended(self) -> None:
+        """After the sidecars."""
+        self.server.close()
+
+    async def work(self) -> None:
+        """What goes on beside writers and faults."""
+
     async def _scripted(self) -> None:
         async def one(at: float, kind: str, name: str, lasts: float) -> None:
             await self.wait(at)
@@ -195,7 +216,7 @@
                 what = self.play.befalls(kind, lasts, name)
             else:
                 name = self.chance.choice(sorted(self.cars))
-                what = self.cars[name].befalls(self.chance.choice(CAR_FAULTS), lasts)
+                what = self.cars[name].befalls(self.chance.choice(self.car_faults), lasts)
             if name in busy:
                 what.close()
                 continue
@@ -207,24 +228,24 @@
 
     async def run(self) -> Told:
         async with self.fleet:
-            server = await asyncio.start_server(self._server, "127.0.0.1", 0)
-            self.port = server.sockets[0].getsockname()[1]
+            await self.opened()
             try:
-                self.cars = {f"s{at}": Car(self, f"s{at}") for at in range(self.count)}
+                for at in range(self.count):
+                    self.cars[f"s{at}"] = self.car_kind(self, f"s{at}")
                 for car in self.cars.values():
                     for name, relay in car.ways.items():
                         self.fleet.more.setdefault(name, []).append(relay)
                         relay.target = self.fleet.children[name].address
                 self.begun = self.play.begun = time.monotonic()
                 await asyncio.gather(*(car.start() for car in self.cars.values()))
-                await asyncio.gather(self._write(), self._befall(), self._scripted())
+                await asyncio.gather(self._write(), self._befall(), self._scripted(), self.work())
                 last = await self._settled()
                 await self._texts()
             finally:
                 for car in self.cars.values():
                     await car.end()
-                server.close()
-        return self._judged(last)
+                await self.ended()
+        return self.judged(last)
 
     async def _course(self) -> dict[str, Any]:
         found = []
@@ -238,13 +259,7 @@
         end, told = time.monotonic() + self.scenario.settle, ""
         while time.monotonic() < end:
             row = await self._course()
-            recent = {act.car.partition("/")[0]: act for act in self.acts if act.at > self.now() - 1.0}
-            behind = [
-                name
-                for name in self.cars
-                if name not in recent
-                or (recent[name].mode, recent[name].phase) != ("settled", row.get("phase"))
-            ]
+            behind = self.behind(row)
             over = (
                 row
                 and not row["next"]
@@ -257,6 +272,15 @@
             await asyncio.sleep(0.1)
         return told
 
+    def behind(self, row: dict[str, Any]) -> list[str]:
+        """Who doesn't act on what is in force."""
+        recent = {act.car.partition("/")[0]: act for act in self.acts if act.at > self.now() - 1.0}
+        return [
+            name
+            for name in self.cars
+            if name not in recent or (recent[name].mode, recent[name].phase) != ("settled", row.get("phase"))
+        ]
+
     async def _texts(self) -> None:
         row = await self._course()
         for number in range(1, row.get("latest", 0) + 1):
@@ -266,7 +290,7 @@
                     self.texts[number] = value["version"]["content"].encode()
                     break
 
-    def _judged(self, last: str) -> Told:
+    def judged(self, last: str) -> Told:
         found = Told(self.seed, [last] if last else [], self.befell)
         forced: dict[int, tuple[float, int]] = {}  # by phase: the first act on a version alone, and which
         for act in self.acts:
--- a/foxspread/lab/processes/relay.py
+++ b/foxspread/lab/processes/relay.py
@@ -81,8 +81,7 @@
     def begin(self, kind: str) -> None:
         self.on[kind] = self.on.get(kind, 0) + 1
         if kind == "refuse" and self.on[kind] == 1:
-            self.accepting.cancel()
-            self.sock.close()
+            self._deafen()
         if kind in ("reset", "refuse", "half_open"):
             self.reset()
         self._tell()
@@ -96,6 +95,12 @@
             self.reset()
         self._tell()
 
+    def _deafen(self) -> None:
+        """Guards against a number that is used again: closed while the loop still watches it, the next socket
+        with that number would not be watched (seen as ENOENT from a connect)."""
+        self.accepting.cancel()
+        self.accepting.add_done_callback(lambda _, sock=self.sock: sock.close())
+
     def _tell(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
@@ -171,9 +176,8 @@
                     await asyncio.sleep(0.001)
 
     async def close(self) -> None:
-        self.accepting.cancel()
-        self.sock.close()
-        tasks = list(self.tasks)
+        self._deafen()
+        tasks = [self.accepting, *self.tasks]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/foxspread/lab/processes/whole_child.py
@@ -0,0 +1,58 @@
+"""A whole sidecar with one thing broken, for the judge to be tried on:
+
+python -m foxspread.lab.processes.whole_child MUTANT --operator FILE
+"""
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from foxspread import __main__ as sidecar
+from foxspread import change
+from foxspread.agreed import party
+from foxspread.lab.processes.agreed_mutants import FromAnswer, Newest
+from foxspread.net.sidecar import Sidecar
+
+
+def holder(kind: type) -> Callable[[], None]:
+    def broken() -> None:
+        party.Holder = kind
+
+    return broken
+
+
+def own_file() -> None:
+    """Acts by its own file's rules until it hears of others."""
+    started = Sidecar.__init__
+
+    def begun(self: Sidecar, *told: Any, **more: Any) -> None:
+        started(self, *told, **more)
+        self.facade.change(self.clock(), self.config.decisions)
+
+    Sidecar.__init__ = begun
+    present = party.Party.present
+    party.Party.present = lambda self: present(self) or not self.holder.settled
+
+
+def old_lookups() -> None:
+    """Lookups that were taken before a change go on as before it."""
+    change._lookups = lambda it, now: None
+
+
+def late_change() -> None:
+    """Confirms what it will act on half a second later."""
+    ruled = Sidecar._ruled
+    Sidecar._ruled = lambda self, told: self.loop.call_later(0.5, ruled, self, told)
+
+
+MUTANTS: dict[str, Callable[[], None]] = {
+    "newest": holder(Newest),
+    "from_answer": holder(FromAnswer),
+    "own_file": own_file,
+    "old_lookups": old_lookups,
+    "late_change": late_change,
+}
+
+if __name__ == "__main__":
+    MUTANTS[sys.argv[1]]()
+    sys.exit(sidecar.main(sys.argv[2:]))
