Lists as versions: servers, their groups, and servers taken out for the whole fleet

Change: [lists] in a version: source (discovery, or here with the servers), taken_out, only, and alone: the servers that one whose lease has run out may send to. Between two versions: the servers that are the same in both, all that either takes out. members.py holds what the fleet takes out beside what is out by hand; a labelled lookup that may have run is not repeated over a change of groups; a server that comes new into a list counts as started then, for its cold budget.

--- a/foxspread/agreed/keys.py
+++ b/foxspread/agreed/keys.py
@@ -22,6 +22,9 @@
     EFFECT = "the effect that allows fewer repeats"
     FREE = "either: two values of it contradict nothing outside of one sidecar"
     SWITCH = "nothing: it changes when the new version is in force"
+    SAME = "the row only where it is the same in both"
+    UNION = "all that either names"
+    ONLY = "what both name"
 
 
 STRICTER = ("free", "guarded", "single_shot")  # effects, each allowing less than the one before
@@ -68,10 +71,20 @@
     "settings.contract.fall_multiple": Key(Kind.LEAST, "as cold_from", 1.0),
     "settings.specifics.warm_keys": Key(Kind.FREE, "where one sidecar sends keys that it knows"),
     "settings.tariffs.waste": Key(Kind.FREE, "what one sidecar calls off"),
+    "lists.source": Key(Kind.SWITCH, "lookups at servers that another's list doesn't hold", "discovery"),
+    "lists.taken_out": Key(Kind.UNION, "lookups at a server that is taken out", []),
+    "lists.only": Key(Kind.ONLY, "lookups at a server that isn't named", "all"),
+    "lists.servers.*.addr": Key(Kind.SAME, "lookups at an address that another server has by now"),
+    "lists.servers.*.zone": Key(Kind.SAME, "a labelled lookup goes to servers of two groups", ""),
+    "lists.servers.*.cell": Key(Kind.SAME, "a labelled lookup goes to servers of two groups", 0),
+    "lists.servers.*.weight": Key(Kind.FREE, "how much one sidecar sends where"),
+    "lists.servers.*.kind": Key(Kind.FREE, "how one sidecar spreads what it sends"),
+    "lists.servers.*.started_ms": Key(Kind.FREE, "for how long one sidecar takes a server for cold"),
 }
 # What each sidecar has for itself: its place, its zone, its seed. A version that holds one is refused.
 OWN = {"settings.az", "settings.position", "settings.seed"}
-LISTS = ("settings.categories", "settings.tenants")
+LISTS = {"settings.categories": "name", "settings.tenants": "name", "lists.servers": "id"}
+SERVERS = "lists.servers."
 ROWS = tuple(each + "." for each in LISTS)
 
 Flat = dict[str, Any]  # values by path, rows of lists by name: settings.categories.docs.benefit
@@ -90,13 +103,16 @@
             found |= flat(value, here)
         elif here in LISTS:
             for row in value:
-                name = row.get("name") if isinstance(row, dict) else None
-                if not isinstance(name, str) or "." in name:
-                    raise NoRule(f"'{here}': a row needs a name without a dot, not {name!r}")
-                if any(each.startswith(f"{here}.{name}.") for each in found):
+                word = LISTS[here]
+                name = row.get(word) if isinstance(row, dict) else None
+                if not isinstance(name, str) or not name or word == "name" and "." in name:
+                    raise NoRule(f"'{here}': a row needs a {word} without a dot, not {name!r}")
+                if f"{here}.{name}." in found:
                     raise NoRule(f"'{here}': {name!r} stands there twice")
                 found[f"{here}.{name}."] = True
-                found |= flat({key: each for key, each in row.items() if key != "name"}, f"{here}.{name}")
+                for key, each in row.items():
+                    if key != word:
+                        found |= flat({key: each}, f"{here}.{name}")
         else:
             found[here] = value
     return found
@@ -112,7 +128,7 @@
             name, _, key = path[len(section) + 1 :].rpartition(".")
             mark = f"{section}.{name}"
             if mark not in rows:
-                rows[mark] = {"name": name}
+                rows[mark] = {LISTS[section]: name}
                 _within(told, section.rpartition(".")[0]).setdefault(section.rpartition(".")[2], []).append(
                     rows[mark]
                 )
@@ -167,11 +183,19 @@
 
 def alone_of(rules: Flat, alone: dict[str, Any]) -> Flat:
     """What one whose lease has run out acts on: the version's rules, for the rows that stand in its `alone`
-    part and with the values that stand there. Nothing where it has no such part."""
+    part and with the values that stand there. Nothing where it has no such part. Where the version holds the
+    list of servers, it sends to those only that the version names for it."""
     told = flat(alone)
     if not told:
         return {}
     rows = [path for path in told if path.endswith(".")]
+    if rules["lists.source"] == "here":
+        only = told.setdefault("lists.only", [])
+        for each in only:
+            if f"{SERVERS}{each}." not in rules:
+                raise NoRule(f"'lists.alone': {each!r} does not stand in 'lists.servers'")
+        rows += [f"{SERVERS}{each}." for each in only]
+        told |= {row: True for row in rows}
     for path in told:
         key_of(path)
         if path.endswith(".") and path not in rules:
@@ -194,6 +218,10 @@
         return one and other
     if key.kind is Kind.EFFECT:
         return max(one, other, key=STRICTER.index)
+    if key.kind is Kind.UNION:
+        return sorted({*one, *other})
+    if key.kind is Kind.ONLY:
+        return other if one == "all" else one if other == "all" else sorted({*one} & {*other})
     return one
 
 
@@ -202,17 +230,26 @@
     key = key_of(path)
     if key is None or path not in rules:
         return path in rules or key is not None and key.kind is Kind.FREE
-    if key.kind in (Kind.FREE, Kind.SWITCH):
+    if key.kind in (Kind.FREE, Kind.SWITCH, Kind.SAME):
         return key.kind is Kind.FREE or value == rules[path]
-    return stricter(key, value, rules[path]) == value
+    both = stricter(key, value, rules[path])
+    return both == value or isinstance(value, list) and both == sorted(value)
 
 
 def between(old: Flat, new: Flat) -> Flat:
     """What neither of two versions forbids. A category or customer that only one of them has is not there:
     its lookups are dismissed with a return time, as those that no version knows."""
     found: Flat = {}
+    other = {
+        _row(path)
+        for path, value in old.items()
+        if path.startswith(SERVERS) and path in new and value != new[path] and key_of(path).kind is Kind.SAME
+    }
+    moved = old.get("lists.source") != new.get("lists.source")  # the list of old until new is in force
     for path, value in old.items():
-        if not path.startswith(ROWS) or _row(path) in new:
+        if moved and path.startswith(SERVERS):
+            found[path] = value
+        elif (not path.startswith(ROWS) or _row(path) in new) and _row(path) not in other:
             key = key_of(path)
             found[path] = stricter(key, value, new[path]) if key is not None and path in new else value
     return found
@@ -241,7 +278,12 @@
 
 def faults(alone: Flat, rules: Flat) -> Iterator[str]:
     """What acts under `alone` would do that `rules` forbid: key and both values."""
+    mine, theirs = alone.get("lists.taken_out", []), rules.get("lists.taken_out", [])
+    only = alone.get("lists.only", "all")
+    for each in sorted({*theirs} - {*mine}):
+        if only == "all" or each in only:
+            yield f"'lists.taken_out': alone {each!r} may be sent to, which is taken out"
     for path, value in alone.items():
-        if not allows(path, value, rules):
+        if path != "lists.taken_out" and not allows(path, value, rules):
             theirs = rules.get(path, "a version without it")
             yield f"'{path}': alone it is {value!r}, which {theirs!r} doesn't allow"
--- a/foxspread/agreed/party.py
+++ b/foxspread/agreed/party.py
@@ -14,7 +14,7 @@
 import time
 import zlib
 from collections.abc import Callable
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from typing import Any
 
 from loguru import logger
@@ -23,7 +23,7 @@
 from foxspread.agreed.contents import content
 from foxspread.agreed.follower import Follower
 from foxspread.agreed.holder import Acting, Content, Holder, Kept, Mode
-from foxspread.config import ConfigError, Section, settings
+from foxspread.config import ConfigError, NamedServer, Section, named_server, settings
 from foxspread.operator.file import Agreed
 from foxspread.sums import Chance
 
@@ -37,8 +37,15 @@
     mode: Mode = Mode.NONE
     phase: int = -1
     settings: dict[str, Any] | None = None
+    servers: list[NamedServer] | None = None  # None: discovery has the list
+    taken_out: frozenset[str] = frozenset()
+    only: frozenset[str] | None = None
     until: float = float("-inf")  # by the machine's clock: when this changes by itself
 
+    @property
+    def alone(self) -> bool:
+        return self.mode is Mode.ALONE
+
 
 @dataclass
 class Party:
@@ -102,13 +109,14 @@
         if (acting.mode, acting.phase) == (self.on.mode, self.on.phase):
             self.on.until = until
             return
-        found = None
+        self.on = Ruled(acting.mode, acting.phase, until=until)
         if acting.mode is not Mode.NONE:
             try:
-                found = self._settings(acting.rules)
+                self.on = replace(
+                    self._ruled(acting.rules), mode=acting.mode, phase=acting.phase, until=until
+                )
             except ConfigError as error:  # it was checked: guards service against a fault of our own
                 logger.error("rules of phase {} can't be acted on: {}", acting.phase, error)
-        self.on = Ruled(acting.mode, acting.phase, found, until)
         logger.info(
             "rules mode={} phase={} version={} next={} digest={}",
             acting.mode.value,
@@ -124,11 +132,22 @@
         held = self.holder.contents.get(self.holder.settled)
         return held.digest if held is not None else ""
 
-    def _settings(self, rules: keys.Flat) -> dict[str, Any]:
+    def _ruled(self, rules: keys.Flat) -> Ruled:
         """Raises `ConfigError` with key and value."""
-        told = keys.tree(rules).get("settings", {})
+        tree = keys.tree(rules)
+        lists = tree.get("lists", {})
         own = {"az": self.own["zone"], "position": self.own["position"]}
-        return settings(Section(told | own, "settings"), self.own["seed"]) | {"asks": True}
+        found = settings(Section(tree.get("settings", {}) | own, "settings"), self.own["seed"])
+        servers, only = None, lists.get("only", "all")
+        if lists.get("source") == "here":
+            rows = Section({"servers": lists.get("servers", [])}, "lists").sections("servers")
+            servers = [named_server(Section(row.values | {"state": "ready"}, row.path)) for row in rows]
+        return Ruled(
+            settings=found | {"asks": True},
+            servers=servers,
+            taken_out=frozenset(lists.get("taken_out", [])),
+            only=None if only == "all" else frozenset(only),
+        )
 
     def _check(self, text: bytes) -> Content:
         """Before it confirms: whether this build, on this machine, could act on it in all modes."""
@@ -136,7 +155,7 @@
             found = content(text)
             for rules in (found.rules, found.alone):
                 if rules:
-                    self._settings(rules)
+                    self._ruled(rules)
         except (ConfigError, keys.NoRule) as error:
             raise ValueError(str(error)) from None
         return found
@@ -169,7 +188,7 @@
                 row = json.loads(file.read(KEPT_MOST))
             kept = Kept(str(row["boot"]), int(row["settled"]), dict(row["alone"]), float(row["alone_until"]))
             if kept.boot == self.boot and kept.alone:
-                self._settings(kept.alone)
+                self._ruled(kept.alone)
         except FileNotFoundError:
             return None
         except (OSError, ValueError, KeyError, TypeError, RecursionError, ConfigError) as error:
--- a/foxspread/agreed/process.py
+++ b/foxspread/agreed/process.py
@@ -15,6 +15,7 @@
 from foxspread.agreed import keys
 from foxspread.agreed.contents import content
 from foxspread.agreed.course import Terms
+from foxspread.agreed.drastic import drastic
 from foxspread.agreed.holder import Ask, Grant
 from foxspread.agreed.steward import Steward
 from foxspread.config import ConfigError, Section
@@ -55,6 +56,13 @@
 class StewardProcess(Process):
     host_kind = Steward
 
+    def look(self, contents: bytes, wish: dict[str, Any]) -> None:
+        """Asks about what a person may not have meant; two puts that cross each other may both pass."""
+        latest = self.host.course.get()
+        if latest is not None and wish.get("even_so") is not True:
+            if found := drastic(content(latest.content).rules, content(contents).rules):
+                raise ConfigError(f"{found}: put it with --even-so where that is meant")
+
     async def _call(self, message: http.Message, path: str) -> tuple[int, bytes]:
         call = (message.method, path)
         if call == (b"POST", "/lease"):
--- a/foxspread/agreed/rules.py
+++ b/foxspread/agreed/rules.py
@@ -5,8 +5,9 @@
 import tomllib
 from typing import Any, NamedTuple
 
-from foxspread.config import ConfigError, Section, settings, show
+from foxspread.config import ConfigError, Section, named_server, settings, show
 
+SERVER = {"id", "addr", "zone", "cell", "weight", "kind", "started_ms"}
 LONGEST = 32 * 1024  # bytes of a content; the coordinators take no longer one
 
 
@@ -55,14 +56,45 @@
         told = tomllib.loads(content.decode())
     except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise ConfigError(f"the rules can't be read: {error}") from None
-    for key in told.keys() - {"settings", "alone"}:
+    for key in told.keys() - {"settings", "alone", "lists"}:
         raise ConfigError(f"'{key}' is not known, with {show(told[key])}")
     found = checked(told.get("settings"), "settings")
+    lists, only = lists_of(told.get("lists", {}))
     alone: dict[str, Any] = {}
     if "alone" in told:
         checked(told["alone"], "alone")
-        alone = {"settings": told["alone"]}
-    return Found(found, {"settings": told["settings"]}, alone)
+        alone = {"settings": told["alone"]} | ({"lists": {"only": only}} if only is not None else {})
+    elif only is not None:
+        raise ConfigError(f"'lists.alone': without 'alone' nothing is done alone, but it is {show(only)}")
+    return Found(found, {"settings": told["settings"], "lists": lists}, alone)
+
+
+def lists_of(told: Any) -> tuple[dict[str, Any], list[str] | None]:
+    """The lists of a version, and the servers that one whose lease has run out may send to."""
+    section = Section(told, "lists")
+    for key in told.keys() - {"source", "taken_out", "only", "alone", "servers"}:
+        raise ConfigError(f"'lists.{key}' is not known, with {show(told[key])}")
+    source = section.text("source", "discovery")
+    if source not in ("discovery", "here"):
+        raise ConfigError(f'\'lists.source\' must be "discovery" or "here", not {show(source)}')
+    rows = section.sections("servers")
+    if rows and source != "here":
+        raise ConfigError(f"'lists.servers' stand there, but 'lists.source' is {show(source)}")
+    for row in rows:
+        for key in row.values.keys() - SERVER:
+            raise ConfigError(f"'{row.name(key)}' is not known, with {show(row.values[key])}")
+        named_server(Section(row.values | {"state": "ready"}, row.path))
+    found = {"source": source, "servers": [row.values for row in rows]}
+    for key in ("taken_out", "only", "alone"):
+        if key in told:
+            found[key] = ids(told[key], section.name(key))
+    return found, found.pop("alone", None)
+
+
+def ids(told: Any, path: str) -> list[str]:
+    if not isinstance(told, list) or not all(isinstance(each, str) and each for each in told):
+        raise ConfigError(f"'{path}' must be a list of servers' ids, not {show(told)}")
+    return sorted(set(told))
 
 
 def checked(section: Any, path: str) -> dict[str, Any]:
--- a/foxspread/agreed/steward.py
+++ b/foxspread/agreed/steward.py
@@ -203,7 +203,7 @@
             lead.looked, lead.unfit = course.phase, course.unfit(course.next)
         if unfit := lead.unfit:
             self._propose(now, "step", Withdraw(course.phase, "the coordinators", unfit[:300]))
-        elif len(refusing) > terms.refusals:
+        elif len(refusing) > max(terms.refusals, course.by_number[course.next].refusals):
             self._propose(now, "step", Withdraw(course.phase, refusing[0][0], refusing[0][1][:300]))
         elif self._all_confirmed(now, lead) or now - self.phase_at > terms.runs_out(terms.lease):
             self._propose(now, "step", Force(course.phase))
--- a/foxspread/change.py
+++ b/foxspread/change.py
@@ -6,11 +6,12 @@
 stricter of both categories; one whose category is gone is handed off no more.
 """
 
+from collections.abc import Iterable
 from dataclasses import replace
 from typing import Any
 
 from foxspread.logic import Balancer
-from foxspread.model import Category, Effect
+from foxspread.model import Category, Effect, ListedServer
 from foxspread.rings import Alternating
 
 FEWER = (Effect.REDOABLE, Effect.LABELLED, Effect.IRREVERSIBLE)   # repeats, each allowing less
@@ -40,6 +41,33 @@
     it.view_until = it.next_look = now   # looks at all of it again
 
 
+def lists(it: Balancer, now: float, taken_out: frozenset[str], only: frozenset[str] | None) -> None:
+    """Who may be sent to by rules of the whole fleet, beside what the list says. One that was taken out and
+    is not any more has been restarted, as one that is called back by hand."""
+    servers = it.servers
+    if (taken_out, only) == (servers.taken_out, servers.only):
+        return
+    before = {each for each in servers.known if servers.let(each)}
+    back = servers.taken_out - taken_out
+    servers.taken_out, servers.only = taken_out, only
+    changed = {each for each in servers.known if servers.let(each)} ^ before
+    for server in sorted(back & changed):
+        servers.back.put(server, now)
+        servers.awaited[server] = now + it.chance.draw()
+    it.servers_listed(now, [servers.known[each] for each in sorted(changed)], False)
+
+
+def regrouped(it: Balancer, entries: Iterable[ListedServer]) -> None:
+    """Guards a labelled lookup that may have run: who drops its repeats is another group from here on, so it
+    is not repeated at all."""
+    known = it.servers.known
+    if any((old := known.get(each.server)) and (old.zone, old.cell) != (each.zone, each.cell)
+           for each in entries):
+        for lookup in it.lookups.values():
+            if lookup.category.effect is Effect.LABELLED and lookup.may_have_run():
+                lookup.spent = True
+
+
 def halt(it: Balancer, now: float) -> None:
     """Nothing may be handed off: what is out goes on to its answer, the rest is given up."""
     it.gate.max_hand_offs, it.gate.copies, it.calling_off = 0, False, False
--- a/foxspread/cli/rules.py
+++ b/foxspread/cli/rules.py
@@ -64,6 +64,14 @@
     "--who", default=None, metavar="NAME", help="Kept with the version; the user's name by default."
 )
 @click.option("--request", default=None, metavar="ID", help="Of an earlier try whose outcome is not known.")
+@click.option(
+    "--allow-refusals",
+    default=0,
+    type=click.IntRange(0, 1_000_000),
+    metavar="N",
+    help="So many sidecars may turn it down; they fall to what they may do alone.",
+)
+@click.option("--even-so", is_flag=True, help="Though it empties a zone or takes out many servers at once.")
 @AT
 @WITHIN
 @JSON
@@ -73,12 +81,16 @@
     why: str,
     who: str | None,
     request: str | None,
+    allow_refusals: int,
+    even_so: bool,
     at: list[Address],
     within: float,
     as_json: bool,
 ) -> None:
     """Write FILE as the next version."""
-    write(checked(file), -1 if if_version is None else if_version, why, who, request, at, within, as_json)
+    expected = -1 if if_version is None else if_version
+    more = {"refusals": allow_refusals, "even_so": even_so}
+    write(checked(file), expected, why, who, request, at, within, as_json, more)
 
 
 def write(
@@ -90,6 +102,7 @@
     at: list[Address],
     within: float,
     as_json: bool,
+    more: dict[str, Any],
 ) -> None:
     request = request or secrets.token_hex(8)
     reply = reached(
@@ -97,7 +110,7 @@
         within,
         as_json,
         request,
-        lambda client: client.put(text, if_version, user() if who is None else who, why, request),
+        lambda client: client.put(text, if_version, user() if who is None else who, why, request, **more),
     )
     version = reply.value.get("version") or {}
     printed(reply, as_json, f"version {version.get('number')}  {version.get('digest', '')[:12]}")
@@ -202,14 +215,24 @@
 @click.argument("number", type=click.IntRange(1))
 @click.option("--why", default="", metavar="TEXT")
 @click.option("--who", default=None, metavar="NAME")
+@click.option("--even-so", is_flag=True, help="As with `put`.")
 @AT
 @WITHIN
 @JSON
-def rollback(number: int, why: str, who: str | None, at: list[Address], within: float, as_json: bool) -> None:
+def rollback(
+    number: int,
+    why: str,
+    who: str | None,
+    even_so: bool,
+    at: list[Address],
+    within: float,
+    as_json: bool,
+) -> None:
     """Write the content of version NUMBER as a new version, after the one that is the latest now."""
     text = version_of(number, at, within, as_json).value["version"]["content"]
     latest = version_of(0, at, within, as_json).value["version"]["number"]
-    write(text, latest, why or f"back to version {number}", who, None, at, within, as_json)
+    more = {"even_so": even_so}
+    write(text, latest, why or f"back to version {number}", who, None, at, within, as_json, more)
 
 
 def course(at: list[Address], within: float) -> dict[str, Any]:
--- a/foxspread/consensus/client.py
+++ b/foxspread/consensus/client.py
@@ -98,14 +98,22 @@
         raise Unreached(f"no coordinator answered within {self.within:g} s; the last one said: {why}", opened)
 
     async def put(
-        self, content: str, if_version: int = -1, who: str = "", why: str = "", request: str = ""
+        self,
+        content: str,
+        if_version: int = -1,
+        who: str = "",
+        why: str = "",
+        request: str = "",
+        **more: Any,
     ) -> Reply:
+        """`more`: `refusals`, `even_so`."""
         body = {
             "content": content,
             "if_version": if_version,
             "who": who,
             "why": why,
             "request": request or secrets.token_hex(8),
+            **more,
         }
         return await self._until("POST", "/rules", json.dumps(body).encode())
 
--- a/foxspread/consensus/process.py
+++ b/foxspread/consensus/process.py
@@ -194,6 +194,9 @@
             self.waiting.pop(token, None)
             self.host.left(token)
 
+    def look(self, content: bytes, wish: dict[str, Any]) -> None:
+        """A further look at a content that is sound, beside the latest version. Raises `ConfigError`."""
+
     async def _put(self, message: http.Message) -> tuple[int, bytes]:
         wish = msgspec.json.decode(message.body, type=dict[str, Any])
         content = wish.get("content")
@@ -207,8 +210,12 @@
         texts = [wish.get(key, "") for key in ("who", "why")]
         if not all(isinstance(each, str) and len(each) <= TEXT_MOST for each in texts):
             raise ValueError(f"'who' and 'why' must be texts of at most {TEXT_MOST} characters")
+        refusals = wish.get("refusals", 0)
+        if not isinstance(refusals, int) or isinstance(refusals, bool) or not 0 <= refusals < 1 << 20:
+            raise ValueError("'refusals' must be a whole number from 0 on")
         self.check(content.encode())
-        put = Put(request, content.encode(), expected, texts[0], texts[1], time.time())
+        self.look(content.encode(), wish)
+        put = Put(request, content.encode(), expected, texts[0], texts[1], time.time(), refusals)
         return self._answered(await self._ask(self.host.put, put), whole=False)
 
     def _answered(self, answer: Answer, whole: bool = False) -> tuple[int, bytes]:
--- a/foxspread/consensus/versions.py
+++ b/foxspread/consensus/versions.py
@@ -25,6 +25,7 @@
     who: str = ""
     why: str = ""
     at: float = 0.0  # wall clock of who took it in, for people only
+    refusals: int = 0  # how many may turn it down without it being withdrawn
 
 
 class Version(Row, frozen=True):
@@ -36,6 +37,7 @@
     who: str
     why: str
     at: float
+    refusals: int = 0
 
 
 class Done(Row, frozen=True):
@@ -88,6 +90,7 @@
             put.who,
             put.why,
             put.at,
+            put.refusals,
         )
         self._add(version)
         return Done(version)
--- a/foxspread/facade.py
+++ b/foxspread/facade.py
@@ -60,11 +60,18 @@
         self.balancer = Balancer(now, **settings)
         self.categories = frozenset(self.balancer.categories)
 
-    def change(self, now: float, settings: dict[str, Any]) -> None:
+    def change(self, now: float, settings: dict[str, Any], taken_out: frozenset[str] = frozenset(),
+               only: frozenset[str] | None = None) -> None:
         """Other settings, for all decisions from here on (foxspread/change.py); `tick` follows."""
         change.change(self.balancer, now, settings)
+        change.lists(self.balancer, now, taken_out, only)
         self.categories = frozenset(self.balancer.categories)
 
+    def agreed_list(self, now: float, entries: list[ListedServer]) -> None:
+        """The whole list, where agreed rules hold it; `tick` follows."""
+        change.regrouped(self.balancer, entries)
+        self.balancer.servers_listed(now, entries, True)
+
     def halt(self, now: float) -> None:
         """Nothing may be handed off until the next `change`; `tick` follows."""
         change.halt(self.balancer, now)
--- a/foxspread/lab/processes/agreed_real.py
+++ b/foxspread/lab/processes/agreed_real.py
@@ -171,7 +171,9 @@
         while self.now() < self.scenario.seconds:
             count += 1
             text = self.drawn(chance, count)
-            body = json.dumps({"content": text.decode(), "request": f"v{count}", "who": "lab"}).encode()
+            body = json.dumps(
+                {"content": text.decode(), "request": f"v{count}", "who": "lab", "even_so": True}
+            ).encode()
             while self.now() < self.scenario.seconds:
                 with contextlib.suppress(*ERRORS):
                     relay = self.fleet.writers[chance.choice(self.fleet.names)]
--- a/foxspread/lab/processes/whole.py
+++ b/foxspread/lab/processes/whole.py
@@ -32,8 +32,9 @@
 SLACK = 0.1  # what an answer may be late for the lab's own load
 
 
-def drawn(chance: random.Random, cars: int, count: int) -> bytes:
-    """A version's text. `once` is irreversible in all of them; `extra` comes and goes."""
+def drawn(chance: random.Random, cars: int, count: int, places: dict[str, Address]) -> bytes:
+    """A version's text. `once` is irreversible in all of them; `extra` comes and goes. With places the list
+    of servers stands in it: some come and go, and change their group."""
     pay = chance.choice(("guarded", "single_shot"))
     rows = [
         (
@@ -61,6 +62,15 @@
         text += f'[[alone.categories]]\nname = "{name}"\nexpected_time_us = 600000\n'
         text += 'abandon_time_us = 1000000\nsemantics = "single_shot"\nrepeat_window_us = 0\n'
     text += f"[alone.limits]\nmax_hand_offs = {hands}\nparallel_tries = false\ncancelling = false\n"
+    some = chance.sample(["s2", "s3", "s5", "s6"], 3)
+    text += f'[lists]\ntaken_out = {json.dumps(some[: chance.randint(0, 2)])}\nalone = ["s1", "s4"]\n'
+    if places:
+        text += 'source = "here"\n'
+        for name, zone, cell in SERVERS:
+            if name not in some[2:] or chance.random() < 0.5:
+                cell = chance.choice((1, 2)) if name in ("s3", "s6") else cell
+                text += f'[[lists.servers]]\nid = "{name}"\naddr = "{places[name]}"\n'
+                text += f'zone = "{zone}"\ncell = {cell}\n'
     return text.encode()
 
 
@@ -98,6 +108,13 @@
     shares: list[tuple[float, float]] = field(default_factory=list)  # when, share done of that second
 
 
+def group(rules: Flat, server: str) -> tuple[str, str, int]:
+    """Server, zone and cell."""
+    name, zone, cell = next(row for row in SERVERS if row[0] == server)
+    row = f"lists.servers.{server}."
+    return name, rules.get(row + "zone", zone), rules.get(row + "cell", cell)
+
+
 class Server:
     """Answers, fails, closes, is slow or turns away, by chance."""
 
@@ -223,7 +240,7 @@
             self.busy_until = float("inf")
         try:
             if kind.startswith("server:"):
-                relay = self.chance.choice(list(self.servers.values()))
+                relay = self.chance.choice(self.play.shared if self.play.places else [*self.servers.values()])
                 kind = kind.removeprefix("server:")
                 self.play.befell.append(f"{self.play.now():.3f} {kind} {relay.name} {lasts:.3f}")
                 relay.begin(kind)
@@ -255,9 +272,11 @@
         self.slowest = 0.0
         self.clients: set[asyncio.Task] = set()
         self.servers: list[Server] = []
+        self.shared: list[Relay] = []  # the way to each server where versions hold the list
+        self.places: dict[str, Address] = {}
 
     def drawn(self, chance: random.Random, count: int) -> bytes:
-        return drawn(chance, self.count, count)
+        return drawn(chance, self.count, count, self.places)
 
     def settled_on(self, phase: int, version: int, ago: float) -> None:
         self.forced[phase] = min(self.forced.get(phase, (float("inf"), 0)), (self.now() - ago, version))
@@ -266,12 +285,18 @@
         self.servers = [Server(self, *row) for row in SERVERS]
         for each in self.servers:
             await each.start()
+            relay = Relay(f"all-{each.name}", self.fleet.rng(f"all-{each.name}"))
+            relay.target = each.address
+            self.shared.append(relay)
+            if self.seed % 2:
+                self.places[each.name] = relay.address
 
     async def ended(self) -> None:
         for task in self.clients:
             task.cancel()
         await asyncio.gather(*self.clients, return_exceptions=True)
-        await asyncio.gather(*(relay.close() for car in self.cars.values() for relay in car.servers.values()))
+        ways = [relay for car in self.cars.values() for relay in car.servers.values()]
+        await asyncio.gather(*(relay.close() for relay in (*ways, *self.shared)))
         for each in self.servers:
             each.server.close()
 
@@ -334,6 +359,7 @@
             if phase > latest:  # one that came late to an older one changes nothing
                 steps.append((at, number))
                 latest = phase
+        self.steps = [(at, content(self.texts[number]).rules) for at, number in steps]
         rules: Flat | None = None
         since, changed = 0.0, {}  # when the rules came into force; by key, since when it has its value
         before: dict[str, list[Try]] = {}
@@ -381,6 +407,10 @@
         out = [each for each in earlier if each.over > one.at + LATE]
         if out and not rules["settings.limits.parallel_tries"]:
             found.append(("settings.limits.parallel_tries", f"a copy while {out[0].server} has it"))
+        if one.server in rules["lists.taken_out"]:
+            found.append(("lists.taken_out", f"sent to {one.server}"))
+        if rules["lists.source"] == "here" and f"lists.servers.{one.server}." not in rules:
+            found.append((f"lists.servers.{one.server}.", "sent to, and not in the list"))
         ran = [each for each in earlier if each.ran]
         if ran and rules[row + "semantics"] == "single_shot":
             found.append((row + "semantics", "repeated"))
@@ -388,12 +418,19 @@
             window = rules[row + "repeat_window_us"] / 1e6
             if one.at - ran[0].at > window:
                 found.append((row + "repeat_window_us", f"repeated after {one.at - ran[0].at:.3f} s"))
-            first, second = (next(row for row in SERVERS if row[0] == each.server) for each in (ran[0], one))
+            first, second = group(rules, ran[0].server), group(rules, one.server)
+            for then, now in ((ran[0].server, first), (one.server, second)):
+                if (old := group(self._rules_at(ran[0].at + LATE), then)) != now:
+                    path = f"lists.servers.{then}.cell"
+                    found.append((path, f"repeated after {then} went from {old} to {now}"))
             scope = rules[row + "key_scope"]
             if scope != "all" and first[1:] != second[1:] and (scope == "cell" or first[1] != second[1]):
                 found.append((row + "key_scope", f"repeated from {first} to {second}, {scope}"))
         return found
 
+    def _rules_at(self, moment: float) -> Flat:
+        return next((rules for at, rules in reversed(self.steps) if at <= moment), self.steps[0][1])
+
     def _judge_answers(self, found: WholeTold) -> None:
         words = {200: "done", 503: "dismissed", 502: "scrapped", 404: "refused", 0: "none"}
         seconds: dict[int, list[bool]] = {}
--- a/foxspread/lab/processes/whole_child.py
+++ b/foxspread/lab/processes/whole_child.py
@@ -28,6 +28,7 @@
     def begun(self: Sidecar, *told: Any, **more: Any) -> None:
         started(self, *told, **more)
         self.facade.change(self.clock(), self.config.decisions)
+        self.counts.know(self.facade.categories)
 
     Sidecar.__init__ = begun
     present = party.Party.present
@@ -45,12 +46,31 @@
     Sidecar._ruled = lambda self, told: self.loop.call_later(0.5, ruled, self, told)
 
 
+def out_unheard() -> None:
+    """Sends on to what is taken out for all."""
+    change.lists = lambda it, now, taken_out, only: None
+
+
+def list_kept() -> None:
+    """Goes on by the first list that it had."""
+    ruled = Sidecar._ruled_list
+    Sidecar._ruled_list = lambda self, told: None if self.list_ruled else ruled(self, told)
+
+
+def regroups() -> None:
+    """Repeats labelled lookups by groups that are other ones than when they were first sent."""
+    change.regrouped = lambda it, entries: None
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "newest": holder(Newest),
     "from_answer": holder(FromAnswer),
     "own_file": own_file,
     "old_lookups": old_lookups,
     "late_change": late_change,
+    "out_unheard": out_unheard,
+    "list_kept": list_kept,
+    "regroups": regroups,
 }
 
 if __name__ == "__main__":
--- a/foxspread/members.py
+++ b/foxspread/members.py
@@ -32,6 +32,8 @@
         self.gone: dict[str, float] = {}                   # since when
         self.by_hand: dict[str, None] = {}                 # out until called back, listed or not
         self.back: Latest = Latest(BY_HAND_MOST)           # when they were called back
+        self.taken_out: frozenset[str] = frozenset()       # for the whole fleet, by agreed rules
+        self.only: frozenset[str] | None = None            # by these rules no others; None: all
         self.orders: dict[str, Alternating] | None = None  # of the ready ones by zone, if asked for
 
     def warmth(self, now: float, server: str) -> float:
@@ -79,7 +81,12 @@
         return [entry] if entry is not None else []
 
     def _usable(self, entry: ListedServer) -> bool:
-        return entry.readiness is Readiness.READY and entry.server not in self.by_hand
+        server = entry.server
+        return entry.readiness is Readiness.READY and server not in self.by_hand and self.let(server)
+
+    def let(self, server: str) -> bool:
+        """Whether agreed rules let anything go there."""
+        return server not in self.taken_out and (self.only is None or server in self.only)
 
     def take(self, now: float, entries: Iterable[ListedServer], whole: bool) -> tuple[list[str], list[str]]:
         """A list, what it leaves out being gone, or changes. Returns who is new or has started anew, and all
--- a/foxspread/net/discovery.py
+++ b/foxspread/net/discovery.py
@@ -49,12 +49,16 @@
         if self.task is None:
             self.task = self.loop.create_task(self._watch())
 
-    def move(self, address: Address) -> None:
-        """Follows another discovery from now on. What the old one told may not be what this one counts from:
-        it is asked for all of it, at once."""
+    def halt(self) -> None:
+        """Asks no more, until it is moved."""
         old, self.task = self.task, None
         if old is not None:
             old.cancel()
+
+    def move(self, address: Address) -> None:
+        """Follows another discovery from now on. What the old one told may not be what this one counts from:
+        it is asked for all of it, at once."""
+        self.halt()
         self.address, self.version = address, None
         self.start()
 
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -12,7 +12,7 @@
 
 from loguru import logger
 
-from foxspread.config import Config, ConfigError, ListPart, list_part
+from foxspread.config import Config, ConfigError, ListPart, NamedServer, list_part
 from foxspread.facade import Answer, CallOff, Facade, Fault, Outcome, Send, Step, Subscribe
 from foxspread.net import http, operations
 from foxspread.net.discovery import Discovery
@@ -109,9 +109,15 @@
 
 
 class Ruled(Protocol):
-    """What a sidecar is on: None where nothing may be done."""
+    """What a sidecar is on; without `settings` nothing may be done. `servers`: the list, None where discovery
+    has it. `taken_out`, `only`: ids that may not, or alone may, be sent to."""
 
     settings: dict[str, Any] | None
+    phase: int
+    servers: list[NamedServer] | None
+    taken_out: frozenset[str]
+    only: frozenset[str] | None
+    alone: bool   # a part of the rules, until it hears of the whole again
 
 
 class Rules(Protocol):
@@ -144,6 +150,8 @@
         self.held: dict[str, Held] = {}
         self.taken_lately: tuple[set[str], set[str]] = set(), set()   # ids: now, and in the spell before
         self.out: dict[tuple[str, int], asyncio.Task] = {}
+        self.begun: dict[str, float] | None = None   # when servers of a list by agreed rules came into it
+        self.list_ruled = False   # agreed rules hold the list of servers, and discovery isn't asked
         self.places: dict[str, Place] = {}   # of the servers that are listed and not gone
         self.alarm: asyncio.TimerHandle | None = None
         self.alarm_at = 0.0
@@ -205,7 +213,7 @@
                 if getattr(config, key) != getattr(self.config, key)]
         logger.info("reloaded discovery={} for the next start: {}", config.discovery,
                     ", ".join(left) or "nothing")
-        if not self.stopping:
+        if not self.stopping and not self.list_ruled:
             self.discovery.move(config.discovery)
 
     async def _finish(self) -> None:
@@ -480,11 +488,36 @@
         if ruled.settings is None:
             self.facade.halt(self.clock())
         else:
-            self.facade.change(self.clock(), ruled.settings)
+            self.facade.change(self.clock(), ruled.settings, ruled.taken_out, ruled.only)
             self.counts.know(self.facade.categories)
+            self._ruled_list(ruled)
         logger.info("rules taken up ms={:.2f}", 1e3 * (time.perf_counter() - begun))
         self.loop.call_soon(self._decide, self.facade.tick)   # not at once: a hand-off may be asking
 
+    def _ruled_list(self, ruled: Ruled) -> None:
+        if ruled.servers is not None:
+            servers = self._begun(ruled.servers, ruled.alone)
+            self.list_ruled = True
+            self.discovery.halt()
+            self._placed(ListPart(ruled.phase, True, servers, []))
+            self.facade.agreed_list(self.clock(), [each.listed for each in servers])
+        elif self.list_ruled:   # it is discovery's again: what is there stays until the whole list comes
+            self.list_ruled = False
+            self.discovery.move(self.discovery.address)
+
+    def _begun(self, servers: list[NamedServer], alone: bool) -> list[NamedServer]:
+        """Guards the budget of a cold server: one that is new in a list whose rows don't say when it started
+        has just started. Of those in the first list nobody knows; what one alone doesn't use isn't gone."""
+        now = self.clock()
+        if self.begun is None:
+            found = {each.listed.server: 0.0 for each in servers}
+        else:
+            found = {each.listed.server: self.begun.get(each.listed.server, now) for each in servers}
+        self.begun = (self.begun or {}) | found if alone else found
+        return [each if each.listed.started else
+                replace(each, listed=replace(each.listed, started=found[each.listed.server]))
+                for each in servers]
+
     def _holds(self, id: str, number: int) -> bool:
         """Right before the first byte: by what may be done at this moment, not when it was decided."""
         return (self.rules is None or self.rules.present()) and self.facade.holds(self.clock(), id, number)
@@ -537,7 +570,8 @@
                 lines = [b"Retry-After: %.3f\r\n" % back_in] if back_in > 0 else []
                 self._answer(id, Reply(503 if dismissed else 502, lines=lines))
             case Subscribe():
-                self.discovery.start()
+                if not self.list_ruled:
+                    self.discovery.start()
 
     def _send(self, step: Send) -> None:
         held, key = self.held.get(step.lookup), (step.lookup, step.number)
--- a/tests/agreed/test_keys.py
+++ b/tests/agreed/test_keys.py
@@ -5,6 +5,7 @@
 
 from foxspread.agreed import keys
 from foxspread.agreed.contents import content
+from foxspread.agreed.drastic import drastic
 from foxspread.agreed.keys import KEYS, Kind, NoRule
 from foxspread.agreed.process import check
 from foxspread.config import ConfigError
@@ -91,3 +92,100 @@
         ):
             with self.subTest(fault), self.assertRaisesRegex((ConfigError, NoRule), fault):
                 check(told.encode())
+
+
+HEAD = '[settings]\n[[settings.categories]]\nname = "docs"\nabandon_time_us = 5\n'
+ALONE = '[alone]\n[[alone.categories]]\nname = "docs"\nabandon_time_us = 5\n'
+
+
+def listed(*servers: tuple[str, str, int], more: str = "") -> bytes:
+    """Rules with these servers: id, zone, cell."""
+    rows = "".join(
+        f'[[lists.servers]]\nid = "{id}"\naddr = "10.0.0.1:{port}"\nzone = "{zone}"\ncell = {cell}\n'
+        for port, (id, zone, cell) in enumerate(servers, 1)
+    )
+    return f'{HEAD}{more}[lists]\nsource = "here"\n{rows}'.encode()
+
+
+class Lists(unittest.TestCase):
+    def test_between_two_lists_are_the_servers_that_are_the_same_in_both(self) -> None:
+        old = content(listed(("s.1", "a", 1), ("s2", "a", 1), ("s3", "b", 1))).rules
+        new = content(listed(("s.1", "a", 1), ("s2", "a", 2), ("s4", "b", 1))).rules
+        rows = {path for path in keys.between(old, new) if path.startswith(keys.SERVERS)}
+        self.assertEqual({path for path in rows if path.endswith(".")}, {"lists.servers.s.1."})
+        self.assertEqual({keys._row(path) for path in rows}, {"lists.servers.s.1."})
+        self.assertEqual(keys.tree(old)["lists"]["servers"][0]["id"], "s.1")
+        self.assertEqual(keys.flat(keys.tree(old)), old)
+
+    def test_from_discovery_to_a_list_and_back_the_old_one_holds_until_the_new_is_in_force(self) -> None:
+        here, plain = content(listed(("s1", "a", 1))).rules, content(HEAD.encode()).rules
+        self.assertEqual(keys.between(here, plain), here)
+        self.assertEqual(keys.between(plain, here), plain)
+        self.assertEqual(keys.switches(plain, here), ["lists.source"])
+
+    def test_taken_out_by_either_and_named_by_both(self) -> None:
+        def told(lists: str) -> keys.Flat:
+            return content(f"{HEAD}[lists]\n{lists}".encode()).rules
+
+        one, other = told('taken_out = ["s2", "s1"]'), told('taken_out = ["s3"]\nonly = ["s4", "s5"]')
+        found = keys.between(one, other)
+        self.assertEqual(found["lists.taken_out"], ["s1", "s2", "s3"])
+        self.assertEqual(found["lists.only"], ["s4", "s5"])
+        for rules in (one, other):
+            self.assertTrue(all(keys.allows(path, value, rules) for path, value in found.items()))
+        self.assertFalse(keys.allows("lists.taken_out", [], one))
+        self.assertFalse(keys.allows("lists.only", "all", other))
+
+    def test_alone_it_sends_to_what_is_named_for_it(self) -> None:
+        servers = (("s1", "a", 1), ("s2", "a", 1))
+        nobody = content(listed(*servers, more=ALONE))
+        self.assertFalse([path for path in nobody.alone if path.startswith(keys.SERVERS)])
+        text = listed(*servers, more=ALONE).replace(b"[lists]", b'[lists]\nalone = ["s1"]')
+        one = content(text)
+        self.assertEqual(
+            {path for path in one.alone if path.startswith(keys.SERVERS) and path.endswith(".")},
+            {"lists.servers.s1."},
+        )
+        moved = content(listed(("s1", "a", 2), ("s2", "a", 1))).rules
+        self.assertTrue([fault for fault in keys.faults(one.alone, moved) if "s1.cell" in fault])
+        self.assertEqual([*keys.faults(one.alone, content(listed(("s1", "a", 1))).rules)], [])
+        out = content(listed(*servers).replace(b"[lists]", b'[lists]\ntaken_out = ["s1", "s2"]')).rules
+        self.assertEqual(
+            [*keys.faults(one.alone, out)],
+            ["'lists.taken_out': alone 's1' may be sent to, which is taken out"],
+        )
+
+    def test_refused_by_name(self) -> None:
+        for lists, fault in (
+            ('source = "there"', "'lists.source' must be"),
+            ('servers = [{id = "s1", addr = "h:1"}]', "but 'lists.source' is"),
+            ('source = "here"\nservers = [{id = "s1", addr = "h"}]', "addr' must be HOST:PORT"),
+            (
+                'source = "here"\nservers = [{id = "s1", addr = "h:1", state = "ready"}]',
+                "state' is not known",
+            ),
+            ('taken_out = "s1"', "'lists.taken_out' must be a list of servers' ids"),
+            ('alone = ["s1"]', "'lists.alone': without 'alone'"),
+            ('taken = ["s1"]', "'lists.taken' is not known"),
+        ):
+            with self.subTest(fault), self.assertRaisesRegex((ConfigError, NoRule), fault):
+                check(f"{HEAD}[lists]\n{lists}".encode())
+
+    def test_what_may_not_have_been_meant(self) -> None:
+        many = [(f"s{at}", "ab"[at % 2], 1) for at in range(8)]
+        old = content(listed(*many)).rules
+        for new, fault in (
+            (listed(*many[:6]), ""),
+            (listed(*many[:5]), "takes out 3 of 8 servers, 's5' among them"),
+            (listed(*many[::2], ("s9", "a", 1)), "leaves no server in zone 'b'"),
+            (
+                listed(*many).replace(b"[lists]", b'[lists]\ntaken_out = ["s1", "s3", "s5"]'),
+                "takes out 3 of 8",
+            ),
+            (listed(), "leaves no server"),
+            (HEAD.encode(), ""),
+            (f"{HEAD}[lists]\nonly = []\n".encode(), "leaves no server"),
+        ):
+            with self.subTest(fault):
+                self.assertIn(fault, drastic(old, content(new).rules))
+                self.assertEqual(bool(fault), bool(drastic(old, content(new).rules)))
--- a/tests/test_change.py
+++ b/tests/test_change.py
@@ -1,5 +1,6 @@
 import unittest
 from collections.abc import Iterator
+from dataclasses import replace
 from typing import Any
 
 from foxspread import change
@@ -144,3 +145,41 @@
         self.assertNotIn("s", sent)
         changed(it, 104.0)
         self.assertNotIn("s", it.servers.cold)
+
+    def test_out_for_all_holds_beside_by_hand_and_back_it_is_cold(self):
+        it = balancer()
+        take(it, 100.0, "x")
+        out = sent_to_of(it, "x")
+        change.lists(it, 100.0, frozenset([out]), None)
+        self.assertFalse(it.gate.holds(100.0, it.lookups["x"], 0))   # on its way to its first byte
+        self.assertNotIn(out, it.servers.ready)
+        it.by_hand(100.1, out, True)
+        change.lists(it, 100.2, frozenset(), None)
+        self.assertNotIn(out, it.servers.ready)   # still out by hand here
+        it.by_hand(100.3, out, False)
+        self.assertTrue(out in it.servers.ready and out in it.servers.cold and out in it.servers.awaited)
+        change.lists(it, 100.4, frozenset(), frozenset(["s1", "s2"]))
+        self.assertEqual(it.servers.ready, {"s1", "s2"})
+        it.servers_listed(100.5, servers(["s9"]), False)
+        self.assertEqual(it.servers.ready, {"s1", "s2"})
+        change.lists(it, 100.6, frozenset(), None)
+        self.assertEqual(it.servers.ready, {"s1", "s2", "s3", "s4", "s9"})
+
+    def test_a_labelled_lookup_is_not_repeated_over_a_change_of_groups(self):
+        """The server that it went to first, or the one that it would go to, has another group's memory."""
+        old = [ListedServer("s1", "a", 1), ListedServer("s2", "a", 1), ListedServer("s3", "a", 2)]
+        for moved, again in ((None, 1), ("s1", 0), ("s2", 0), ("s3", 0)):
+            with self.subTest(moved):
+                it = balancer(old, effect=Effect.LABELLED)
+                ids = [f"x{each}" for each in range(6)]
+                take(it, 100.0, *ids)
+                id = next(each for each in ids if sent_to_of(it, each) in ("s1", "s2"))
+                new = [replace(each, cell=3 - each.cell) if each.server == moved else each for each in old]
+                change.regrouped(it, new)
+                it.servers_listed(100.1, new, True)
+                it.hand_off_ended(100.2, id, 0, Outcome.ERROR, False)
+                self.assertEqual(len(sent_to(pull(it, 100.2))), again)
+
+
+def sent_to_of(it: Balancer, id: str) -> str:
+    return it.lookups[id].sent[0].server
