--- a/foxspread/agreed/steward.py
+++ b/foxspread/agreed/steward.py
@@ -55,6 +55,9 @@
     since: float
     heard: dict[str, float] = field(default_factory=dict)  # when each holder was last heard of
     told: dict[str, Heard] = field(default_factory=dict)
+    strangers: dict[str, None] = field(default_factory=dict)  # heard, and to be opened
+    refusing: dict[str, Heard] = field(default_factory=dict)  # those that turned a phase down
+    close_at: float = 0.0  # when it looks again who is silent: not each time, that would cost by holders
     looked: int = 0  # the phase whose version was looked at, and what does not fit
     unfit: str = ""
     proposed: dict[str, float] = field(default_factory=dict)  # steps under way, until when they may be
@@ -150,7 +153,13 @@
                 continue
             if known is None or row.phase >= known.phase:  # an older one came late
                 lead.told[holder] = row
+                if row.refused:
+                    lead.refusing[holder] = row
+                else:
+                    lead.refusing.pop(holder, None)
             lead.heard[holder] = now
+            if holder not in self.course.holders:
+                lead.strangers[holder] = None
 
     def _no(self, token: int, why: str) -> None:
         if self.asks.pop(token, None) is not None:
@@ -187,10 +196,13 @@
         if course.terms is None:
             self._propose(now, "terms", self.wish)
             return
-        opening = [each for each in lead.told if each not in course.holders][:BATCH]
-        if opening:
-            self._propose(now, "open", Open(opening))
-        self._close(now, lead)
+        if lead.strangers:
+            lead.strangers = {each: None for each in lead.strangers if each not in course.holders}
+            if lead.strangers:
+                self._propose(now, "open", Open([*lead.strangers][:BATCH]))
+        if now >= lead.close_at:
+            lead.close_at = now + terms.lease / 10
+            self._close(now, lead)
         for version, since in self.replaced_at.items():
             if now - since > terms.runs_out(terms.lease + terms.alone):
                 self._propose(now, f"drop {version}", Drop(version))
@@ -198,7 +210,7 @@
             if due := course.due():
                 self._propose(now, "step", Announce(due))
             return
-        refusing = [(each, row.why) for each, row in lead.told.items() if row.refused == course.phase]
+        refusing = [(each, row.why) for each, row in lead.refusing.items() if row.refused == course.phase]
         if lead.looked != course.phase:
             lead.looked, lead.unfit = course.phase, course.unfit(course.next)
         if unfit := lead.unfit:
@@ -226,6 +238,8 @@
             self._propose(now, "close", Close(gone))
         for each in [each for each, at in lead.heard.items() if now - at > silent]:
             del lead.heard[each], lead.told[each]
+            lead.strangers.pop(each, None)
+            lead.refusing.pop(each, None)
 
     def _propose(self, now: float, what: str, command: Any) -> None:
         if self.lead.proposed.get(what, 0.0) > now:
@@ -313,6 +327,9 @@
         self.replaced_at = {each: at for each, at in self.replaced_at.items() if each in course.alones}
         if len(course.holders) < before[2]:
             self.closed_at = now
+            if self.lead is not None:  # heard while it was being closed: opened again
+                again = [each for each in self.lead.told if each not in course.holders]
+                self.lead.strangers |= dict.fromkeys(again)
         if len(course.holders) > before[2]:
             if self.lead is not None:
                 self.lead.proposed.pop("open", None)
