Hard cases by name with whole sidecars; service, cost and the moment of the act measured

A test holds a sidecar at the moment between connection and first byte while its lease runs out; without the check there it fails. The bare sidecar is tested to load nothing of it.

--- a/bench/agreed.py
+++ b/bench/agreed.py
@@ -12,9 +12,12 @@
 import os
 import pathlib
 import random
+import re
 import signal
+import statistics
 import sys
 import time
+import tomllib
 from collections.abc import AsyncIterator
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1]))
@@ -24,6 +27,7 @@
 from foxspread.agreed.holder import Holder, Mode  # noqa: E402
 from foxspread.config import address  # noqa: E402
 from foxspread.consensus.client import Client, call  # noqa: E402
+from foxspread.lab.processes import whole as wholes  # noqa: E402
 from foxspread.lab.processes.fleet import Fleet, processor, resident  # noqa: E402
 from foxspread.lab.processes.real import ERRORS  # noqa: E402
 from foxspread.lab.processes.scenario import Scenario  # noqa: E402
@@ -200,11 +204,136 @@
         await asyncio.gather(*(restart(child) for child in found.children.values()))
         up = time.monotonic() - begun
         took = await group.until(2, 120)
-        print(f"{count} followers on {members} coordinators that all were away for 12 s: up after {up:.2f} s, all "
-              f"settled {took:.2f} s after that; calls that failed "
+        print(f"{count} followers on {members} coordinators that all were away for 12 s: up after {up:.2f} "
+              f"s, all settled {took:.2f} s after that; calls that failed "
               f"{sum(row['failed'] for row in group.last.values())}")  # fmt: skip
 
 
+SIDECAR = TEXT.replace("siblings = 50", "siblings = 1") + "parallel_tries = true\ncancelling = true\n"
+SIDECAR += SIDECAR.partition("[settings]")[2].join(["[alone]", ""]).replace("settings.", "alone.")
+
+
+async def answering(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = re.search(rb"(?i)content-length: *(\d+)", head)
+            await reader.readexactly(int(length[1]) if length else 0)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+    writer.close()
+
+
+class Whole:
+    """A whole sidecar before stand-in servers, with agreed rules or without."""
+
+    def __init__(self, folder: pathlib.Path, name: str, ways: list[str], places: list[str]) -> None:
+        self.config, self.file = folder / f"{name}.json", folder / f"{name}.toml"
+        rules = tomllib.loads(SIDECAR.format(number=0, hands=3))["settings"]
+        known = [{"id": f"s{at}", "addr": each, "zone": "a", "cell": 1, "state": "ready"}
+                 for at, each in enumerate(places)]  # fmt: skip
+        told = {"name": name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+                "limits": {"memory_mb": 192, "sockets": 1024}, "settings": rules | {"az": "a"},
+                "known": {"version": 1, "full": True, "servers": known}}  # fmt: skip
+        self.config.write_text(json.dumps(told))
+        self.file.write_text(f"[agreed]\ncoordinators = {json.dumps(ways)}\n" if ways else "")
+        self.count, self.took, self.cores, self.settled = 0, [], [], asyncio.Event()
+
+    async def start(self) -> None:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "foxspread", "--operator", str(self.file), stderr=asyncio.subprocess.PIPE,
+            env=os.environ | {"EDGE_CONFIG": str(self.config)},
+        )  # fmt: skip
+        found = None
+        while not found:
+            line = (await self.process.stderr.readline()).decode()
+            found = re.search(r"start name=\S+ listen=(\S+)", line)
+        self.listen = address(found[1], "listen")
+        self.reading = asyncio.create_task(self._drain())
+
+    async def _drain(self) -> None:
+        while line := await self.process.stderr.readline():
+            if b"mode=settled phase=4" in line:
+                self.settled.set()
+
+    async def client(self, until: float, every: float) -> int:
+        done = 0
+        reader, writer = await asyncio.open_connection(self.listen.host, self.listen.port)
+        while (begun := time.monotonic()) < until:
+            self.count += 1
+            writer.write(f"GET /docs HTTP/1.1\r\nHost: b\r\nX-Txn: t{self.count}\r\n\r\n".encode())
+            head = await reader.readuntil(b"\r\n\r\n")
+            size = int(re.search(rb"(?i)content-length: *(\d+)", head)[1])
+            await reader.readexactly(size)
+            done += b" 200 " in head
+            self.took.append(time.monotonic() - begun)
+            await asyncio.sleep(max(0.0, begun + every - time.monotonic()))
+        writer.close()
+        return done
+
+    async def round(self, seconds: float, clients: int, every: float) -> None:
+        before, until = processor(self.process.pid), time.monotonic() + seconds
+        done = sum(await asyncio.gather(*(self.client(until, every) for _ in range(clients))))
+        self.cores.append((processor(self.process.pid) - before) / max(1, done))
+
+
+async def sidecar(rounds: int, seconds: float) -> None:
+    """The same load in turn on a sidecar with agreed rules and one without."""
+    async with fleet(0) as (found, client, group):
+        await client.put(SIDECAR.format(number=1, hands=3))
+        servers = [await asyncio.start_server(answering, "127.0.0.1", 0) for _ in range(4)]
+        places = ["%s:%d" % each.sockets[0].getsockname()[:2] for each in servers]
+        both = [Whole(found.folder, name, ways, places) for name, ways in (("off", []), ("on", group.ways))]
+        try:
+            for each in both:
+                await each.start()
+            await both[1].settled.wait()  # a fleet that is new takes a lease for its first version
+            for each in both:
+                await each.round(1.0, 8, 0.02)
+                each.took, each.cores = [], []
+            for number in range(rounds):
+                for each in both if number % 2 else both[::-1]:
+                    await each.round(seconds, 16, 0.02)
+            for name, each in zip(("off", "on"), both):
+                cost = 1e6 * statistics.median(each.cores)
+                print(f"{name}: {len(each.took)} lookups; {cost:.0f} us of a core each; "
+                      f"{shown(each.took)}; {resident(each.process.pid):.1f} MB")  # fmt: skip
+            ratios = [on / off for on, off in zip(both[1].cores, both[0].cores)]
+            print(f"CPU a lookup, on against off, {rounds} rounds: median {statistics.median(ratios):.3f}, "
+                  f"{min(ratios):.3f} to {max(ratios):.3f}")  # fmt: skip
+        finally:
+            for each in both:
+                each.process.kill()
+                await each.process.wait()
+            for each in servers:
+                each.close()
+
+
+async def service(seeds: int) -> None:
+    """The share of lookups done, day beside day: whole sidecars, servers that don't fail, versions under
+    which all can be done."""
+    away = tuple((8.0, "kill", f"c{at}", 6.0) for at in (1, 2, 3))
+    third = tuple((8.0, "silent", f"s{at}", 6.0) for at in range(4))
+    days = {
+        "one version, nothing fails": {"versions": 1},
+        "a version each 1.5 s": {},
+        "a version each 1.5 s, a third cut off for 6 s": {"script": third},
+        "all coordinators away for 6 s": {"versions": 1, "script": away},
+        "drawn faults, a version each 1.5 s": {"faults": True},
+    }
+    for name, told in days.items():
+        done = whole = 0
+        faults: list[str] = []
+        for seed in range(1, seeds + 1):
+            found = await wholes.played(seed, **{"faults": False, "steady": True, "alone": 60.0, **told})
+            faults += found.faults
+            rows = [row for row in found.shares if 4 <= row[0] < 20]
+            done += sum(share * count for _, share, count in rows)
+            whole += sum(count for _, _, count in rows)
+        print(f"{name}: {done / whole:.4f} of {whole} lookups done; {len(faults)} rules broken", flush=True)
+        for each in faults[:3]:
+            print("  ", each)
+
+
 async def restart(child) -> None:
     old, write = child.address, child.write
     child.write = lambda: (write(), child.file.write_text(
@@ -214,7 +343,7 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser()
-    parser.add_argument("what", choices=("force", "cost", "back", "many"))
+    parser.add_argument("what", choices=("force", "cost", "back", "sidecar", "service", "many"))
     parser.add_argument("told", nargs="?", default="[]")
     parser.add_argument("--count", type=int)
     parser.add_argument("--members", type=int, default=5)
@@ -229,6 +358,8 @@
         "force": lambda: force(told.count or 50, told.puts),
         "cost": lambda: cost(told.count or 400, told.seconds),
         "back": lambda: back(told.count or 2000, told.members),
+        "service": lambda: service(told.puts // 20),
+        "sidecar": lambda: sidecar(told.puts // 10, 3.0),
     }[told.what]())  # fmt: skip
 
 
--- a/foxspread/cli/processes.py
+++ b/foxspread/cli/processes.py
@@ -20,8 +20,9 @@
     real,
     scenario,
     virtual,
-    whole as wholes,
+    whole_child,
 )
+from foxspread.lab.processes import whole as wholes
 from foxspread.lab.processes.scenario import Scenario
 from foxspread.lab.scenario import ScenarioError, SocketsError
 
@@ -181,16 +182,22 @@
 @click.option(
     "--whole", is_flag=True, help="Whole sidecars with servers and clients, judged by what these saw."
 )
+@click.option("--cases", is_flag=True, help="The hard cases by name, with whole sidecars.")
 @click.option("--sidecars", default=12, show_default=True, type=click.IntRange(1, 5000))
 @click.option(
     "--jobs", default=os.cpu_count() or 1, type=click.IntRange(1, 256), help="Processes that search."
 )
-@click.option("--mutant", type=click.Choice(list(agreed_mutants.MUTANTS)), help="A broken one in its place.")
+@click.option(
+    "--mutant",
+    type=click.Choice(sorted({*agreed_mutants.MUTANTS, *whole_child.MUTANTS})),
+    help="A broken one in its place; with --whole those of whole sidecars.",
+)
 @JSON
 def agreed_(
     seeds: range,
     as_processes: bool,
     whole: bool,
+    cases: bool,
     sidecars: int,
     jobs: int,
     mutant: str | None,
@@ -198,8 +205,13 @@
 ) -> None:
     """Sidecars that act on agreed rules, in virtual time: each act is judged by the version in force at its
     moment. Exit code 1 where a rule is broken."""
+    if mutant and mutant not in (whole_child.MUTANTS if whole else agreed_mutants.MUTANTS):
+        raise click.UsageError(f"--mutant {mutant} is not there {'with' if whole else 'without'} --whole")
+    if cases:
+        return sys.exit(wholly({name: {"name": name} for name in wholes.CASES}, wholes.case, as_json))
     if whole:
-        return sys.exit(wholly(seeds, sidecars, mutant or "", as_json))
+        runs = {f"seed {seed}": {"seed": seed, "cars": sidecars, "mutant": mutant or ""} for seed in seeds}
+        return sys.exit(wholly(runs, wholes.played, as_json))
     if as_processes:
         return sys.exit(really(seeds, sidecars, mutant or "", as_json))
     plan, broken = replace(agreed.AgreedPlan(), cars=sidecars), 0
@@ -255,10 +267,10 @@
     return 1 if broken else 0
 
 
-def wholly(seeds: range, sidecars: int, mutant: str, as_json: bool) -> int:
+def wholly(runs: dict[str, dict[str, Any]], play: Any, as_json: bool) -> int:
     broken = False
-    for seed in seeds:
-        found = asyncio.run(wholes.played(seed, cars=sidecars, mutant=mutant))
+    for run, told in runs.items():
+        found = asyncio.run(play(**told))
         broken |= bool(found.faults)
         if as_json:
             click.echo(json.dumps(asdict(found)))
@@ -266,7 +278,7 @@
         lookups = ", ".join(f"{count} {word}" for word, count in sorted(found.lookups.items()))
         worst = "".join(f"; longest after the change: {each} {at:.3f} s" for each, at in found.worst.items())
         click.echo(
-            f"seed {seed}: lookups: {lookups}; {found.hand_offs} hand-offs, {found.repeats} repeats; "
+            f"{run}: lookups: {lookups}; {found.hand_offs} hand-offs, {found.repeats} repeats; "
             f"{found.versions} versions in force; {len(found.befell)} faults befell{worst}; "
             + ("rules broken:" if found.faults else "no rule broken")
         )
--- a/foxspread/lab/processes/agreed_real.py
+++ b/foxspread/lab/processes/agreed_real.py
@@ -8,6 +8,7 @@
 import json
 import pathlib
 import random
+import re
 import shutil
 import signal
 import sys
@@ -134,16 +135,21 @@
         faults: bool = True,
         mutant: str = "",
         script: tuple[tuple[float, str, str, float], ...] = (),
+        versions: int = 1000,
+        alone: float = 3.0,
+        puts: tuple[tuple[float, int], ...] = (),
     ) -> None:
         self.scenario = Scenario(
-            "agreed", seconds=seconds, settle=1.0 if mutant else 10.0, lease=lease, alone=3.0
+            "agreed", seconds=seconds, settle=1.0 if mutant else 10.0, lease=lease, alone=alone
         )
         self.play = Play(self.scenario, seed)
         self.fleet: Fleet = self.play.fleet
         self.chance, self.seed, self.every, self.faulty = self.fleet.rng("agreed"), seed, every, faults
         self.count, self.acts, self.befell = cars, [], self.play.befell
         self.cars: dict[str, Car] = {}
-        self.mutant, self.script = mutant, script  # when, what, which car, for how long
+        self.mutant, self.script = mutant, script  # when, what, which car or coordinator, for how long
+        self.versions = versions  # at the most
+        self.puts = puts  # when, and with how many hand-offs at the most; none: whenever, as drawn
         self.texts: dict[int, bytes] = {}
         self.begun = time.monotonic()
 
@@ -171,6 +177,14 @@
         while self.now() < self.scenario.seconds:
             count += 1
             text = self.drawn(chance, count)
+            if self.puts:
+                if count > len(self.puts):
+                    return
+                at, hands = self.puts[count - 1]
+                await self.wait(at - self.now())
+                # One text with another limit: a roll-back is the first one's content again.
+                text = self.drawn(self.fleet.rng("puts"), 0)
+                text = re.sub(rb"(?m)^max_hand_offs = \d+", b"max_hand_offs = %d" % hands, text, count=1)
             body = json.dumps(
                 {"content": text.decode(), "request": f"v{count}", "who": "lab", "even_so": True}
             ).encode()
@@ -183,7 +197,9 @@
                     ):
                         break
                 await asyncio.sleep(0.05)
-            await self.wait(chance.uniform(0.5, 2.5))
+            if not self.puts:
+                last = self.versions <= count
+                await self.wait(self.scenario.seconds if last else chance.uniform(0.5, 2.5))
 
     def drawn(self, chance: random.Random, count: int) -> bytes:
         return drawn(chance, self.count, count)
@@ -203,7 +219,10 @@
     async def _scripted(self) -> None:
         async def one(at: float, kind: str, name: str, lasts: float) -> None:
             await self.wait(at)
-            await self.cars[name].befalls(kind, lasts)
+            if name in self.cars:
+                await self.cars[name].befalls(kind, lasts)
+            else:
+                await self.play.befalls(kind, lasts, await self.play.whom(name))
 
         await asyncio.gather(*(one(*row) for row in self.script))
 
--- a/foxspread/lab/processes/whole.py
+++ b/foxspread/lab/processes/whole.py
@@ -74,6 +74,17 @@
     return text.encode()
 
 
+def steady(chance: random.Random, cars: int, count: int) -> bytes:
+    """A version under which all lookups can be done, as under each other of these, and alone."""
+    text = f"# {count}\n[settings]\nsiblings = {chance.choice((cars, 2 * cars))}\n"
+    alone = f"[alone]\nsiblings = {2 * cars}\n[alone.limits]\nmax_hand_offs = 1\n"
+    for name in ("docs", "pay", "once"):
+        row = f'name = "{name}"\nabandon_time_us = 1500000\nexpected_time_us = 600000\n'
+        text += f"[[settings.categories]]\n{row}benefit = {chance.randint(1, 3)}\n"
+        alone += f"[[alone.categories]]\n{row}"
+    return (text + f"[settings.limits]\nmax_hand_offs = {chance.randint(1, 5)}\n{alone}").encode()
+
+
 @dataclass
 class Try:
     """A hand-off as its server saw it."""
@@ -105,7 +116,8 @@
     repeats: int = 0
     first_in_force: dict[int, float] = field(default_factory=dict)
     slowest_change: float = 0.0  # ms that a change of rules took in any sidecar
-    shares: list[tuple[float, float]] = field(default_factory=list)  # when, share done of that second
+    # By second: when, share done of what had to be, of how many.
+    shares: list[tuple[int, float, int]] = field(default_factory=list)
 
 
 def group(rules: Flat, server: str) -> tuple[str, str, int]:
@@ -136,6 +148,8 @@
                 noted = Try(self.play.now(), fields["x-txn"], fields["x-lane"], self.name)
                 self.play.tries.append(noted)
                 kind = self.chance.random()
+                if self.play.steady:
+                    kind = 0.5
                 if kind < 0.03:
                     noted.ran = False
                     writer.write(b"HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
@@ -199,8 +213,9 @@
         self.starts += 1
         told, file = self.write()
         self.listen = None
-        module = ["foxspread"] if not self.play.mutant else ["foxspread.lab.processes.whole_child"]
-        mutant = [self.play.mutant] if self.play.mutant else []
+        broken = self.play.mutant and (not self.play.who or self.name in self.play.who)
+        module = ["foxspread.lab.processes.whole_child"] if broken else ["foxspread"]
+        mutant = [self.play.mutant] if broken else []
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", *module, *mutant, "--operator", file,
             env=os.environ | {"EDGE_CONFIG": told}, stderr=asyncio.subprocess.PIPE,
@@ -262,8 +277,12 @@
     car_kind = WholeCar
     car_faults = (*Sidecars.car_faults, *(f"server:{each}" for each in SERVER_FAULTS * 2))
 
-    def __init__(self, seed: int, rate: float = 12.0, **told: Any) -> None:
+    def __init__(
+        self, seed: int, rate: float = 12.0, steady: bool = False, who: tuple[str, ...] = (), **told: Any
+    ) -> None:
         super().__init__(seed, **told)
+        self.who = who  # those that are another build, or broken; none: all are
+        self.steady = steady  # servers don't fail, and each version lets all be done
         self.rate = rate  # lookups a second at each sidecar
         self.tries: list[Try] = []
         self.asked: list[Asked] = []
@@ -276,6 +295,8 @@
         self.places: dict[str, Address] = {}
 
     def drawn(self, chance: random.Random, count: int) -> bytes:
+        if self.steady:
+            return steady(chance, self.count, count)
         return drawn(chance, self.count, count, self.places)
 
     def settled_on(self, phase: int, version: int, ago: float) -> None:
@@ -447,7 +468,66 @@
                 )
             elif each.took > REMAINING + SLACK:
                 found.faults.append(f"{each.at:.3f} {each.id} {each.category}: after {each.took:.3f} s")
-        found.shares = [(at, round(sum(row) / len(row), 4)) for at, row in sorted(seconds.items())]
+        found.shares = [(at, round(sum(row) / len(row), 4), len(row)) for at, row in sorted(seconds.items())]
+
+
+THIRD = tuple(f"s{at}" for at in range(4))
+# Each by its name: what befalls whom, and when. A seed that is odd has the list of servers in its versions.
+CASES: dict[str, dict[str, Any]] = {
+    "a server moves from one group to another while a third is cut off": {
+        "seed": 1,
+        "script": tuple((at, "silent", each, 3.0) for each in THIRD for at in (3.0, 8.0, 13.0)),
+    },
+    "stopped for longer than its lease": {
+        "script": tuple((at, "stall", "s1", 2.5) for at in (3.0, 7.0, 11.0, 15.0)),
+    },
+    "stopped while it confirms": {
+        "script": tuple((at, "stall", "s1", 1.8) for at in (4.03, 8.05, 12.07)),
+        "puts": ((0.5, 5), (4.0, 1), (8.0, 4), (12.0, 2)),
+    },
+    "it hears, and is not heard": {
+        "script": ((3.0, "silent_out", "s1", 6.0), (12.0, "silent_out", "s2", 6.0))
+    },
+    "it is heard, and hears nothing": {
+        "script": ((3.0, "silent_in", "s1", 6.0), (12.0, "silent_in", "s2", 6.0)),
+    },
+    "the leader killed between the steps, and again in the next term": {
+        "script": tuple((at, "kill", "leader", 1.5) for at in (4.02, 4.9, 8.02, 8.9, 12.02, 12.9)),
+        "puts": ((0.5, 5), (4.0, 1), (8.0, 4), (12.0, 2)),
+    },
+    "no majority for a minute": {
+        "seconds": 70.0,
+        "script": ((4.0, "silent", "c1", 60.0), (4.0, "silent", "c2", 60.0)),
+    },
+    "a limit lowered while a third is cut off": {
+        "script": tuple((3.5, "silent", each, 8.0) for each in THIRD),
+        "puts": ((0.5, 5), (4.0, 1)),
+    },
+    "a limit lowered and raised again within one lease": {
+        "script": tuple((3.5, "silent", each, 5.0) for each in THIRD),
+        "puts": ((0.5, 5), (4.0, 1), (4.8, 5)),
+    },
+    "two changes in a row, of which it hears the second": {
+        "script": ((3.8, "silent_in", "s1", 1.2),),
+        "puts": ((0.5, 5), (4.0, 1), (4.6, 3)),
+    },
+    "a roll-back during the two steps": {
+        "script": ((3.5, "silent", "s1", 4.0),),
+        "puts": ((0.5, 5), (4.0, 1), (4.05, 5)),
+    },
+    "restarted from a kept, a wiped and an older file": {
+        "script": tuple((float(at), "restart", f"s{at % 3}", 0.1) for at in range(3, 17, 2)),
+    },
+    "a version that only some builds can read": {
+        "mutant": "older_build",
+        "who": ("s1", "s2"),
+        "puts": ((0.5, 3), (4.0, 5), (8.0, 2)),
+    },
+}
+
+
+async def case(name: str) -> WholeTold:
+    return await played(**{"seed": 2, "faults": False} | CASES[name])
 
 
 async def played(seed: int, **told: Any) -> WholeTold:
--- a/foxspread/lab/processes/whole_child.py
+++ b/foxspread/lab/processes/whole_child.py
@@ -62,6 +62,19 @@
     change.regrouped = lambda it, entries: None
 
 
+def older_build() -> None:
+    """Not broken: it knows no more than four hand-offs, and says so."""
+    check = party.Party._check
+
+    def picky(self: party.Party, text: bytes) -> Any:
+        found = check(self, text)
+        if found.rules["settings.limits.max_hand_offs"] > 4:
+            raise ValueError("'settings.limits.max_hand_offs' must be at most 4")
+        return found
+
+    party.Party._check = picky
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "newest": holder(Newest),
     "from_answer": holder(FromAnswer),
@@ -71,6 +84,7 @@
     "out_unheard": out_unheard,
     "list_kept": list_kept,
     "regroups": regroups,
+    "older_build": older_build,
 }
 
 if __name__ == "__main__":
--- a/tests/agreed/test_party.py
+++ b/tests/agreed/test_party.py
@@ -4,18 +4,25 @@
 import contextlib
 import json
 import os
+import pathlib
 import re
 import signal
 import sys
+import tempfile
 import unittest
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
+from typing import Any
 
+from foxspread.agreed.holder import Mode
+from foxspread.agreed.party import Ruled
 from foxspread.config import Address, address
 from foxspread.consensus.client import Client
 from foxspread.lab.processes.fleet import Fleet
 from foxspread.lab.processes.scenario import Scenario
-from tests.helpers import LOOKUP, OK, StandIn, ask, entry, told
+from foxspread.net.reasons import Reason
+from foxspread.net.sidecar import Sidecar
+from tests.helpers import LOOKUP, OK, StandIn, ask, configured, entry, on_loop, told
 
 TEXT = """[settings]
 siblings = 4
@@ -106,6 +113,65 @@
     return lambda self: asyncio.run(asyncio.wait_for(test(self), 20))
 
 
+class Rules:
+    """Says what it is told to say."""
+
+    def __init__(self, settings: dict[str, Any]) -> None:
+        self.ruled = Ruled(Mode.SETTLED, 2, settings)
+        self.yes = True
+
+    def start(self, changed: Callable[[Ruled], None]) -> None:
+        self.changed = changed
+        changed(self.ruled)
+
+    def present(self) -> bool:
+        if not self.yes and self.ruled.settings is not None:
+            self.ruled = Ruled()
+            self.changed(self.ruled)
+        return self.yes
+
+    def between(self) -> bool:
+        return False
+
+    def back_in(self) -> float:
+        return 0.5
+
+    async def close(self) -> None:
+        pass
+
+
+class TestMoment(unittest.TestCase):
+    @on_loop
+    async def test_what_ran_out_between_decision_and_first_byte_is_not_sent(self) -> None:
+        """As of a process that was stopped there: the decision was right when it was made."""
+        async with StandIn(OK, OK) as server:
+            with tempfile.TemporaryDirectory() as folder:
+                config = configured(pathlib.Path(folder, "c.json"), known=[entry(server.address)])
+            rules = Rules(config.decisions)
+            it = Sidecar(asyncio.get_running_loop(), config, rules=rules)
+            stop = asyncio.Event()
+            running = asyncio.ensure_future(it.run(stop))
+            connect, up = it.pool.connect, asyncio.Event()
+
+            async def slow(place: Any) -> Any:
+                connection = await connect(place)
+                up.set()
+                await asyncio.sleep(0)  # here it is stopped
+                rules.yes = lasts
+                return connection
+
+            it.pool.connect = slow
+            for lasts, status in ((True, b" 200 "), (False, b" 503 ")):
+                for place in list(it.pool.idle):
+                    it.pool.drop(place, Reason.SERVER_HAND)
+                data = LOOKUP.replace(b"t1", b"%d" % lasts)
+                self.assertIn(status, await ask(it.listener.address, data))
+            self.assertTrue(up.is_set())
+            self.assertEqual(len(server.got), 1)
+            stop.set()
+            await running
+
+
 class TestWhole(unittest.TestCase):
     @run
     async def test_nothing_before_the_first_version_then_by_it_and_by_each_later_one(self) -> None:
--- a/tests/agreed/test_process.py
+++ b/tests/agreed/test_process.py
@@ -13,7 +13,7 @@
 from foxspread.agreed.holder import Holder, Mode
 from foxspread.cli.main import foxspread
 from foxspread.consensus.clock import Clock
-from foxspread.lab.processes import agreed_real
+from foxspread.lab.processes import agreed_real, whole
 from foxspread.lab.processes.fleet import Fleet
 from foxspread.lab.processes.scenario import Scenario
 
@@ -98,12 +98,15 @@
         self.assertGreater(found.acts["settled"], 50)
         self.assertGreater(found.versions, 1)
 
-    def test_behind_a_cut_and_the_newest_heard_of(self) -> None:
-        """The way of today, beside ours, in the same play: one is cut off while versions change."""
-        script = ((2.0, "silent", "s0", 4.0),)
-        told = {"cars": 3, "seconds": 6.5, "lease": 1.0, "faults": False, "script": script}
-        found = asyncio.run(agreed_real.played(4, **told))
+    def test_whole_sidecars_behind_a_cut_and_the_newest_heard_of(self) -> None:
+        """The way of today, beside ours, in the same play: one is cut off while versions change, another is
+        stopped, the one that leads is killed. Judged by what servers and clients saw."""
+        script = ((1.5, "silent", "s0", 4.0), (2.0, "stall", "s1", 1.5), (2.5, "kill", "leader", 0.5))
+        told = {"cars": 3, "seconds": 6.0, "lease": 1.0, "faults": False, "script": script, "rate": 40.0}
+        told["puts"] = ((0.2, 5), (1.8, 1))  # a limit is lowered while one is cut off
+        found = asyncio.run(whole.played(2, **told))
         self.assertEqual(found.faults, [])
-        self.assertGreater(found.versions, 1)
-        found = asyncio.run(agreed_real.played(4, **told, mutant="newest"))
-        self.assertIn("is in force", found.faults[-1])
+        self.assertEqual(found.versions, 2)
+        self.assertGreater(found.lookups["done"], 100)
+        found = asyncio.run(whole.played(2, **told, mutant="newest"))
+        self.assertTrue([each for each in found.faults if "max_hand_offs so for" in each])
--- a/tests/cli/test_lab.py
+++ b/tests/cli/test_lab.py
@@ -78,5 +78,6 @@
             self.assertEqual((done.returncode, "'EDGE_CONFIG' is missing" in done.stderr), (2, True))
         loaded = subprocess.run([sys.executable, "-c", "import sys, foxspread.__main__; print(*sys.modules)"],
                                 capture_output=True, text=True, check=True).stdout.split()  # fmt: skip
-        ours = ("click", "rich", "msgspec", "numpy", "matplotlib", "hdrh", "foxspread.lab", "foxspread.cli")
+        ours = ("click", "rich", "msgspec", "numpy", "matplotlib", "hdrh", "foxspread.lab", "foxspread.cli",
+                "foxspread.agreed", "foxspread.consensus", "tomllib")  # fmt: skip
         self.assertEqual([name for name in ours if name in loaded], [])
