--- a/foxspread/facade.py
+++ b/foxspread/facade.py
@@ -79,6 +79,10 @@
     def abandon_time(self, category: str) -> float:
         return self.balancer.categories[category].abandon_time
 
+    def longest(self) -> float:
+        """Seconds that a lookup may still wait for its answer, of a category that is gone as well."""
+        return self.balancer.longest
+
     def knows(self, id: str) -> bool:
         """Also of a lookup that is over while a hand-off of it is still out."""
         return id in self.balancer.lookups
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -150,6 +150,7 @@
         self.held: dict[str, Held] = {}
         self.taken_lately: tuple[set[str], set[str]] = set(), set()   # ids: now, and in the spell before
         self.out: dict[tuple[str, int], asyncio.Task] = {}
+        self.ruled: Ruled | None = None   # what it is on, where rules come from elsewhere
         self.begun: dict[str, float] | None = None   # when servers of a list by agreed rules came into it
         self.list_ruled = False   # agreed rules hold the list of servers, and discovery isn't asked
         self.places: dict[str, Place] = {}   # of the servers that are listed and not gone
@@ -224,9 +225,8 @@
         await asyncio.sleep(LAST_CALL - STAY)
         self.listener.close()
         self.listener.retire_all()
-        longest = max((self.facade.abandon_time(each) for each in self.facade.categories), default=0.0)
         if self.listener.clients:
-            await asyncio.wait(set(self.listener.clients.values()), timeout=longest + 0.05)
+            await asyncio.wait(set(self.listener.clients.values()), timeout=self.facade.longest() + 0.05)
         await self.discovery.stop()
         for task in list(self.out.values()):
             task.cancel()
@@ -446,6 +446,8 @@
         self.took_over = True
         self.discovery.version = version if isinstance(version, int) else None
         self.taken_elsewhere(ids)
+        if self.ruled is not None:   # what a predecessor was on may be older than what holds here
+            self._ruled(self.ruled)
         self.lent = min(max(0, lent), self.pool.descriptors.most - 8)
         self.pool.descriptors.lend(self.lent)
         logger.info("taken over servers={} marks={} ids={}", len(part.servers), marks, len(ids))
@@ -484,7 +486,7 @@
 
     def _ruled(self, ruled: Ruled) -> None:
         """From elsewhere, or because a lease ran out: whatever is decided from here on is under these."""
-        begun = time.perf_counter()
+        begun, self.ruled = time.perf_counter(), ruled
         if ruled.settings is None:
             self.facade.halt(self.clock())
         else:
--- a/tests/agreed/test_party.py
+++ b/tests/agreed/test_party.py
@@ -11,17 +11,18 @@
 import tempfile
 import unittest
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from foxspread.agreed.holder import Mode
 from foxspread.agreed.party import Ruled
-from foxspread.config import Address, address
+from foxspread.config import Address, NamedServer, address
 from foxspread.consensus.client import Client
 from foxspread.lab.processes.fleet import Fleet
 from foxspread.lab.processes.scenario import Scenario
 from foxspread.net.reasons import Reason
-from foxspread.net.sidecar import Sidecar
+from foxspread.model import ListedServer
+from foxspread.net.sidecar import Clock, Sidecar
 from tests.helpers import LOOKUP, OK, StandIn, ask, configured, entry, on_loop, told
 
 TEXT = """[settings]
@@ -172,6 +173,45 @@
             await running
 
 
+class TestList(unittest.TestCase):
+    @on_loop
+    async def test_the_list_of_the_rules_holds_against_discoverys_and_a_predecessors(self) -> None:
+        async with StandIn(*[OK] * 9) as one, StandIn(*[OK] * 9) as other:
+            with tempfile.TemporaryDirectory() as folder:
+                config = configured(pathlib.Path(folder, "c.json"), known=[entry(other.address, "s2")])
+            rules = Rules(config.decisions)
+            rows = [
+                NamedServer(ListedServer(id, "a", 1), at.address) for id, at in (("s1", one), ("s2", other))
+            ]
+            rules.ruled.servers = rows[:1]
+            it = Sidecar(asyncio.get_running_loop(), config, rules=rules)
+            stop = asyncio.Event()
+            running = asyncio.ensure_future(it.run(stop))
+            for number in range(3):
+                data = LOOKUP.replace(b"t1", b"%d" % number)
+                self.assertIn(b" 200 ", await ask(it.listener.address, data))
+            self.assertEqual((len(one.got), other.got, it.discovery.task), (3, [], None))
+            before = Sidecar(asyncio.get_running_loop(), config, Clock())  # on its own file
+            before._listed(replace(config.known, whole=True))
+            it.restore(json.loads(json.dumps(before.state())))
+            self.assertEqual((list(it.places), list(it.facade.balancer.servers.ready)), (["s1"], ["s1"]))
+            # Who comes new into a list has just started; alone it may be away, and is no new one after that.
+            cold = it.facade.balancer.servers.known
+            for servers, mode, begun in ((rows, Mode.SETTLED, True), (rows[:1], Mode.ALONE, True)):
+                rules.changed(Ruled(mode, 3, config.decisions, servers))
+                self.assertEqual(cold["s2"].started > 0, begun)
+            started = cold["s2"].started
+            rules.changed(Ruled(Mode.SETTLED, 3, config.decisions, rows))
+            self.assertEqual((cold["s2"].started, cold["s1"].started), (started, 0.0))
+            # And discovery's again: what is there stays until it answers.
+            rules.changed(Ruled(Mode.SETTLED, 5, config.decisions))
+            self.assertEqual(sorted(it.places), ["s1", "s2"])
+            self.assertIsNotNone(it.discovery.task)
+            stop.set()
+            await running
+            before.listener.close()
+
+
 class TestWhole(unittest.TestCase):
     @run
     async def test_nothing_before_the_first_version_then_by_it_and_by_each_later_one(self) -> None:
