--- a/foxspread/agreed/drastic.py
+++ b/foxspread/agreed/drastic.py
@@ -1,24 +1,11 @@
 """What a person may not have meant: a version that leaves a zone without servers, or takes many out at once.
 Such a one has to be put with `--even-so`."""
 
-from foxspread.agreed.keys import SERVERS, Flat
+from foxspread.agreed.keys import Flat, usable
 
 SHARE = 1 / 3  # of the servers that may go at once
 
 
-def usable(rules: Flat) -> dict[str, str] | None:
-    """Servers and their zones, where a version says which there are."""
-    only, out = rules.get("lists.only", "all"), rules.get("lists.taken_out", [])
-    if rules.get("lists.source") == "here":
-        rows = [path[len(SERVERS) : -1] for path in rules if path.startswith(SERVERS) and path.endswith(".")]
-        zones = {each: rules[f"{SERVERS}{each}.zone"] for each in rows}
-    elif only != "all":
-        zones = dict.fromkeys(only, "")  # discovery knows their zones
-    else:
-        return None
-    return {each: zone for each, zone in zones.items() if each not in out and (only == "all" or each in only)}
-
-
 def drastic(old: Flat, new: Flat) -> str:
     """Empty where there is nothing to ask about."""
     before, after = usable(old), usable(new)
--- a/foxspread/agreed/keys.py
+++ b/foxspread/agreed/keys.py
@@ -276,14 +276,46 @@
     return path
 
 
+def usable(rules: Flat) -> dict[str, str] | None:
+    """The servers that may be sent to, and their zones; None: whoever discovery says is there."""
+    only, out = rules.get("lists.only", "all"), rules.get("lists.taken_out", [])
+    if rules.get("lists.source") == "here":
+        rows = [path[len(SERVERS) : -1] for path in rules if path.startswith(SERVERS) and path.endswith(".")]
+        zones = {each: rules[f"{SERVERS}{each}.zone"] for each in rows}
+    elif only != "all":
+        zones = dict.fromkeys(only, "")  # discovery knows their zones
+    else:
+        return None
+    return {each: zone for each, zone in zones.items() if each not in out and (only == "all" or each in only)}
+
+
+def against(mine: Flat, rules: Flat) -> Iterator[tuple[str, str]]:
+    """What acts under these rules may do that others forbid: the key, and both values. Lists are looked at
+    together, by who may be sent to: whom one doesn't use, it need not take out."""
+    sent, theirs = usable(mine), usable(rules)
+    out = rules.get("lists.taken_out", [])
+    if sent is None:
+        if left := sorted({*out} - {*mine.get("lists.taken_out", [])}):
+            yield "lists.taken_out", f"{left[0]!r} may be sent to, which is taken out"
+        if rules.get("lists.only", "all") != "all":
+            yield "lists.only", "all may be sent to, not only those that are named"
+    for server in sorted(sent or ()):
+        if server in out:
+            yield "lists.taken_out", f"{server!r} may be sent to, which is taken out"
+        elif theirs is not None and server not in theirs:
+            yield f"{SERVERS}{server}.", "may be sent to, and is not in the list"
+    for path, value in mine.items():
+        if path in ("lists.taken_out", "lists.only"):
+            continue
+        if path.startswith(SERVERS) and (path.endswith(".") or path not in rules):
+            continue  # looked at above
+        if path.startswith(SERVERS) and path[len(SERVERS) :].rpartition(".")[0] not in sent:
+            continue
+        if not allows(path, value, rules):
+            yield path, f"is {value!r}, which {rules.get(path, 'a version without it')!r} doesn't allow"
+
+
 def faults(alone: Flat, rules: Flat) -> Iterator[str]:
-    """What acts under `alone` would do that `rules` forbid: key and both values."""
-    mine, theirs = alone.get("lists.taken_out", []), rules.get("lists.taken_out", [])
-    only = alone.get("lists.only", "all")
-    for each in sorted({*theirs} - {*mine}):
-        if only == "all" or each in only:
-            yield f"'lists.taken_out': alone {each!r} may be sent to, which is taken out"
-    for path, value in alone.items():
-        if path != "lists.taken_out" and not allows(path, value, rules):
-            theirs = rules.get(path, "a version without it")
-            yield f"'{path}': alone it is {value!r}, which {theirs!r} doesn't allow"
+    """What one whose lease has run out may do that a version forbids."""
+    for path, text in against(alone, rules):
+        yield f"'{path}': alone it {text}" if not text.startswith("'") else f"'{path}': alone {text}"
