--- a/foxspread/agreed/course.py
+++ b/foxspread/agreed/course.py
@@ -84,6 +84,7 @@
     alones: list[int]
     withdrawn: dict[int, str]
     terms: Terms | None
+    more: bytes = b""  # of what stands on it (foxspread/duties)
 
 
 class Course(Versions):
@@ -161,9 +162,16 @@
                 self.alones,
                 self.withdrawn,
                 self.terms,
+                self.saved_more(),
             )
         )
 
+    def saved_more(self) -> bytes:
+        return b""
+
+    def restore_more(self, data: bytes) -> None:
+        """What `saved_more` gave."""
+
     def restore(self, data: bytes) -> None:
         if not data:
             return super().restore(data)
@@ -172,6 +180,7 @@
         self.phase, self.settled, self.next = told.phase, told.settled, told.next
         self.holders, self.alones, self.withdrawn = set(told.holders), told.alones, told.withdrawn
         self.terms = told.terms
+        self.restore_more(told.more)
 
     def version(self, number: int) -> Version | None:
         return self.by_number.get(number)
--- a/foxspread/cli/processes.py
+++ b/foxspread/cli/processes.py
@@ -15,6 +15,7 @@
     agreed,
     agreed_mutants,
     agreed_real,
+    duties,
     explorer,
     mutants,
     real,
@@ -285,3 +286,47 @@
         for each in found.faults:
             click.echo(f"  {each}")
     return 1 if broken else 0
+
+
+def dutiful(plan: duties.DutyPlan, seed: int, mutant: str) -> duties.Result:
+    if not mutant:
+        return duties.played(plan, seed)
+    broken = duties.MUTANTS[mutant]
+    return duties.played(replace(plan, **broken.plan), seed, broken.broken)
+
+
+@processes.command("duties")
+@click.option("--seeds", default="1-40", show_default=True, callback=seeds_of, metavar="A-B")
+@click.option("--instances", default=6, show_default=True, type=click.IntRange(1, 5000))
+@click.option(
+    "--jobs", default=os.cpu_count() or 1, type=click.IntRange(1, 256), help="Processes that search."
+)
+@click.option("--mutant", type=click.Choice(list(duties.MUTANTS)), help="A broken one in its place.")
+@JSON
+def duties_(seeds: range, instances: int, jobs: int, mutant: str | None, as_json: bool) -> None:
+    """Duties with one owner at a time, in virtual time, judged by what receivers saw. Exit code 1 where a
+    rule is broken."""
+    plan, broken, moves = replace(duties.DutyPlan(), cars=instances), 0, []
+    counts: dict[str, int] = {}
+    with ProcessPoolExecutor(min(jobs, len(seeds)), mp_context=get_context("spawn")) as pool:
+        for result in pool.map(dutiful, [plan] * len(seeds), seeds, [mutant or ""] * len(seeds)):
+            broken += bool(result.faults)
+            moves += result.moves
+            for what, count in result.counts.items():
+                counts[what] = counts.get(what, 0) + count
+            if as_json:
+                click.echo(json.dumps(asdict(result)))
+            elif result.faults and broken <= 5:
+                first, told = result.faults[0], "; ".join(result.told)
+                click.echo(f"seed {result.seed}: {first.rule}: {first.text}; befell: {told}")
+    if not as_json:
+        told = ", ".join(f"{count} {what}" for what, count in counts.items())
+        click.echo(f"{len(seeds)} seeds, {broken} with a rule broken; {told}; {len(moves)} moves")
+        if moves:
+            moves.sort()
+            at = [moves[int(share * (len(moves) - 1))] for share in (0.5, 0.99, 1.0)]
+            click.echo(
+                "from the last act of an owner to the next one's first: p50 %.3f, p99 %.3f, longest %.3f s"
+                % tuple(at)
+            )
+    sys.exit(1 if broken else 0)
