--- a/foxspread/cli/processes.py
+++ b/foxspread/cli/processes.py
@@ -16,6 +16,7 @@
     agreed_mutants,
     agreed_real,
     duties,
+    duties_explorer,
     explorer,
     mutants,
     real,
@@ -302,10 +303,15 @@
     "--jobs", default=os.cpu_count() or 1, type=click.IntRange(1, 256), help="Processes that search."
 )
 @click.option("--mutant", type=click.Choice(list(duties.MUTANTS)), help="A broken one in its place.")
+@click.option("--explore", is_flag=True, help="All states of small cases instead, broken ones among them.")
 @JSON
-def duties_(seeds: range, instances: int, jobs: int, mutant: str | None, as_json: bool) -> None:
+def duties_(
+    seeds: range, instances: int, jobs: int, mutant: str | None, explore: bool, as_json: bool
+) -> None:
     """Duties with one owner at a time, in virtual time, judged by what receivers saw. Exit code 1 where a
     rule is broken."""
+    if explore:
+        return sys.exit(duties_explored(as_json))
     plan, broken, moves = replace(duties.DutyPlan(), cars=instances), 0, []
     counts: dict[str, int] = {}
     with ProcessPoolExecutor(min(jobs, len(seeds)), mp_context=get_context("spawn")) as pool:
@@ -330,3 +336,21 @@
                 % tuple(at)
             )
     sys.exit(1 if broken else 0)
+
+
+def duties_explored(as_json: bool) -> int:
+    """Exit code 1 where a sound one breaks an invariant, or a broken one none."""
+    wrong = False
+    for case, mutant in [(case, "") for case in duties_explorer.CASES] + [
+        (case, name) for name, (case, _) in duties_explorer.MUTANTS.items()
+    ]:
+        found = duties_explorer.explored(case, mutant)
+        wrong |= bool(found.fault) != bool(mutant)
+        if as_json:
+            click.echo(json.dumps({"case": case, "mutant": mutant} | asdict(found)))
+            continue
+        told = f"{found.states} states, " + ("whole" if found.whole else f"to depth {found.depth}")
+        click.echo(f"{case} {mutant}: {told}" + (f"; {found.fault}" if found.fault else ""))
+        if found.fault and not mutant:
+            click.echo("  " + "; ".join(found.path))
+    return 1 if wrong else 0
--- a/tests/duties/test_core.py
+++ b/tests/duties/test_core.py
@@ -21,7 +21,7 @@
     Wish,
     Yield,
 )
-from foxspread.lab.processes import duties
+from foxspread.lab.processes import duties, duties_explorer
 
 NAMES = st.sampled_from(["a/1", "b/1", "c/1"])
 TOKENS = st.integers(0, 5)
@@ -147,3 +147,19 @@
         for name in ("unguarded", "checks_early", "effect_first", "repeats", "forgets"):
             with self.subTest(name):
                 self.assertIsNotNone(duties.caught(name, range(1, 20)))
+
+    def test_small_cases_whole(self) -> None:
+        for name in ("orders", "yields"):
+            found = duties_explorer.explored(name)
+            self.assertEqual((found.fault, found.whole), ("", True))
+            self.assertGreater(found.states, 10_000)
+        for name, rule in (
+            ("no_pause", "exclusive"),
+            ("unguarded", "fenced"),
+            ("from_answer", "exclusive"),
+            ("repeats", "once"),
+            ("takes_back", "exclusive"),
+        ):
+            with self.subTest(name):
+                fault = duties_explorer.explored(duties_explorer.MUTANTS[name][0], name).fault
+                self.assertEqual(fault.partition(":")[0], rule)
