--- a/tests/agreed/test_virtual.py
+++ b/tests/agreed/test_virtual.py
@@ -50,6 +50,16 @@
                 self.assertEqual(judge.faults, [])
                 self.assertGreater(world.steps[-1][2], 1)
 
+    def test_two_hundred_sidecars_and_every_link_at_a_fifth_of_loss(self) -> None:
+        world = AgreedWorld(replace(SMALL, cars=200), 5)
+        world.loss = 0.2  # of all that passes between coordinators, and to and from sidecars
+        for car in world.cars.values():
+            car.start()
+        judge = world.follow([])
+        self.assertEqual(judge.faults, [])
+        self.assertGreater(world.steps[-1][2], 2)
+        self.assertGreater(world.counts["settled"], 2000)
+
 
 class Mutants(unittest.TestCase):
     def test_caught_by_their_rules(self) -> None:
