One that starts alone takes the rest of the list for new no more

Cause, seen when the change was read again: a sidecar that starts with a kept alone part counted the servers that it may use alone as its first list, so all others were new, and cold, once it heard of the whole again. Change: only whole lists count. Measured: a test of the list holds it; it fails on the code before.

--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -509,13 +509,11 @@
 
     def _begun(self, servers: list[NamedServer], alone: bool) -> list[NamedServer]:
         """Guards the budget of a cold server: one that is new in a list whose rows don't say when it started
-        has just started. Of those in the first list nobody knows; what one alone doesn't use isn't gone."""
-        now = self.clock()
-        if self.begun is None:
-            found = {each.listed.server: 0.0 for each in servers}
-        else:
-            found = {each.listed.server: self.begun.get(each.listed.server, now) for each in servers}
-        self.begun = (self.begun or {}) | found if alone else found
+        has just started. Of those in the first whole list nobody knows; what one alone doesn't use is neither
+        gone, nor new after that."""
+        now = self.clock() if self.begun is not None else 0.0
+        found = {each.listed.server: (self.begun or {}).get(each.listed.server, now) for each in servers}
+        self.begun = self.begun if alone else found
         return [each if each.listed.started else
                 replace(each, listed=replace(each.listed, started=found[each.listed.server]))
                 for each in servers]
