Read again: a version that one may refuse no longer withdraws the next; newcomers are decided without I/O

A sidecar that was let refuse version 4 refused each later phase too, since it could not take the version in force either, so version 5 was withdrawn for what was wrong with 4 (Holder.fetched). Change: only the announced version is turned down. Who counts as started in a list stood in net/sidecar.py, which does I/O: it is change.Newcomers now. The order of effects stood twice: model.FEWER, from which keys takes it.

--- a/bench/agreed.py
+++ b/bench/agreed.py
@@ -22,6 +22,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1]))
 
+from foxspread import change  # noqa: E402
 from foxspread.agreed.contents import content  # noqa: E402
 from foxspread.agreed.follower import Follower  # noqa: E402
 from foxspread.agreed.holder import Holder, Mode  # noqa: E402
@@ -31,6 +32,8 @@
 from foxspread.lab.processes.fleet import Fleet, processor, resident  # noqa: E402
 from foxspread.lab.processes.real import ERRORS  # noqa: E402
 from foxspread.lab.processes.scenario import Scenario  # noqa: E402
+from foxspread.logic import Balancer  # noqa: E402
+from foxspread.model import Category, ListedServer, Outcome  # noqa: E402
 
 TEXT = """# {number}
 [settings]
@@ -334,6 +337,35 @@
             print("  ", each)
 
 
+async def changing(count: int) -> None:
+    """What a change of rules takes in a balancer that runs, and the decisions after it."""
+    names = [ListedServer(f"s{at:05}", "abc"[at % 3], at % 7, kind="kl"[at % 2]) for at in range(count)]
+    usual = dict(seed=7, zone="a", sidecars=1, categories=[Category("c", 1.0, 3.0)], customers=[],
+                 surplus_benefit=0.2, max_hand_offs=4, copies=False, calling_off=True, longest_back_in=0.0,
+                 tick=0.005, asks=False, keys_remembered=False, waste_price=0.1,
+                 cold=(0.1, 20.0, 2.5))  # fmt: skip
+    it = Balancer(100.0, **usual)
+    it.servers_listed(100.0, names, True)
+    for at in range(500):
+        now = 100.0 + at / 100
+        it.lookup_taken(now, f"x{at}", "c", 3.0)
+        while it.next_decision(now) is not None:
+            pass
+        if at % 3:
+            it.hand_off_ended(now, f"x{at}", 0, Outcome.DONE, True)
+    both = [Category("c", 0.5, 2.0), Category("d", 1.0, 2.0)]
+    for name, more in (("a limit", {"max_hand_offs": 2}), ("a category more", {"categories": both}),
+                       ("one less", {}), ("cold for longer", {"cold": (0.1, 200.0, 2.5)}), ("back", {}),
+                       ("multiplex from 1 to more", {"streams": 10}), ("back", {})):  # fmt: skip
+        begun = time.perf_counter()
+        change.change(it, 106.0, usual | more)
+        changed = time.perf_counter()
+        while it.next_decision(106.0) is not None:
+            pass
+        print(f"{name}: {1e3 * (changed - begun):.2f} ms, decisions after it "
+              f"{1e3 * (time.perf_counter() - changed):.2f} ms, {count} servers")  # fmt: skip
+
+
 async def restart(child) -> None:
     old, write = child.address, child.write
     child.write = lambda: (write(), child.file.write_text(
@@ -343,7 +375,7 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser()
-    parser.add_argument("what", choices=("force", "cost", "back", "sidecar", "service", "many"))
+    parser.add_argument("what", choices=("force", "cost", "back", "sidecar", "service", "change", "many"))
     parser.add_argument("told", nargs="?", default="[]")
     parser.add_argument("--count", type=int)
     parser.add_argument("--members", type=int, default=5)
@@ -358,6 +390,7 @@
         "force": lambda: force(told.count or 50, told.puts),
         "cost": lambda: cost(told.count or 400, told.seconds),
         "back": lambda: back(told.count or 2000, told.members),
+        "change": lambda: changing(told.count or 4000),
         "service": lambda: service(told.puts // 20),
         "sidecar": lambda: sidecar(told.puts // 10, 3.0),
     }[told.what]())  # fmt: skip
--- a/foxspread/agreed/holder.py
+++ b/foxspread/agreed/holder.py
@@ -176,7 +176,10 @@
             self.contents[number] = self.check(text)
         except ValueError as error:
             if self.wanted is not None and number in (self.wanted[1].settled, self.wanted[1].next):
-                if self.refused != (refusal := (self.wanted[1].phase, str(error)[:200])):
+                # Guards the next version: that it can't take the one in force, which others were let take
+                # without it, says nothing against the one that is announced.
+                against = number == self.wanted[1].next or not self.wanted[1].next
+                if against and self.refused != (refusal := (self.wanted[1].phase, str(error)[:200])):
                     self.refused = refusal
                     self.soon(now)
                 self.wanted = None
--- a/foxspread/agreed/keys.py
+++ b/foxspread/agreed/keys.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from foxspread.config import EFFECTS
+from foxspread.model import FEWER
 
 
 class Kind(enum.Enum):
@@ -27,8 +28,8 @@
     ONLY = "what both name"
 
 
-STRICTER = ("free", "guarded", "single_shot")  # effects, each allowing less than the one before
-assert set(STRICTER) == set(EFFECTS)
+# Effects as a version writes them, each allowing fewer repeats than the one before.
+STRICTER = tuple(sorted(EFFECTS, key=lambda each: FEWER.index(EFFECTS[each])))
 
 
 @dataclass(frozen=True)
--- a/foxspread/change.py
+++ b/foxspread/change.py
@@ -11,10 +11,9 @@
 from typing import Any
 
 from foxspread.logic import Balancer
-from foxspread.model import Category, Effect, ListedServer
+from foxspread.model import FEWER, Category, Effect, ListedServer
 from foxspread.rings import Alternating
 
-FEWER = (Effect.REDOABLE, Effect.LABELLED, Effect.IRREVERSIBLE)   # repeats, each allowing less
 NARROWER = ("all", "zone", "cell")   # what else stands there counts as the narrowest
 PLAIN = ("tick", "longest_back_in", "keys_remembered", "calling_off", "sidecars", "surplus_benefit",
          "categories", "longest", "spread", "least")
@@ -68,6 +67,22 @@
                 lookup.spent = True
 
 
+class Newcomers:
+    """Guards the budget of a cold server: one that is new in a list whose rows don't say when it started has
+    just started. Of those in the first whole list nobody knows; what one alone doesn't use is neither gone,
+    nor new after that."""
+
+    def __init__(self) -> None:
+        self.since: dict[str, float] | None = None   # of the last whole list: when each came into it
+
+    def started(self, now: float, entries: Iterable[ListedServer], alone: bool) -> list[ListedServer]:
+        entries, known = list(entries), self.since or {}
+        new = now if self.since is not None else 0.0
+        found = {each.server: known.get(each.server, new) for each in entries}
+        self.since = self.since if alone else found
+        return [each if each.started else replace(each, started=found[each.server]) for each in entries]
+
+
 def halt(it: Balancer, now: float) -> None:
     """Nothing may be handed off: what is out goes on to its answer, the rest is given up."""
     it.gate.max_hand_offs, it.gate.copies, it.calling_off = 0, False, False
--- a/foxspread/duties/registry.py
+++ b/foxspread/duties/registry.py
@@ -16,7 +16,8 @@
 INTENTS_MOST = 1024  # of a duty, that are not closed; more are turned down
 CLOSED_MOST = 256  # closed ones of a duty that are kept, the latest
 LOSSES_MOST = 256  # names whose losses are remembered
-NAME_MOST = 64  # characters
+NAME_MOST = 64  # characters of a duty's name
+TEXT_MOST = 300  # characters of an instance, an intent's id or what it says
 
 
 class Take(Row, frozen=True, tag="take"):
@@ -120,6 +121,9 @@
 
     def obey(self, command: DutyCommand) -> str:
         """What stands against it, or "": it is done, or was before."""
+        for text in (getattr(command, each, "") for each in ("owner", "to", "id", "what")):
+            if len(text) > TEXT_MOST:
+                return f"{text[:20]!r}... has more than {TEXT_MOST} characters"
         duty = self.duties.get(command.duty)
         if isinstance(command, Take):
             return self._take(command, duty)
--- a/foxspread/facade.py
+++ b/foxspread/facade.py
@@ -59,6 +59,7 @@
     def __init__(self, now: float, settings: dict[str, Any]) -> None:
         self.balancer = Balancer(now, **settings)
         self.categories = frozenset(self.balancer.categories)
+        self.newcomers = change.Newcomers()
 
     def change(self, now: float, settings: dict[str, Any], taken_out: frozenset[str] = frozenset(),
                only: frozenset[str] | None = None) -> None:
@@ -67,8 +68,9 @@
         change.lists(self.balancer, now, taken_out, only)
         self.categories = frozenset(self.balancer.categories)
 
-    def agreed_list(self, now: float, entries: list[ListedServer]) -> None:
-        """The whole list, where agreed rules hold it; `tick` follows."""
+    def agreed_list(self, now: float, entries: list[ListedServer], alone: bool) -> None:
+        """The list, where agreed rules hold it: the whole one, or what one alone uses. `tick` follows."""
+        entries = self.newcomers.started(now, entries, alone)
         change.regrouped(self.balancer, entries)
         self.balancer.servers_listed(now, entries, True)
 
--- a/foxspread/model.py
+++ b/foxspread/model.py
@@ -14,6 +14,9 @@
     IRREVERSIBLE = "irreversible"  # must never run twice
 
 
+FEWER = (Effect.REDOABLE, Effect.LABELLED, Effect.IRREVERSIBLE)   # repeats, each allowing less
+
+
 class Outcome(Enum):
     """How a hand-off or a probe ended."""
 
--- a/foxspread/net/sidecar.py
+++ b/foxspread/net/sidecar.py
@@ -151,7 +151,6 @@
         self.taken_lately: tuple[set[str], set[str]] = set(), set()   # ids: now, and in the spell before
         self.out: dict[tuple[str, int], asyncio.Task] = {}
         self.ruled: Ruled | None = None   # what it is on, where rules come from elsewhere
-        self.begun: dict[str, float] | None = None   # when servers of a list by agreed rules came into it
         self.list_ruled = False   # agreed rules hold the list of servers, and discovery isn't asked
         self.places: dict[str, Place] = {}   # of the servers that are listed and not gone
         self.alarm: asyncio.TimerHandle | None = None
@@ -498,26 +497,14 @@
 
     def _ruled_list(self, ruled: Ruled) -> None:
         if ruled.servers is not None:
-            servers = self._begun(ruled.servers, ruled.alone)
             self.list_ruled = True
             self.discovery.halt()
-            self._placed(ListPart(ruled.phase, True, servers, []))
-            self.facade.agreed_list(self.clock(), [each.listed for each in servers])
+            self._placed(ListPart(ruled.phase, True, ruled.servers, []))
+            self.facade.agreed_list(self.clock(), [each.listed for each in ruled.servers], ruled.alone)
         elif self.list_ruled:   # it is discovery's again: what is there stays until the whole list comes
             self.list_ruled = False
             self.discovery.move(self.discovery.address)
 
-    def _begun(self, servers: list[NamedServer], alone: bool) -> list[NamedServer]:
-        """Guards the budget of a cold server: one that is new in a list whose rows don't say when it started
-        has just started. Of those in the first whole list nobody knows; what one alone doesn't use is neither
-        gone, nor new after that."""
-        now = self.clock() if self.begun is not None else 0.0
-        found = {each.listed.server: (self.begun or {}).get(each.listed.server, now) for each in servers}
-        self.begun = self.begun if alone else found
-        return [each if each.listed.started else
-                replace(each, listed=replace(each.listed, started=found[each.listed.server]))
-                for each in servers]
-
     def _holds(self, id: str, number: int) -> bool:
         """Right before the first byte: by what may be done at this moment, not when it was decided."""
         return (self.rules is None or self.rules.present()) and self.facade.holds(self.clock(), id, number)
--- a/tests/agreed/test_party.py
+++ b/tests/agreed/test_party.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from foxspread import change
 from foxspread.agreed.holder import Mode
 from foxspread.agreed.party import Ruled
 from foxspread.config import Address, NamedServer, address
@@ -203,10 +204,10 @@
             started = cold["s2"].started
             rules.changed(Ruled(Mode.SETTLED, 3, config.decisions, rows))
             self.assertEqual((cold["s2"].started, cold["s1"].started), (started, 0.0))
-            it.begun = None  # started alone, with what was kept: the rest is not new once it hears again
+            it.facade.newcomers = change.Newcomers()  # started alone: the rest is not new when it hears again
             for servers, mode in ((rows[:1], Mode.ALONE), (rows, Mode.SETTLED)):
                 rules.changed(Ruled(mode, 4, config.decisions, servers))
-            self.assertEqual(it._begun(rows, False)[1].listed.started, 0.0)
+            self.assertEqual(cold["s2"].started, 0.0)
             # And discovery's again: what is there stays until it answers.
             rules.changed(Ruled(Mode.SETTLED, 5, config.decisions))
             self.assertEqual(sorted(it.places), ["s1", "s2"])
--- a/tests/agreed/test_process.py
+++ b/tests/agreed/test_process.py
@@ -71,8 +71,25 @@
                 )
                 await put(5)
                 self.assertEqual((await run("wait", "3", "--settled")).exit_code, 0)
+                file.write_text(TEXT.format(hands=9))
+                self.assertEqual((await run("put", str(file), "--allow-refusals", "1")).exit_code, 0)
+                self.assertEqual((await run("wait", "4")).exit_code, 0)  # a lease later: s2 can't confirm
+                while followers[0].holder.rules["settings.limits.max_hand_offs"] != 9:  # it is being told
+                    await asyncio.sleep(0.01)
+                self.assertEqual(followers[2].holder.acting(clock()).mode, Mode.NONE)
+                file.write_text(TEXT.format(hands=5))
+                await run("put", str(file))
+                self.assertEqual((await run("wait", "5", "--settled")).exit_code, 0)
+                file.write_text(TEXT.format(hands=5) + "[lists]\nonly = []\n")
+                refused = await run("put", str(file))
+                self.assertEqual(refused.exit_code, 1)
+                self.assertIn("it leaves no server: put it with --even-so", refused.output)
+                self.assertEqual((await run("put", str(file), "--even-so")).exit_code, 0)
+                file.write_text(TEXT.format(hands=5))
+                await run("put", str(file))
+                self.assertEqual((await run("wait", "7", "--settled")).exit_code, 0)
                 status = await run("status")
-                for text in ("in force 3", "withdrawn 2", "s0/1  confirmed"):
+                for text in ("in force 7", "withdrawn 2", "s0/1  confirmed"):
                     self.assertIn(text, status.output)
                 bounds = json.loads((await run("bound", "--json")).output)
                 self.assertEqual(
--- a/tests/duties/test_core.py
+++ b/tests/duties/test_core.py
@@ -69,6 +69,7 @@
             (Intend("d", 1, "x", "w", 1.0), ""),  # the answer was lost
             (Intend("d", 1, "x", "other", 1.0), "there already"),
             (Intend("d", 1, "y", "w", 1.0), ""),
+            (Intend("d", 1, "long", "w" * 301, 1.0), "more than 300 characters"),
             (Tell("d", 1, "x"), "of an earlier owner"),
             (Lose("d", 1), ""),
             (Take("d", "b/1", 2), "is taken"),
--- a/tests/test_change.py
+++ b/tests/test_change.py
@@ -5,7 +5,7 @@
 
 from foxspread import change
 from foxspread.logic import Balancer
-from foxspread.model import Act, Category, Customer, Effect, ListedServer, Mark, Outcome
+from foxspread.model import FEWER, Act, Category, Customer, Effect, ListedServer, Mark, Outcome
 from tests.helpers import acts, balancer, mark_down, pull, sent_to, servers, take
 
 OTHER = dict(sidecars=8, categories=[Category("d", 0.4, 0.9, 2.0, 0.1), Category("c", 0.5, 2.0, 3.0, 0.2)],
@@ -97,7 +97,7 @@
                 changed(it, 100.0, categories=[one])
                 changed(it, 100.0, categories=[other])
                 self.assertEqual(it.lookups["x"].category.effect,
-                                 max(one.effect, other.effect, key=change.FEWER.index))
+                                 max(one.effect, other.effect, key=FEWER.index))
 
     def test_a_category_that_is_gone_is_handed_off_no_more_and_what_is_out_is_heard(self):
         it = balancer()
