A version without an alone part may take servers out; its commands are tested to the end

Change: faults has nothing to say of an empty part. Measured: the commands and the keys pass; the new test of taken_out fails without the guard.

--- a/foxspread/agreed/keys.py
+++ b/foxspread/agreed/keys.py
@@ -318,5 +318,7 @@
 
 def faults(alone: Flat, rules: Flat) -> Iterator[str]:
     """What one whose lease has run out may do that a version forbids."""
+    if not alone:  # it does nothing: without this guard a version without that part could take nobody out
+        return
     for path, text in against(alone, rules):
         yield f"'{path}': alone it {text}" if not text.startswith("'") else f"'{path}': alone {text}"
--- a/tests/agreed/test_keys.py
+++ b/tests/agreed/test_keys.py
@@ -136,6 +136,9 @@
         self.assertFalse(keys.allows("lists.taken_out", [], one))
         self.assertFalse(keys.allows("lists.only", "all", other))
 
+    def test_without_an_alone_part_servers_can_be_taken_out(self) -> None:
+        check(f'{HEAD}[lists]\ntaken_out = ["s2"]\nonly = ["s1", "s2"]\n'.encode())
+
     def test_alone_it_sends_to_what_is_named_for_it(self) -> None:
         servers = (("s1", "a", 1), ("s2", "a", 1))
         nobody = content(listed(*servers, more=ALONE))
