--- a/foxspread/net/http.py
+++ b/foxspread/net/http.py
@@ -78,7 +78,10 @@
 
 
 class Reader:
-    """Feeds a parser with what was received; whole messages gather in `ready`."""
+    """Feeds a parser with what was received; whole messages gather in `ready`. The bounds are those of the
+    sidecar in service; a reader for others sets its own."""
+
+    head_most, kept_most, body_most = HEAD_MOST, BODY_MOST, PASSED_MOST
 
     def __init__(self) -> None:
         self.parser = self.new_parser()
@@ -104,13 +107,13 @@
         except httptools.HttpParserError as error:
             raise BadMessage(400, str(error)) from None
         # No callback tells of an endless line, of what comes between messages, or of a chunk's extensions.
-        if self.fed > (FRAMING_MOST + 17 * self.size if self.in_body else HEAD_MOST):
+        if self.fed > (FRAMING_MOST + 17 * self.size if self.in_body else self.head_most):
             raise BadMessage(413 if self.in_body else 431, f"{self.fed} bytes and no end")
 
     def count(self, size: int) -> None:
         self.head += size
-        if self.head > HEAD_MOST:
-            raise BadMessage(431, f"a head of more than {HEAD_MOST} bytes")
+        if self.head > self.head_most:
+            raise BadMessage(431, f"a head of more than {self.head_most} bytes")
 
     def on_message_begin(self) -> None:
         self.message, self.busy, self.in_body, self.head = Message(began=self.now), True, False, 0
@@ -120,7 +123,7 @@
         if self.in_body:
             return   # a trailer: not to be taken for a header
         self.head += len(name) + len(value) + 4
-        if self.head > HEAD_MOST:
+        if self.head > self.head_most:
             self.count(0)
         self.message.headers.append((name, value))
 
@@ -130,9 +133,9 @@
         if self.message.old and length is None and self.chunked():
             raise BadMessage(400, "HTTP/1.0 knows no chunks")
         self.message.length = length
-        if (length or 0) > PASSED_MOST:
-            raise BadMessage(413, f"a body of more than {PASSED_MOST} bytes")
-        if (length or 0) > BODY_MOST:
+        if (length or 0) > self.body_most:
+            raise BadMessage(413, f"a body of more than {self.body_most} bytes")
+        if (length or 0) > self.kept_most:
             self.pass_on()
 
     def chunked(self) -> bool:
@@ -164,9 +167,9 @@
     def on_body(self, part: bytes) -> None:
         message = self.message
         self.size += len(part)
-        if self.size > PASSED_MOST:
-            raise BadMessage(413, f"a body of more than {PASSED_MOST} bytes")
-        if not message.long and self.size > BODY_MOST:
+        if self.size > self.body_most:
+            raise BadMessage(413, f"a body of more than {self.body_most} bytes")
+        if not message.long and self.size > self.kept_most:
             self.pass_on()
         if message.long:
             message.parts.append(part)
--- /dev/null
+++ b/foxspread/orchard/furrow/caller.py
@@ -0,0 +1,201 @@
+"""Requests of the clients and the server on this machine, carried out on sockets: the errand decides each
+step."""
+
+import asyncio
+from collections.abc import Callable
+
+from foxspread.model import Outcome
+from foxspread.net import http
+from foxspread.orchard.furrow import heads
+from foxspread.orchard.furrow.errand import Errand, Pass, Refuse, Send, Steering, Step
+from foxspread.orchard.furrow.hop import Handing, Hop
+from foxspread.orchard.furrow.lanes import End, Lane, Lanes
+from foxspread.orchard.furrow.serving import Desk, Exchange, Limits
+from foxspread.orchard.graft.routes import RouteTable
+
+REFUSED_BY_SERVER = ("refused", "silent", "gone")  # why nothing was handed over: the server's own doing
+
+
+class Job:
+    """One request of a client, held until its one answer."""
+
+    __slots__ = ("desk", "exchange", "errand", "lines", "legs", "timer")
+
+    def __init__(self, desk: "CallerDesk", exchange: Exchange, errand: Errand) -> None:
+        self.desk, self.exchange, self.errand = desk, exchange, errand
+        self.lines = heads.kept(exchange.message)
+        self.legs: list[Lane | Handing | asyncio.Task | None] = []  # by try: what carries it
+        self.timer = asyncio.get_running_loop().call_later(max(0.0, errand.until - errand.begun), self.late)
+
+    def carry(self, step: Step) -> None:
+        while step is not None:
+            if isinstance(step, Send):
+                step = self._send(step)
+                continue
+            self._finish(step)
+            return
+
+    def _finish(self, step: Pass | Refuse) -> None:
+        self.timer.cancel()
+        self._drop_legs()
+        if isinstance(step, Pass):
+            answer = self.errand.tries[step.number].answer
+            self.exchange.answer(answer.status, bytes(answer.body), heads.kept(answer))
+        else:
+            self.desk.counts[step.status] = self.desk.counts.get(step.status, 0) + 1
+            lines = [b"Retry-After: %.3f\r\n" % step.back_in] if step.back_in is not None else []
+            self.exchange.answer(step.status, step.why.encode() + b"\n", lines)
+
+    def _send(self, send: Send) -> Step:
+        desk, errand, upstream = self.desk, self.errand, send.upstream
+        left = errand.until - desk.clock()
+        number, message, route = send.number, self.exchange.message, errand.route
+        while len(self.legs) <= number:
+            self.legs.append(None)
+        if route.safe:
+            wait = max(errand.health.overdue(desk.clock()), 0.5 * route.aim)
+            if wait < left:
+                asyncio.get_running_loop().call_later(wait, self.overdue, number)
+        if upstream.node == desk.node:
+
+            def told(word: bytes, why: str, answer: http.Message | None, busy: int) -> None:
+                self.ended(number, *judged(word, why, answer), answer, busy)
+
+            self.legs[number] = desk.hop.hand(
+                message, self.lines, upstream.id, desk.caller, left, route.aim, route.safe, told
+            )
+            return None
+        lane = desk.lanes.reuse(upstream.place)
+        if lane is not None:
+            self._ask(number, lane)
+        else:
+            self.legs[number] = asyncio.get_running_loop().create_task(self._connect(number, upstream.place))
+        return None
+
+    async def _connect(self, number: int, place: tuple) -> None:
+        lane = await self.desk.lanes.connect(
+            place, min(0.5, max(0.05, self.errand.until - self.desk.clock()))
+        )
+        if isinstance(lane, str):
+            return self.ended(number, Outcome.UNCONNECTED, False, None, None)
+        if self.errand.tries[number].outcome is not None:
+            return self.desk.lanes.keep(lane)
+        self._ask(number, lane)
+
+    def _ask(self, number: int, lane: Lane) -> None:
+        desk, errand, message = self.desk, self.errand, self.exchange.message
+        route, this = errand.route, errand.tries[number]
+        self.legs[number] = lane
+        hint = b"%b: %d %b\r\n" % (heads.WORD, int(route.aim * 1000), b"safe" if route.safe else b"unsafe")
+        parts = heads.request(
+            message, self.lines, errand.until - desk.clock(), desk.caller, this.upstream.id.encode(), hint
+        )
+
+        def ended(end: End) -> None:
+            if end.message is None:
+                return self.ended(number, Outcome.RESET, True, None, None)
+            word, busy, why = told_word(end.message)
+            self.ended(number, *judged(word, why, end.message), end.message, busy)
+
+        lane.ask(parts, b"", ended)
+
+    def ended(
+        self, number: int, outcome: Outcome, arrived: bool, answer: http.Message | None, busy: int | None
+    ) -> None:
+        now, errand = self.desk.clock(), self.errand
+        if errand.tries[number].outcome is not None:
+            return
+        self.legs[number] = None
+        self.desk.steering.ended(now, errand, number, outcome, arrived, answer, busy)
+        self.carry(self.desk.steering.next(now, errand))
+
+    def overdue(self, number: int) -> None:
+        if not self.errand.over:
+            self.carry(self.desk.steering.overdue(self.desk.clock(), self.errand, number))
+
+    def late(self) -> None:
+        """The client is about to give up."""
+        now, errand = self.desk.clock(), self.errand
+        for number in errand.out():
+            leg = self.legs[number]
+            sent = isinstance(leg, Lane) or isinstance(leg, Handing) and leg.lane is not None
+            self._drop(number)
+            self.desk.steering.ended(
+                now, errand, number, Outcome.TIMED_OUT if sent else Outcome.UNSENT, sent, None, None
+            )
+        self.carry(self.desk.steering.next(max(now, errand.until), errand))
+
+    def left(self) -> None:
+        """The client has gone."""
+        self.timer.cancel()
+        self._drop_legs()
+        self.desk.steering.left(self.desk.clock(), self.errand)
+
+    def _drop_legs(self) -> None:
+        now = self.desk.clock()
+        for number in self.errand.out():
+            self._drop(number)
+            self.desk.steering.ended(now, self.errand, number, Outcome.CALLED_OFF, True, None, None)
+
+    def _drop(self, number: int) -> None:
+        leg, self.legs[number] = self.legs[number], None
+        if isinstance(leg, asyncio.Task):
+            leg.cancel()
+        elif leg is not None:
+            leg.drop()
+
+
+def told_word(message: http.Message) -> tuple[bytes, int | None, str]:
+    """What the last hop says of it; without its word it is no answer of a sidecar of ours."""
+    told = (message.header(heads.WORD.lower()) or b"").split(b" ", 2)
+    busy = int(told[1]) if len(told) > 1 and told[1].isdigit() else None
+    return told[0], busy, told[2].decode("latin-1") if len(told) > 2 else ""
+
+
+def judged(word: bytes, why: str, answer: http.Message | None) -> tuple[Outcome, bool]:
+    """How a try ended, and whether it may have reached the server."""
+    if word == heads.UNSENT:
+        return (Outcome.UNCONNECTED if why in REFUSED_BY_SERVER else Outcome.UNSENT), False
+    if word == heads.LATE:
+        return Outcome.TIMED_OUT, True
+    if word != heads.SENT or answer is None:
+        return Outcome.RESET, True
+    if answer.header(b"x-not-run") is not None or answer.status == 421:
+        return Outcome.FULL, True
+    if answer.status >= 500 or answer.status < 200:
+        return Outcome.ERROR, True
+    if answer.status < 300 and answer.header(b"x-stamp") is None:
+        return Outcome.RESET, True  # a success without its stamp is none
+    return Outcome.DONE, True
+
+
+class CallerDesk(Desk):
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        node: str,
+        caller: bytes,
+        steering: Steering,
+        table: RouteTable,
+        knows: Callable[[], bool],
+        lanes: Lanes,
+        hop: Hop,
+    ) -> None:
+        super().__init__(clock, Limits())
+        self.node, self.caller, self.steering, self.table, self.knows = node, caller, steering, table, knows
+        self.lanes, self.hop = lanes, hop
+        self.counts: dict[int, int] = {}  # of answers that were not a server's
+
+    def take(self, exchange: Exchange) -> None:
+        message = exchange.message
+        path = message.target.partition(b"?")[0].decode("latin-1")
+        route = self.table.find(message.text(b"host"), path)
+        if route is None:
+            if self.knows():
+                return exchange.answer(404, b"no route\n")
+            return exchange.answer(503, b"no configuration yet\n", [b"Retry-After: 0.3\r\n"])
+        now = self.clock()
+        errand = self.steering.begin(now, route, heads.deadline(message))
+        job = Job(self, exchange, errand)
+        exchange.left = job.left
+        job.carry(self.steering.next(now, errand))
--- /dev/null
+++ b/foxspread/orchard/furrow/errand.py
@@ -0,0 +1,207 @@
+"""What becomes of one request at the caller's sidecar: sent where, again or not, answered with what. No
+I/O: the adapter reports how each try ended and asks for the next step.
+
+The rule that all else yields to: an unsafe request is never sent again, nor answered with a status that
+promises that it has not run, unless each of its tries is known not to have run.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from foxspread.model import HandOff, Outcome
+from foxspread.orchard.graft.routes import Route
+from foxspread.orchard.granary.budget import Budget
+from foxspread.orchard.ripeness.health import Health
+from foxspread.orchard.ripeness.upstreams import Upstream, Upstreams
+from foxspread.sums import Chance
+
+MARGIN_S = 0.012  # before the client gives up: its answer is on the way by then
+TRIES_MOST = 6  # sendings of one request, those that never left included
+LAST_PART = 0.25  # of the time left, after which a client is asked to come back at the latest
+
+
+@dataclass(slots=True)
+class Try:
+    upstream: Upstream
+    hand_off: HandOff
+    outcome: Outcome | None = None
+    arrived: bool = True  # as far as can't be ruled out
+    answer: object = None  # the server's own, where there is a whole one
+
+
+@dataclass(slots=True)
+class Errand:
+    route: Route
+    service: str
+    health: Health
+    begun: float
+    until: float  # when it has to be answered
+    draw: float
+    tries: list[Try] = field(default_factory=list)
+    over: bool = False
+    done: int | None = None  # the try whose answer goes to the client
+
+    def out(self) -> list[int]:
+        return [n for n, each in enumerate(self.tries) if each.outcome is None]
+
+    def may_have_run(self) -> bool:
+        return any(each.outcome is None or not each.outcome.never_ran for each in self.tries)
+
+
+@dataclass(slots=True)
+class Send:
+    number: int
+    upstream: Upstream
+
+
+@dataclass(slots=True)
+class Pass:
+    """The answer of that try goes to the client; what is out besides is called off."""
+
+    number: int
+
+
+@dataclass(slots=True)
+class Refuse:
+    """It has not run and never will where the status says so; `back_in`: seconds."""
+
+    status: int
+    why: str
+    back_in: float | None = None
+
+
+Step = Send | Pass | Refuse | None  # None: wait
+
+
+class Steering:
+    def __init__(
+        self,
+        zone: str,
+        upstreams: Upstreams,
+        bounds: dict[str, float],
+        chance: Chance,
+        sidecars: Callable[[], int],
+    ) -> None:
+        self.zone, self.upstreams, self.bounds, self.chance, self.sidecars = (
+            zone,
+            upstreams,
+            bounds,
+            chance,
+            sidecars,
+        )
+        self.healths: dict[tuple[str, str], Health] = {}
+        self.budgets: dict[str, Budget] = {}
+
+    def budget(self, service: str) -> Budget:
+        found = self.budgets.get(service)
+        if found is None:
+            bounds = self.bounds
+            found = self.budgets[service] = Budget(
+                bounds["budget_ratio"], bounds["budget_slack"], bounds["budget_window_s"]
+            )
+        return found
+
+    def begin(self, now: float, route: Route, left: float | None) -> Errand:
+        """`left`: seconds that the client still waits."""
+        draw = self.chance.draw()
+        service = route.service(draw)
+        key = route.name, service
+        health = self.healths.get(key)
+        if health is None or health.category.expected_time != route.aim:
+            health = self.healths[key] = Health(
+                now, self.upstreams.service(service), self.zone, self.chance, route.aim, route.deadline
+            )
+        self.budget(service).request(now)
+        wait = route.deadline if left is None else min(left, route.deadline)
+        return Errand(route, service, health, now, now + max(0.0, wait - MARGIN_S), draw)
+
+    def forget(self, keep: Callable[[str], bool]) -> None:
+        """Routes that are dropped leave nothing behind."""
+        for key in [each for each in self.healths if not keep(each[0])]:
+            del self.healths[key]
+
+    def next(self, now: float, errand: Errand) -> Step:
+        """Asked for after each event; None while something is out that may still be answered."""
+        if errand.over:
+            return None
+        if errand.done is not None:
+            errand.over = True
+            return Pass(errand.done)
+        if errand.out():
+            return None
+        route = errand.route
+        ran = errand.may_have_run()
+        if now >= errand.until or ran and not route.safe:
+            return self._end(now, errand, ran)
+        return self._another(now, errand) or self._end(now, errand, ran)
+
+    def overdue(self, now: float, errand: Errand, number: int) -> Step:
+        """That try is out for long: another one beside it, where the request may run twice and it pays."""
+        this = errand.tries[number]
+        if errand.over or this.outcome is not None or not errand.route.safe or len(errand.out()) > 1:
+            return None
+        return self._another(now, errand)
+
+    def ended(
+        self,
+        now: float,
+        errand: Errand,
+        number: int,
+        outcome: Outcome,
+        arrived: bool,
+        answer: object,
+        busy: int | None,
+    ) -> None:
+        """`arrived`: it may have reached a server. `busy`: requests that the last hop told it holds."""
+        this = errand.tries[number]
+        if this.outcome is not None:
+            return
+        this.outcome, this.arrived, this.answer = outcome, arrived, answer
+        failed = outcome.failure
+        if outcome is Outcome.DONE and now - this.hand_off.sent > errand.route.aim:
+            failed = True  # most of its worth is gone
+        errand.health.ended(now, this.upstream, this.hand_off, outcome, failed)
+        if busy is not None:
+            this.upstream.told(now, busy)
+        if outcome is Outcome.DONE and errand.done is None:
+            errand.done = number
+
+    def left(self, now: float, errand: Errand) -> None:
+        """Its client has gone."""
+        errand.over = True
+        for number in errand.out():
+            self.ended(now, errand, number, Outcome.CALLED_OFF, True, None, None)
+
+    def _another(self, now: float, errand: Errand) -> Send | None:
+        tries, route = errand.tries, errand.route
+        arrived = sum(each.arrived for each in tries)
+        if arrived >= route.attempts or len(tries) >= TRIES_MOST:
+            return None
+        usual = errand.health.usual(now)
+        if arrived and (
+            now + 0.7 * usual > errand.until or not self.budget(errand.service).allows(now, self.sidecars())
+        ):
+            return None
+        upstream = errand.health.choose(now, {each.upstream.id for each in tries} if tries else ())
+        if upstream is None:
+            return None
+        if arrived:
+            self.budget(errand.service).spend(now)
+        tries.append(Try(upstream, errand.health.sent(now, upstream)))
+        return Send(len(tries) - 1, upstream)
+
+    def _end(self, now: float, errand: Errand, ran: bool) -> Pass | Refuse:
+        errand.over = True
+        for number in range(len(errand.tries) - 1, -1, -1):
+            if errand.tries[number].outcome is Outcome.ERROR and errand.tries[number].answer is not None:
+                return Pass(number)  # the server's own word
+        if ran:
+            if any(each.outcome is Outcome.TIMED_OUT for each in errand.tries):
+                return Refuse(504, "no answer in time")
+            return Refuse(502, "the answer was lost")
+        if now >= errand.until:
+            return Refuse(503, "not begun in time", 0.0)
+        left = errand.until - now
+        return Refuse(
+            503, "no server has room", min(LAST_PART * left, max(0.03, 0.5 * errand.health.usual(now)))
+        )
--- /dev/null
+++ b/foxspread/orchard/furrow/lasthop.py
@@ -0,0 +1,72 @@
+"""What the sidecar beside a server lets through to it. The choice was the caller's; here it is only
+guarded: the right life of the right server, not after it has announced its end, and not to wait longer than
+it is worth. What is turned away here has not reached the server, and the caller's sidecar is told so as a
+value.
+"""
+
+from dataclasses import dataclass
+
+from foxspread.orchard.grove.lives import DRAINING, GONE, Lives
+from foxspread.orchard.outcome import Failure
+from foxspread.orchard.settings import Address, address
+from foxspread.sums import Mean
+
+DRAIN_PART = 0.6  # of `drain_s`, for which requests under way to a draining server are still let through
+WAIT_PART = 0.6  # of its aim, that a request may be expected to wait at the server
+QUEUE_MOST = 1.5  # of its berths
+
+
+@dataclass(slots=True)
+class Holding:
+    """What is handed over to one life and not answered."""
+
+    busy: int = 0
+    draining_at: float | None = None
+    took: Mean = None
+
+
+class LastHop:
+    def __init__(self, lives: Lives, app: Address | None, drain_s: float) -> None:
+        self.lives, self.app, self.drain_s = lives, app, drain_s
+        self.holding: dict[str, Holding] = {}
+
+    def of(self, id: str) -> Holding:
+        found = self.holding.get(id)
+        if found is None:
+            found = self.holding[id] = Holding(took=Mean(5.0, 0.05, most=50.0))
+        return found
+
+    def admit(self, now: float, id: str, left: float, aim: float) -> Address | Failure:
+        """Where to hand it over; counted as held from then on, until `released`."""
+        server = self.lives.servers.get(id)
+        if server is None or server.state == GONE:
+            return Failure("gone")
+        holding = self.of(id)
+        if server.state == DRAINING:
+            if holding.draining_at is None:
+                holding.draining_at = now
+            if now - holding.draining_at > DRAIN_PART * self.drain_s:
+                return Failure("draining")
+        mean = holding.took.read(now)
+        wait = max(0, holding.busy + 1 - server.berths) * mean / server.berths
+        if holding.busy >= server.berths and (
+            wait > WAIT_PART * aim or holding.busy >= QUEUE_MOST * server.berths
+        ):
+            return Failure("full")
+        if left <= 0.0 or wait + 0.3 * mean > left:
+            return Failure("late")
+        holding.busy += 1
+        return self.app if self.app is not None else address(server.address)
+
+    def released(self, now: float, id: str, took: float | None) -> None:
+        """`took`: seconds until its answer came; None where none did."""
+        holding = self.of(id)
+        holding.busy -= 1
+        if took is not None:
+            holding.took.add(now, took)
+
+    def sweep(self) -> None:
+        for id in [
+            each for each, held in self.holding.items() if not held.busy and each not in self.lives.servers
+        ]:
+            del self.holding[id]
--- /dev/null
+++ b/foxspread/orchard/furrow/serving.py
@@ -0,0 +1,225 @@
+"""The side of a connection that is asked: requests are read as they come, answered in their order, bounded
+in size, number and time. One class serves clients, other sidecars, servers and the operator; what is asked
+goes to a `Desk`.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Sequence
+
+from foxspread.net import http
+
+WAITING_MOST = 32  # requests of one connection that are read and not answered
+BUFFERED_MOST = 256 * 1024  # bytes of answers that wait to be taken, from which on nothing more is read
+STALL_S = 8.0  # for which a peer may take nothing
+PHRASES = {
+    **http.PHRASES,
+    202: b"Accepted",
+    307: b"Temporary Redirect",
+    409: b"Conflict",
+    410: b"Gone",
+    421: b"Misdirected Request",
+    422: b"Unprocessable Content",
+    429: b"Too Many Requests",
+    501: b"Not Implemented",
+    504: b"Gateway Timeout",
+}
+
+
+class Limits:
+    """What a peer may send, and how long it may take. Changed in place: it holds for what comes from then
+    on."""
+
+    def __init__(
+        self, head: int = 16 * 1024, body: int = 8 * 1024 * 1024, head_s: float = 5.0, idle_s: float = 60.0
+    ) -> None:
+        self.head, self.body, self.head_s, self.idle_s = head, body, head_s, idle_s
+
+
+class RequestReader(http.RequestReader):
+    """As the sidecar in service reads requests, with bounds of the operator's and bodies kept whole."""
+
+    def __init__(self, limits: Limits) -> None:
+        super().__init__()
+        self.head_most = max(1024, limits.head)
+        self.body_most = limits.body
+        self.kept_most = limits.body
+
+
+class Exchange:
+    """One request and its answer to come."""
+
+    __slots__ = ("line", "message", "parts", "close", "left", "at")
+
+    def __init__(self, line: "Serving", message: http.Message, at: float) -> None:
+        self.line, self.message, self.at = line, message, at
+        self.parts: list[bytes] | None = None
+        self.close = not message.keep
+        self.left: Callable[[], None] | None = None  # called if the peer goes away before the answer
+
+    @property
+    def open(self) -> bool:
+        return self.parts is None and self.line.transport is not None
+
+    def answer(
+        self, status: int, body: bytes = b"", lines: Sequence[bytes] = (), close: bool = False
+    ) -> None:
+        if self.parts is not None or self.line.transport is None:
+            return
+        self.close = self.close or close or self.line.retiring
+        last = (
+            b"Connection: close\r\n"
+            if self.close
+            else b"Connection: keep-alive\r\n"
+            if self.message.old
+            else b""
+        )
+        framing = b"" if status in (204, 304) or status < 200 else b"Content-Length: %d\r\n" % len(body)
+        self.parts = [
+            b"HTTP/1.1 %d %s\r\n" % (status, PHRASES.get(status, b"Status")),
+            *lines,
+            framing,
+            last,
+            b"\r\n",
+            b"" if self.message.method == b"HEAD" else body,
+        ]
+        self.left = None
+        self.line.flush()
+
+
+class Desk:
+    """Who answers. `lines` are all its connections."""
+
+    def __init__(self, clock: Callable[[], float], limits: Limits) -> None:
+        self.clock, self.limits = clock, limits
+        self.lines: set[Serving] = set()
+
+    def take(self, exchange: Exchange) -> None:
+        raise NotImplementedError
+
+    def sweep(self, now: float) -> None:
+        for line in list(self.lines):
+            line.sweep(now)
+
+    def retire(self) -> None:
+        """Each connection ends with the next answer on it."""
+        for line in list(self.lines):
+            line.retiring = True
+
+    def end_idle(self) -> None:
+        for line in list(self.lines):
+            if not line.waiting and not line.reader.busy and line.transport is not None:
+                line.transport.close()
+
+
+class Serving(asyncio.Protocol):
+    def __init__(self, desk: Desk) -> None:
+        self.desk = desk
+        self.reader = RequestReader(desk.limits)
+        self.waiting: deque[Exchange] = deque()
+        self.transport: asyncio.Transport | None = None
+        self.retiring = self.refused = self.held_up = False
+        self.since = desk.clock()  # idle, or reading what is under way
+        self.stalled: float | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        transport.set_write_buffer_limits(high=BUFFERED_MOST)
+        self.desk.lines.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.transport = None
+        self.desk.lines.discard(self)
+        waiting, self.waiting = self.waiting, deque()
+        for exchange in waiting:
+            if exchange.left is not None:
+                exchange.left()
+
+    def eof_received(self) -> bool:
+        return False  # a peer that has gone wants no answer
+
+    def data_received(self, data: bytes) -> None:
+        if self.refused or self.transport is None:
+            return
+        now, reader = self.desk.clock(), self.reader
+        if not reader.busy:
+            self.since = now
+        try:
+            reader.feed(data, now)
+        except http.BadMessage as error:
+            self._take_ready(now)
+            return self._refuse(error.status, str(error))
+        if reader.wants_continue and not self.waiting:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._take_ready(now)
+
+    def _take_ready(self, now: float) -> None:
+        ready = self.reader.ready
+        while ready and self.transport is not None:
+            exchange = Exchange(self, ready.popleft(), now)
+            self.waiting.append(exchange)
+            self.since = now
+            self.desk.take(exchange)
+            if exchange.close:  # what was sent behind it counts as not read
+                ready.clear()
+                self.refused = True
+        self._throttle()
+
+    def _refuse(self, status: int, text: str) -> None:
+        self.refused = True
+        exchange = Exchange(self, http.Message(), self.desk.clock())
+        self.waiting.append(exchange)
+        exchange.answer(status, text.encode() + b"\n", close=True)
+
+    def flush(self) -> None:
+        """Answers that are due, in the order of their requests, in one write."""
+        waiting, parts, close = self.waiting, [], False
+        while waiting and waiting[0].parts is not None and not close:
+            exchange = waiting.popleft()
+            parts += exchange.parts
+            close = exchange.close
+        if not parts or self.transport is None:
+            return
+        self.transport.write(b"".join(parts))
+        self.since = self.desk.clock()
+        if close:
+            for exchange in waiting:  # sent behind the last answer: not read, as far as the peer is concerned
+                if exchange.left is not None:
+                    exchange.left()
+            waiting.clear()
+            self.refused = True
+            self.transport.close()
+        else:
+            self._throttle()
+
+    def _throttle(self) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        full = len(self.waiting) >= WAITING_MOST or self.stalled is not None
+        if full != self.held_up:
+            self.held_up = full
+            (self.transport.pause_reading if full else self.transport.resume_reading)()
+
+    def pause_writing(self) -> None:
+        self.stalled = self.desk.clock()
+        self._throttle()
+
+    def resume_writing(self) -> None:
+        self.stalled = None
+        self._throttle()
+
+    def sweep(self, now: float) -> None:
+        """Guards against peers that take nothing, send a head for ever, or stay without a word."""
+        if self.transport is None:
+            return
+        limits, reader = self.desk.limits, self.reader
+        if self.stalled is not None and now - self.stalled > STALL_S:
+            self.transport.abort()
+        elif self.waiting or self.refused:
+            return
+        elif reader.busy:
+            most = limits.head_s + (reader.size / 32_000 + limits.head_s if reader.in_body else 0.0)
+            if now - self.since > most:
+                self._refuse(408, "no whole request in time")
+        elif now - self.since > limits.idle_s:
+            self.transport.close()
--- /dev/null
+++ b/foxspread/orchard/gate/configuration.py
@@ -0,0 +1,51 @@
+"""The operator's resource: changes of the configuration, and the whole of it."""
+
+import asyncio
+from collections.abc import Callable
+
+from foxspread.orchard.gate.desk import Elsewhere
+from foxspread.orchard.graft.items import Item, laid_out
+from foxspread.orchard.graft.reading import read
+from foxspread.orchard.log import say
+from foxspread.orchard.outcome import Failure, unsettled
+from foxspread.orchard.rootstock.keeper import Keeper
+
+
+class Configuration:
+    """On a machine with a disk it settles calls; elsewhere it names one that does."""
+
+    def __init__(self, keeper: Keeper | None, elsewhere: Callable[[], str | None]) -> None:
+        self.keeper, self.elsewhere = keeper, elsewhere
+
+    async def post_patch(self, id: str, body: bytes) -> dict | Failure | Elsewhere:
+        items: list[Item] = []
+        for step in read(body):  # in slices: a large call must not hold up what else comes
+            if isinstance(step, Failure):
+                say("config_refused", why=step.reason)
+                return step
+            if step is None:
+                await asyncio.sleep(0)
+            else:
+                items.append(step)
+        if self.keeper is None:
+            return self._on("Config.Patch")
+        outcome = await self.keeper.submit(items)
+        say(
+            "config",
+            items=len(items),
+            outcome="settled" if outcome is True else outcome.reason,
+            first=f"{items[0].name}@r{items[0].version}" if items else "",
+        )
+        return {} if outcome is True else outcome
+
+    async def get_get(self, id: str, body: bytes) -> dict | Failure | Elsewhere:
+        if self.keeper is None:
+            return self._on("Config.Get")
+        outcome = await self.keeper.submit([])
+        return laid_out(self.keeper.stock.copy.items.values()) if outcome is True else outcome
+
+    def _on(self, call: str) -> Failure | Elsewhere:
+        place = self.elsewhere()
+        return (
+            Elsewhere(f"http://{place}/api/{call}") if place else unsettled("no machine with a disk is known")
+        )
--- /dev/null
+++ b/foxspread/orchard/node.py
@@ -0,0 +1,435 @@
+"""One process of the mesh: puts the parts together by what its settings say. It decides nothing about
+requests, state or servers; its own are only the order of start and end, and whom it keeps links to.
+"""
+
+import asyncio
+import os
+import random
+import signal
+import time
+from typing import Any
+
+from foxspread.orchard.almanac.journal import Event, Journal
+from foxspread.orchard.furrow.caller import CallerDesk
+from foxspread.orchard.furrow.errand import Steering
+from foxspread.orchard.furrow.hop import Hop, HopDesk
+from foxspread.orchard.furrow.lanes import Lanes
+from foxspread.orchard.furrow.lasthop import LastHop
+from foxspread.orchard.furrow.serving import Desk, Serving
+from foxspread.orchard.gate.configuration import Configuration
+from foxspread.orchard.gate.desk import ControlDesk, ReadyDesk
+from foxspread.orchard.gate.instances import Instances
+from foxspread.orchard.graft.items import LIMITS, Item
+from foxspread.orchard.graft.routes import RouteTable
+from foxspread.orchard.grove.lives import Lives
+from foxspread.orchard.grove.records import LEAVING, UP, Record, Records, record
+from foxspread.orchard.hedge.exchange import Exchange
+from foxspread.orchard.log import say
+from foxspread.orchard.outcome import Failure
+from foxspread.orchard.post.link import Link
+from foxspread.orchard.ripeness.upstreams import Upstreams
+from foxspread.orchard.rootstock.copy import Copy, row, unrow
+from foxspread.orchard.rootstock.disk import Disk
+from foxspread.orchard.rootstock.keeper import Keeper
+from foxspread.orchard.rootstock.stock import Stock
+from foxspread.orchard.settings import Address, Settings, moved, read, shown
+from foxspread.sums import Chance
+
+TICK_S = 0.1
+DIAL_S = 0.6  # for a link to come up
+DIALS_MOST = 5  # links to machines with a disk that a sidecar keeps
+QUIET_S = 2.3  # after SIGTERM, by when the platform has missed twice and sends nobody here any more
+SPREAD_S = 0.7  # for others to learn of a drain, before the server is told to ask again
+SETTLED = "="  # the source of the settled set, among those of records
+RECORDS_KEPT_S = 90.0  # of a sidecar that no link leads to
+
+
+class Node:
+    def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop) -> None:
+        self.settings, self.loop = settings, loop
+        self.clock = loop.time
+        self.life = f"{int(time.time() * 1000):x}{os.urandom(3).hex()}"
+        self.chance = Chance(int.from_bytes(os.urandom(4), "big"))
+        self.journal = Journal(self.clock)
+        self.member = (
+            shown(settings.counters["control"]) if settings.keeps and "control" in settings.counters else ""
+        )
+        # State: what is settled, who says what of itself.
+        self.table, self.records, self.upstreams = RouteTable(), Records(), None
+        self.upstreams = Upstreams(self.records)
+        self.journal.view("settled", self._fold_items)
+        self.journal.view("record", self._fold_record)
+        self.copy = Copy()
+        self.keeper: Keeper | None = None
+        self.exchange = Exchange(self._tells)
+        self.number, self.record_life = 0, int(time.time() * 1000)
+        self.state, self.knows_records = UP, False
+        # Links.
+        self.links: dict[str, Link] = {}
+        self.unnamed: set[Link] = set()
+        self.cores: dict[Address, str] = {each: "" for each in settings.seed_addresses()}  # and who is there
+        self.dialling: dict[Address, float] = {}
+        self.flushing = False
+        self.members: dict[str, str] = {}  # control address -> node
+        # The path.
+        self.lives = Lives(settings.heartbeat_s, settings.zone)
+        self.steering = Steering(settings.zone, self.upstreams, settings.bounds, self.chance, self._sidecars)
+        self.app_lanes, self.lanes = Lanes(self.clock, 6.0), Lanes(self.clock, 60.0)
+        self.hop = Hop(
+            self.clock, LastHop(self.lives, settings.app, settings.bounds["drain_s"]), self.app_lanes
+        )
+        self.caller_desk = CallerDesk(
+            self.clock,
+            settings.node,
+            settings.service.encode(),
+            self.steering,
+            self.table,
+            self._knows,
+            self.lanes,
+            self.hop,
+        )
+        self.desks: dict[str, Desk] = {}
+        self.servers: list[asyncio.Server] = []
+        self.ticked = self.clock()
+        self.ending = False
+        self.done = asyncio.Event()
+
+    # Start and end.
+
+    async def run(self) -> None:
+        settings, loop = self.settings, self.loop
+        loop.add_signal_handler(signal.SIGTERM, self._end)
+        loop.add_signal_handler(signal.SIGINT, self._end)
+        loop.add_signal_handler(signal.SIGHUP, self._reread)
+        control = ControlDesk(
+            self.clock, {"Instances": Instances(self.clock, self.lives, self._own_record, self._spread)}
+        )
+        self.desks = {
+            "control": control,
+            "ready": ReadyDesk(self.clock, self._ready),
+            "inbound": HopDesk(self.clock, self.hop),
+            "outbound": self.caller_desk,
+        }
+        if settings.keeps:
+            disk = Disk(settings.data_dir, loop.call_soon_threadsafe)
+            self.keeper = Keeper(
+                self.clock, self.life, self.chance.draw, disk, self._send_member, self._settled
+            )
+        control.resources["Config"] = Configuration(self.keeper, self._a_core)
+        for name, place in settings.counters.items():
+            if (desk := self.desks.get(name)) is not None:
+                self.servers.append(
+                    await loop.create_server(lambda desk=desk: Serving(desk), *place, backlog=1024)
+                )
+        self.servers.append(await loop.create_server(self._link, *settings.inner, backlog=256))
+        self._own_record()
+        say(
+            "start",
+            life=self.life,
+            keeps=settings.keeps,
+            serves=",".join(settings.serves),
+            first=settings.first_start,
+            seeds=",".join(settings.seeds),
+        )
+        if self.keeper is not None:
+            saved = await loop.run_in_executor(
+                None, self.keeper.disk.open, tuple(sorted(settings.seeds)), settings.first_start
+            )
+            self.keeper.disk.start()
+            self.copy = (stock := Stock(self.member, saved)).copy
+            self.keeper.begin(stock)
+            say(
+                "disk",
+                disk=stock.disk,
+                voting=stock.voting,
+                upto=stock.copy.upto[0],
+                items=len(stock.copy.items),
+            )
+        ticking = loop.create_task(self._tick())
+        await self.done.wait()
+        ticking.cancel()
+
+    def _end(self) -> None:
+        if not self.ending:
+            self.ending = True
+            self.loop.create_task(self._wind_down())
+
+    async def _wind_down(self) -> None:
+        """Nobody is sent here any more; what was read is answered; then it ends."""
+        grace, began = self.settings.bounds["grace_s"], self.clock()
+        say("ending")
+        self.state = LEAVING
+        self._own_record()
+        side = "outbound" in self.settings.counters
+        if side:
+            await asyncio.sleep(min(QUIET_S, 0.4 * grace))
+        for desk in self.desks.values():
+            desk.retire()
+        await asyncio.sleep(0.1 if side else 0.3)
+        for server in self.servers:
+            server.close()
+        for desk in self.desks.values():
+            desk.end_idle()
+        while self.clock() < began + grace - 0.5 and any(
+            line.waiting for desk in self.desks.values() for line in desk.lines
+        ):
+            await asyncio.sleep(0.02)
+        say("end", after=self.clock() - began)
+        self.done.set()
+
+    def _reread(self) -> None:
+        new = read()
+        if isinstance(new, Failure):
+            return say("settings_refused", why=new.reason)
+        if new != self.settings:
+            self.settings = moved(self.settings, new)
+            for each in new.seed_addresses():
+                self.cores.setdefault(each, "")
+            self.caller_desk.caller = new.service.encode()
+            say("settings", seeds=",".join(new.seeds), service=new.service)
+
+    async def _tick(self) -> None:
+        count = 0
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self.clock()
+            slept, self.ticked = max(0.0, now - self.ticked - 4 * TICK_S), now
+            if slept:
+                say("slept", seconds=slept)
+                self.lives.slept(slept)
+            for link in [*self.links.values(), *self.unnamed]:
+                link.beat(slept)
+            if self.keeper is not None:
+                self.keeper.tick()
+            self._dial(now)
+            if self.lives.sweep(now):
+                self._own_record()
+            self._flush()
+            count += 1
+            if count % 5 == 0:
+                for desk in self.desks.values():
+                    desk.sweep(now)
+                self.lanes.sweep()
+                self.app_lanes.sweep()
+            if count % 20 == 0:
+                self._reread()
+                self.hop.core.sweep()
+
+    # What it knows.
+
+    def _knows(self) -> bool:
+        return bool(self.copy.items)
+
+    def _ready(self) -> bool:
+        if self.ending or not self._knows():
+            return False
+        return self.keeper.fresh if self.keeper is not None else self.knows_records
+
+    def _sidecars(self) -> int:
+        return sum(1 for each in self.records.of.values() if each.inbound is not None)
+
+    def _tells(self, source: str) -> bool:
+        if self.keeper is None:
+            return source == self.settings.node
+        return source != SETTLED or self.keeper.fresh
+
+    def _settled(self, new: list[Item]) -> None:
+        """Items in force that are new here, on a machine with a disk."""
+        if new:
+            self.journal.append("settled", new)
+        self.exchange.have(SETTLED, self.copy.upto)
+        self.exchange.dirty.add(SETTLED)
+        self._soon()
+
+    def _fold_items(self, event: Event) -> None:
+        for item in event.body:
+            self.table.put(item)
+            if item.kind == LIMITS and item.content is not None:
+                self._limit(item.content)
+        routes = self.table.places
+        self.steering.forget(lambda name: ("route", name) in routes)
+
+    def _limit(self, told: dict[str, Any]) -> None:
+        limits = self.caller_desk.limits
+        limits.head = int(told.get("envelope_bytes", limits.head))
+        most = int(
+            self.settings.memory_mb * 1024 * 1024 / 8
+        )  # kept whole: no body may take the machine's memory
+        limits.body = min(most, int(told.get("contents_bytes", limits.body)))
+        limits.head_s = float(told.get("envelope_s", limits.head_s))
+        limits.idle_s = float(told.get("idle_s", limits.idle_s))
+
+    def _fold_record(self, event: Event) -> None:
+        self.upstreams.fold(self.clock(), event.body)
+
+    def _own_record(self) -> None:
+        self.number += 1
+        place = self.settings.counters.get("inbound")
+        mine = record(
+            [
+                self.settings.node,
+                [self.record_life, self.number],
+                self.settings.zone,
+                self.state,
+                shown(place) if place else "",
+                self.lives.rows(self.clock()),
+            ]
+        )
+        self._take_record(mine)
+
+    def _take_record(self, new: Record) -> None:
+        if self.records.take(self.clock(), new):
+            self.exchange.have(new.node, new.version)
+            self.journal.append("record", new.node)
+            self._soon()
+
+    async def _spread(self) -> bool:
+        """Whether others know this sidecar's own record by now."""
+        version, until = (self.record_life, self.number), self.clock() + SPREAD_S
+        while True:
+            cores = [name for name in self.cores.values() if name in self.links]
+            known = self.exchange.known_by(self.settings.node, version, cores)
+            if known and known >= min(len(cores), max(1, (len(self.cores) + 1) // 2)):
+                return True
+            if self.clock() >= until:
+                return known > 0
+            await asyncio.sleep(0.01)
+
+    # Links.
+
+    def _link(self) -> Link:
+        return Link(self.clock, self._opened, self._heard, self._ended)
+
+    def _opened(self, link: Link) -> None:
+        self.unnamed.add(link)
+        hello = {
+            "t": "hello",
+            "node": self.settings.node,
+            "member": self.member,
+            "inner": list(self.settings.inner),
+            "cores": [list(each) for each, name in self.cores.items() if name],
+        }
+        link.send(hello)
+
+    def _ended(self, link: Link) -> None:
+        self.unnamed.discard(link)
+        if link.peer is not None and self.links.get(link.peer) is link:
+            del self.links[link.peer]
+            self.exchange.left(link.peer)
+            say("link_ended", peer=link.peer, why=link.why)
+
+    def _dial(self, now: float) -> None:
+        """Machines with a disk are called by all others; of two of them the lower address calls."""
+        own = self.settings.inner
+        places = [each for each in self.cores if each != own and (self.keeper is None or own < each)]
+        held = 0
+        for place in places:
+            if self.cores[place] in self.links or now < self.dialling.get(place, 0.0):
+                held += 1
+                continue
+            if held >= DIALS_MOST:
+                break
+            held += 1
+            self.dialling[place] = now + DIAL_S * (1 + 0.5 * self.chance.draw())
+            self.loop.create_task(self._call(place))
+
+    async def _call(self, place: Address) -> None:
+        try:
+            async with asyncio.timeout(DIAL_S):
+                _, link = await self.loop.create_connection(self._link, *place)
+        except (OSError, TimeoutError):
+            return
+        link.dialled = place
+
+    def _heard(self, link: Link, message: dict[str, Any]) -> None:
+        kind = message.get("t")
+        if kind == "hello":
+            return self._met(link, message)
+        if link.peer is None:
+            return link.close("no hello")
+        if kind == "have":
+            self.exchange.told(link.peer, {source: tuple(v) for source, v in message["v"].items()})
+            self._noticed(message["v"])
+            self._soon()
+        elif kind == "pull":
+            link.send(self._news(message["v"]))
+        elif kind == "news":
+            self._take_news(message)
+        elif self.keeper is not None and link.peer in self.members.values():
+            sender = next(member for member, node in self.members.items() if node == link.peer)
+            self.keeper.heard(sender, message)
+
+    def _met(self, link: Link, hello: dict[str, Any]) -> None:
+        self.unnamed.discard(link)
+        link.peer = name = hello["node"]
+        if (old := self.links.get(name)) is not None and old is not link:
+            old.close("a newer link")
+        self.links[name] = link
+        if hello["member"]:
+            self.cores[tuple(hello["inner"])] = name
+            self.members[hello["member"]] = name
+        for each in hello["cores"]:
+            self.cores.setdefault(tuple(each), "")
+        self.exchange.met(name)
+        link.send({"t": "have", "v": self.exchange.whole(name)})
+        say("link", peer=name)
+
+    def _noticed(self, versions: dict[str, list]) -> None:
+        told = versions.get(self.settings.node)
+        if told is not None and told[0] > self.record_life:  # of an earlier life, with a clock ahead
+            self.record_life = told[0] + 1
+            self._own_record()
+        if SETTLED in versions and self.keeper is not None:
+            self.keeper.peer_settled(tuple(versions[SETTLED]))
+
+    def _news(self, wanted: dict[str, list]) -> dict[str, Any]:
+        news: dict[str, Any] = {"t": "news"}
+        if SETTLED in wanted:
+            since = tuple(wanted[SETTLED]) or (0, "")
+            news["upto"] = self.copy.upto
+            news["rows"] = [row(*each) for each in self.copy.since(since)]
+        found = [self.records.of[source].packed() for source in wanted if source in self.records.of]
+        if found:
+            news["records"] = found
+        return news
+
+    def _take_news(self, news: dict[str, Any]) -> None:
+        if "upto" in news:
+            upto = tuple(news["upto"])
+            if self.keeper is not None:
+                self.keeper.learn(upto, news["rows"])
+            elif upto >= self.copy.upto:
+                new = self.copy.fold(upto, map(unrow, news["rows"]))
+                if new:
+                    self.journal.append("settled", new)
+                self.exchange.have(SETTLED, self.copy.upto)
+        for told in news.get("records", ()):
+            self._take_record(record(told))
+        self.knows_records = self.knows_records or bool(self.copy.items)
+        self._soon()
+
+    def _soon(self) -> None:
+        """Notices and pulls go out once for all that changes in one turn of the loop."""
+        if not self.flushing:
+            self.flushing = True
+            self.loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self.flushing = False
+        for peer, versions in self.exchange.notices():
+            if peer in self.links:
+                self.links[peer].send({"t": "have", "v": versions})
+        for peer, wanted in self.exchange.pulls(self.clock()):
+            if peer in self.links:
+                self.links[peer].send({"t": "pull", "v": wanted})
+
+    def _send_member(self, member: str, message: dict[str, Any]) -> bool:
+        link = self.links.get(self.members.get(member, ""))
+        if link is not None:
+            link.send(message)
+        return link is not None
+
+    def _a_core(self) -> str | None:
+        """The control address of a machine with a disk that this one has a link to."""
+        linked = [member for member, node in self.members.items() if node in self.links]
+        return random.choice(linked) if linked else None
--- /dev/null
+++ b/foxspread/orchard/post/link.py
@@ -0,0 +1,76 @@
+"""A connection to another of the system's own processes: messages both ways, a word at least every
+`BEAT_S`, an end where nothing has been heard for `SILENT_S`. A connection through a cut says nothing of its
+own accord.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from foxspread.orchard.outcome import Failure
+from foxspread.orchard.post.netstrings import Decoder, encode
+
+BEAT_S = 0.4
+SILENT_S = 1.5
+HELD_MOST = 4 * 1024 * 1024  # bytes waiting to be written: one that reads too slowly is left, and comes again
+
+
+class Link(asyncio.Protocol):
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        opened: Callable[["Link"], None],
+        heard: Callable[["Link", dict[str, Any]], None],
+        ended: Callable[["Link"], None],
+    ) -> None:
+        self.clock, self.opened, self.heard, self.ended = clock, opened, heard, ended
+        self.decoder = Decoder()
+        self.transport: asyncio.Transport | None = None
+        self.last_heard = self.last_sent = clock()
+        self.peer: Any = None  # who it is, once it has said so
+        self.dialled: Any = None  # whom we called, where we did
+        self.why = "closed"
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.last_heard = self.clock()
+        self.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.last_heard = self.clock()
+        messages = self.decoder.feed(data)
+        if isinstance(messages, Failure):
+            return self.close(messages.reason)
+        for message in messages:
+            if self.transport is None:
+                return
+            if message.get("t") != "beat":
+                self.heard(self, message)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if self.transport is not None:
+            self.transport = None
+            self.ended(self)
+
+    def send(self, message: dict[str, Any]) -> None:
+        if self.transport is None:
+            return
+        if self.transport.get_write_buffer_size() > HELD_MOST:
+            return self.close("reads too slowly")
+        self.last_sent = self.clock()
+        self.transport.write(encode(message))
+
+    def beat(self, slept: float) -> None:
+        """Now and then; `slept`: how long this process itself stood still, which says nothing of the peer."""
+        now = self.clock()
+        self.last_heard += slept
+        if now - self.last_heard > SILENT_S:
+            self.close("silent")
+        elif now - self.last_sent >= BEAT_S:
+            self.send({"t": "beat"})
+
+    def close(self, why: str) -> None:
+        if (transport := self.transport) is not None:
+            self.why, self.transport = why, None
+            transport.abort()
+            self.ended(self)
--- /dev/null
+++ b/foxspread/orchard/ripeness/health.py
@@ -0,0 +1,145 @@
+"""Health of a service's servers for one route, and the choice among them: the design of the sidecar in
+service over what the mesh brings. Each route has windows, marks and turns of its own; what is in flight is
+the service's.
+"""
+
+import math
+from collections.abc import Container
+
+from foxspread.logic import Marks, Measures, Rotation
+from foxspread.model import Category, HandOff, ListedServer, Outcome
+from foxspread.orchard.ripeness.upstreams import Service, Upstream
+from foxspread.sums import Chance, Mean
+
+LOOK_S = 0.25  # after which zones are weighed anew
+QUEUE = 0.5  # of its berths: so many may wait at a server that nobody has a free one beside
+COLD_PART = 0.5  # of a turn, for a server that has just started
+
+
+class Health:
+    def __init__(
+        self, now: float, service: Service, zone: str, chance: Chance, aim: float, deadline: float
+    ) -> None:
+        self.service, self.zone, self.chance = service, zone, chance
+        self.category = Category("", aim, deadline, late_benefit=0.3)
+        self.marks = Marks(max_fails=3, fail_timeout=10.0, spell=4.0)
+        self.rotation = Rotation(zone, chance, spill=1.4, well_over=1.3, skip=1.2, few=2)
+        self.measures = Measures(now, [self.category])
+        self.entries: dict[str, ListedServer] = {}
+        self.look_at, self.seen = -math.inf, -1
+        self.panic = False
+        self.groups: dict[str, list[str]] = {}
+
+    def _look(self, now: float) -> None:
+        """Who is ready, and how zones share; kept until something changes, or a moment."""
+        service = self.service
+        if self.seen != service.changed:
+            for id in [each for each in self.entries if each not in service.by_id]:
+                del self.entries[id]
+                self._forget(id)
+            for id, upstream in service.by_id.items():
+                if id not in self.entries:
+                    self.entries[id] = ListedServer(id, upstream.zone)
+                    self.marks.met(id)
+                    self.measures.met(now, id, upstream.zone)
+            self.seen = service.changed
+        ready = service.ready
+        self.panic = self.marks.in_panic(ready)
+        self.groups = {zone: ring.names for zone, ring in service.rings.items()}
+        healthy = {
+            zone: float(
+                sum(
+                    1.0 if now >= service.by_id[id].warm_at else COLD_PART
+                    for id in names
+                    if self.panic or not self.marks.down(id)
+                )
+            )
+            for zone, names in self.groups.items()
+        }
+        slow = self.measures.slow
+        elsewhere = Mean.over(now, [slow[z] for z in self.groups if z != self.zone], 1.0)
+        slowness = {z: slow[z].read(now, elsewhere if z != self.zone else 1.0) for z in self.groups}
+        if self.groups:
+            self.rotation.weigh(self.groups, healthy, slowness)
+        self.look_at = now + LOOK_S
+
+    def _forget(self, id: str) -> None:
+        self.marks.marked.discard(id)
+        for by_id in (
+            self.marks.of,
+            self.measures.done,
+            self.measures.slow,
+            self.measures.passed,
+            self.rotation.turns,
+        ):
+            by_id.pop(id, None)
+
+    def choose(self, now: float, tried: Container[str], part: float = 1.0) -> Upstream | None:
+        """The server whose turn it is; None where there is none with room. `part`: of the room there is."""
+        service = self.service
+        if now >= self.look_at or self.seen != service.changed:
+            self._look(now)
+        if not service.ready:
+            return None
+        by_id, marks = service.by_id, self.marks
+        mean = {
+            zone: sum(by_id[id].busy(now) for id in names) / len(names) for zone, names in self.groups.items()
+        }
+        zones = self.rotation.zones(self.groups, mean, lambda zone: self.chance.draw())
+        if marks.marked and not self.panic:
+            for id in marks.marked:
+                if (
+                    id in service.ready
+                    and id not in tried
+                    and marks.trial_due(now, id)
+                    and by_id[id].zone == zones[0]
+                ):
+                    return by_id[id]
+
+        def held(id: str) -> float:
+            return by_id[id].busy(now)
+
+        def turn(id: str) -> float:
+            cold = 1.0 if now >= by_id[id].warm_at else COLD_PART
+            return cold * self.measures.part_of_turn(now, self.entries[id], 1.0)
+
+        for queue in (0.0, QUEUE):
+
+            def fits(id: str, queue: float = queue) -> bool:
+                upstream = by_id[id]
+                return (
+                    id not in tried
+                    and (self.panic or id not in marks.marked)
+                    and upstream.busy(now) < upstream.berths * (part + queue)
+                )
+
+            for zone in zones:
+                found = self.rotation.pick(zone, service.rings[zone], held, mean[zone], turn, fits)
+                if found is not None:
+                    return by_id[found]
+        return None
+
+    def sent(self, now: float, upstream: Upstream) -> HandOff:
+        trial = upstream.id if self.marks.down(upstream.id) else None
+        if trial:
+            self.marks.of[trial].trial_out = True
+        upstream.flying += 1
+        return HandOff(upstream.id, upstream.zone, "warm" if now >= upstream.warm_at else None, now, trial)
+
+    def ended(
+        self, now: float, upstream: Upstream, hand_off: HandOff, outcome: Outcome, failed: bool | None
+    ) -> None:
+        """`failed`: the verdict on the server; None: none, as where it was full or we called it off."""
+        upstream.flying -= 1
+        hand_off.outcome = outcome
+        if upstream.id not in self.entries:
+            return
+        self.measures.ended(now, hand_off, self.category)
+        weight = self.marks.max_fails if outcome is Outcome.UNCONNECTED else 1
+        self.marks.record(now, upstream.id, failed, hand_off.trial is not None, weight)
+
+    def usual(self, now: float) -> float:
+        return self.measures.usual(now, self.category)
+
+    def overdue(self, now: float) -> float:
+        return self.measures.overdue(now, self.category)
--- /dev/null
+++ b/foxspread/orchard/rootstock/disk.py
@@ -0,0 +1,173 @@
+"""The stock's disk: one SQLite file, written by one thread, many messages to a sync. What is handed over
+together with what is to follow it is written and synced first. A disk that refuses a write is asked again,
+and nothing goes out meanwhile; a file that is torn, cut off or not ours counts as none.
+"""
+
+import os
+import queue
+import sqlite3
+import threading
+import time
+import uuid
+import zlib
+from collections.abc import Callable
+
+import orjson
+
+from foxspread.orchard.log import say
+from foxspread.orchard.rootstock.stock import Saved, Write
+
+FILE = "rootstock.sqlite"
+FORMAT = "1"
+AGAIN_S = 0.05  # after a write that the disk refused
+
+
+class Damaged(Exception):
+    """What lies there can't be trusted."""
+
+
+def _sealed(*parts: object) -> tuple[bytes, int]:
+    body = orjson.dumps(parts[-1])
+    return body, zlib.crc32(body, zlib.crc32(repr(parts[:-1]).encode()))
+
+
+def _opened(body: bytes, seal: int, *before: object) -> object:
+    if zlib.crc32(body, zlib.crc32(repr(before).encode())) != seal:
+        raise Damaged(f"checksum of {before}")
+    return orjson.loads(body)
+
+
+class Disk:
+    def __init__(self, folder: str, later: Callable[[Callable[[], None]], None]) -> None:
+        """`later` has a call made in the thread of the loop."""
+        self.folder, self.later = folder, later
+        self.jobs: queue.SimpleQueue = queue.SimpleQueue()
+        self.pending = 0  # handed over, not yet told as written
+        self.troubled_since: float | None = None
+        self.db: sqlite3.Connection | None = None
+
+    def open(self, members: tuple[str, ...], first: bool) -> Saved:
+        """What is there; with nothing there, or nothing sound, a new identity, which votes at once only on
+        the first start of the whole system."""
+        path = os.path.join(self.folder, FILE)
+        os.makedirs(self.folder, exist_ok=True)
+        try:
+            self.db = self._connected(path)
+            saved = self._read()
+            if saved is not None:
+                return saved
+        except (
+            Damaged,
+            sqlite3.DatabaseError,
+            orjson.JSONDecodeError,
+            KeyError,
+            IndexError,
+            TypeError,
+        ) as error:
+            say("disk_damaged", file=FILE, fault=error)
+            if self.db is not None:
+                self.db.close()
+            for name in (FILE, FILE + "-wal", FILE + "-journal"):
+                if os.path.exists(os.path.join(self.folder, name)):
+                    os.remove(os.path.join(self.folder, name))
+            self.db = self._connected(path)
+            first = False
+        return Saved(uuid.uuid4().hex[:16], members, voting=first, known=first)
+
+    def _connected(self, path: str) -> sqlite3.Connection:
+        db = sqlite3.connect(path, check_same_thread=False, isolation_level=None)
+        db.execute("PRAGMA locking_mode=EXCLUSIVE")
+        db.execute("PRAGMA journal_mode=WAL")
+        db.execute("PRAGMA synchronous=FULL")
+        db.execute("CREATE TABLE IF NOT EXISTS meta (name TEXT PRIMARY KEY, body BLOB, seal INT)")
+        db.execute(
+            "CREATE TABLE IF NOT EXISTS items (kind TEXT, name TEXT, body BLOB, seal INT,"
+            " PRIMARY KEY (kind, name))"
+        )
+        return db
+
+    def _read(self) -> Saved | None:
+        if self.db.execute("PRAGMA quick_check").fetchone()[0] != "ok":
+            raise Damaged("quick_check")
+        meta = {name: _opened(body, seal, name) for name, body, seal in self.db.execute("SELECT * FROM meta")}
+        if "disk" not in meta:
+            return None
+        if meta["format"] != FORMAT:
+            raise Damaged(f"format {meta['format']!r}")
+        rows = [
+            _opened(body, seal, kind, name)
+            for kind, name, body, seal in self.db.execute("SELECT * FROM items")
+        ]
+        accepted, delta = meta.get("accepted", [[0, ""], []])
+        return Saved(
+            meta["disk"],
+            tuple(meta["members"]),
+            tuple(meta.get("promised", (0, ""))),
+            tuple(meta.get("settled", (0, ""))),
+            tuple(accepted),
+            rows,
+            delta,
+            meta.get("disks", {}),
+            meta["voting"],
+            meta["known"],
+        )
+
+    def start(self) -> None:
+        threading.Thread(target=self._run, daemon=True, name="disk").start()
+
+    def put(self, writes: list[Write], then: Callable[[], None]) -> None:
+        """`then` is called once these, and all that was put before, are on disk."""
+        if not writes and not self.pending:
+            return then()
+        self.pending += 1
+        self.jobs.put((writes, then))
+
+    def _run(self) -> None:
+        while True:
+            jobs = [self.jobs.get()]
+            while not self.jobs.empty():
+                jobs.append(self.jobs.get())
+            writes = [write for job in jobs for write in job[0]]
+            while writes and not self._written(writes):
+                time.sleep(AGAIN_S)
+            self.later(lambda jobs=jobs: self._told(jobs))
+
+    def _told(self, jobs: list) -> None:
+        self.pending -= len(jobs)
+        for _, then in jobs:
+            then()
+
+    def _written(self, writes: list[Write]) -> bool:
+        db = self.db
+        try:
+            db.execute("BEGIN IMMEDIATE")
+            for write in writes:
+                if write[0] == "meta":
+                    db.execute(
+                        "INSERT OR REPLACE INTO meta VALUES (?, ?, ?)",
+                        (write[1], *_sealed(write[1], write[2])),
+                    )
+                    if write[1] == "disk":
+                        db.execute(
+                            "INSERT OR REPLACE INTO meta VALUES (?, ?, ?)",
+                            ("format", *_sealed("format", FORMAT)),
+                        )
+                else:
+                    db.executemany(
+                        "INSERT OR REPLACE INTO items VALUES (?, ?, ?, ?)",
+                        [(row[0], row[1], *_sealed(row[0], row[1], row)) for row in write[1]],
+                    )
+            db.execute("COMMIT")
+        except sqlite3.Error as error:
+            if self.troubled_since is None:
+                self.troubled_since = time.monotonic()
+                say("disk_refuses", fault=error)
+            try:
+                db.execute("ROLLBACK")
+            except sqlite3.Error:
+                pass  # nothing was begun
+            return False
+        if self.troubled_since is not None:
+            say("disk_writes_again", after=time.monotonic() - self.troubled_since)
+            self.troubled_since = None
+        return True
--- /dev/null
+++ b/foxspread/orchard/rootstock/stock.py
@@ -0,0 +1,204 @@
+"""What a machine with a disk promises and holds: an acceptor of one register whose value is the whole set of
+items. docs/design/orchard.md has the argument. Everything returned under `writes` has to be on disk before
+any message returned with it or later goes out; the adapter keeps that order and decides nothing.
+
+The register's value at a ballot is the settled set and a delta over it. A settled ballot is one that a
+majority has accepted; each later value extends it, so a delta over an older settled set may be laid over a
+newer one.
+
+A disk that comes back empty has forgotten promises and acceptances. It gets a new identity, and takes part
+again only when so many others have noted that identity that each majority it may have been part of is met:
+from then on they refuse what was promised by the old one, and what they told while noting holds all that it
+may have accepted.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from foxspread.orchard.graft.items import Item, Key, unpacked
+from foxspread.orchard.rootstock.copy import NONE, Ballot, Copy, ballot, row, unrow
+
+Message = dict[str, Any]
+Write = tuple  # ("meta", name, value) or ("items", rows)
+
+
+@dataclass
+class Saved:
+    """What was found on a disk."""
+
+    disk: str
+    members: tuple[str, ...]
+    promised: Ballot = NONE
+    settled: Ballot = NONE
+    accepted: Ballot = NONE
+    rows: list = field(default_factory=list)
+    delta: list = field(default_factory=list)
+    disks: dict[str, str] = field(default_factory=dict)
+    voting: bool = False
+    known: bool = False  # who the members are is known for sure, not only from seeds
+
+
+class Stock:
+    def __init__(self, me: str, saved: Saved) -> None:
+        self.me, self.disk, self.members = me, saved.disk, tuple(sorted(saved.members))
+        self.promised, self.accepted = saved.promised, saved.accepted
+        self.copy = Copy()
+        self.copy.fold(saved.settled, map(unrow, saved.rows))
+        self.delta: dict[Key, Item] = {item.key: item for item in map(unpacked, saved.delta)}
+        self.disks, self.voting, self.known = dict(saved.disks), saved.voting, saved.known
+        self.enrolled: dict[str, Message] = {}
+
+    @property
+    def majority(self) -> int:
+        return len(self.members) // 2 + 1
+
+    @property
+    def enough_to_enrol(self) -> int:
+        """So many others meet each majority that one's forgotten disk was part of."""
+        return len(self.members) - self.majority + 1
+
+    @property
+    def serves(self) -> bool:
+        """It may speak for the state: it votes, or is a mere copy beside those that do."""
+        return self.known and (self.voting or self.me not in self.members)
+
+    @property
+    def unsettled(self) -> bool:
+        return self.accepted > self.copy.upto
+
+    def first(self) -> list[Write]:
+        """What a new disk is to hold before anything else."""
+        return [
+            ("meta", "disk", self.disk),
+            ("meta", "members", list(self.members)),
+            ("meta", "voting", self.voting),
+            ("meta", "known", self.known),
+        ]
+
+    # As an acceptor.
+
+    def prepare(self, message: Message) -> tuple[list[Write], Message | None]:
+        if not self.voting:
+            return [], None
+        asked = ballot(message["b"])
+        if asked < self.promised:
+            return [], self._nack(asked)
+        writes = self._promise(asked)
+        return writes, {
+            "t": "promise",
+            "b": asked,
+            "acc": self.accepted,
+            "s": self.copy.upto,
+            "disk": self.disk,
+            "delta": [item.packed() for item in self.delta.values()],
+            "ahead": self._ahead(ballot(message["s"])),
+        }
+
+    def accept(self, message: Message) -> tuple[list[Write], Message | None]:
+        if not self.voting:
+            return [], None
+        asked, base = ballot(message["b"]), ballot(message["s"])
+        if (
+            asked < self.promised
+            or any(self.disks.get(m, disk) != disk for m, disk in message["disks"].items())
+            or message["disks"].get(self.me, self.disk) != self.disk
+        ):
+            return [], self._nack(asked)
+        writes: list[Write] = []
+        if self.copy.upto < base:
+            if ballot(message.get("since", NONE)) > self.copy.upto or "ahead" not in message:
+                return [], {"t": "behind", "b": asked, "s": self.copy.upto}
+            writes += self.learn(base, map(unrow, message["ahead"]))[0]
+        writes += self._promise(asked)
+        if asked > self.copy.upto:
+            self.accepted = asked
+            self.delta = {item.key: item for item in map(unpacked, message["delta"])}
+            writes.append(self._accepted())
+        return writes, {"t": "accepted", "b": asked, "disk": self.disk}
+
+    def enrol(self, sender: str, message: Message) -> tuple[list[Write], Message | None]:
+        """Notes the new identity of a disk that came back empty, and tells all that is held, as of after
+        that."""
+        if not self.voting:
+            return [], None
+        if sender in self.members:
+            self.disks[sender] = message["disk"]
+        return [("meta", "disks", self.disks)], {
+            "t": "enrolled",
+            "disk": message["disk"],
+            "promised": self.promised,
+            "s": self.copy.upto,
+            "acc": self.accepted,
+            "delta": [item.packed() for item in self.delta.values()],
+            "rows": [row(*each) for each in self.copy.since(NONE)],
+            "disks": self.disks,
+            "members": list(self.members),
+        }
+
+    def _promise(self, asked: Ballot) -> list[Write]:
+        if asked <= self.promised:
+            return []
+        self.promised = asked
+        return [("meta", "promised", asked)]
+
+    def _accepted(self) -> Write:
+        return ("meta", "accepted", [self.accepted, [item.packed() for item in self.delta.values()]])
+
+    def _nack(self, asked: Ballot) -> Message:
+        return {"t": "nack", "b": asked, "promised": self.promised}
+
+    def _ahead(self, since: Ballot) -> list:
+        return [row(*each) for each in self.copy.since(since)] if self.copy.upto > since else []
+
+    # As one that learns what is settled.
+
+    def learn(self, upto: Ballot, rows: Iterable[tuple[Item, Ballot]]) -> tuple[list[Write], list[Item]]:
+        """All that changed in the settled set since this copy, at the least. An older acceptance yields to
+        it."""
+        if upto <= self.copy.upto:
+            return [], []
+        rows = list(rows)
+        new = self.copy.fold(upto, rows)
+        writes: list[Write] = [("items", [row(*each) for each in rows]), ("meta", "settled", upto)]
+        writes += self._promise(upto)
+        if self.accepted <= upto:
+            self.accepted, self.delta = upto, {}
+            writes.append(self._accepted())
+        return writes, new
+
+    def settle(self, at: Ballot) -> tuple[list[Write], list[Item]] | None:
+        """What was accepted here at that ballot is settled; None where something else was accepted last."""
+        if self.accepted != at or at <= self.copy.upto:
+            return None
+        return self.learn(at, [(item, at) for item in self.delta.values()])
+
+    # As one whose disk came back empty.
+
+    def take_in(self, sender: str, message: Message) -> tuple[list[Write], list[Item]] | None:
+        """An answer to `enrol`; None until enough have come. Then it is caught up, and votes from then on."""
+        if self.known or message["disk"] != self.disk:
+            return None
+        self.members = tuple(sorted(message["members"]))
+        if self.me not in self.members:
+            self.known = True
+            writes, new = self.learn(ballot(message["s"]), map(unrow, message["rows"]))
+            return [*self.first(), *writes], new
+        self.enrolled[sender] = message
+        others = [
+            each for member, each in self.enrolled.items() if member in self.members and member != self.me
+        ]
+        if len(others) < self.enough_to_enrol:
+            return None
+        best = max(others, key=lambda each: ballot(each["s"]))
+        writes, new = self.learn(ballot(best["s"]), map(unrow, best["rows"]))
+        writes += self._promise(max(ballot(each["promised"]) for each in others))
+        last = max(others, key=lambda each: ballot(each["acc"]))
+        if ballot(last["acc"]) > self.copy.upto:
+            self.accepted = ballot(last["acc"])
+            self.delta = {item.key: item for item in map(unpacked, last["delta"])}
+            writes.append(self._accepted())
+        for each in others:
+            self.disks.update({m: d for m, d in each["disks"].items() if m != self.me})
+        self.voting, self.known, self.enrolled = True, True, {}
+        return [*self.first(), *writes, ("meta", "disks", self.disks)], new
--- /dev/null
+++ b/foxspread/orchard/settings.py
@@ -0,0 +1,216 @@
+"""What a process is told: the JSON file that FOXSPREAD_NODE_FILE names, read and checked in one place.
+Unknown keys are ignored; a faulty one is named with its value. The source is the platform's page on
+deployment.
+"""
+
+import os
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import orjson
+from cerberus import Validator
+
+from foxspread.orchard.outcome import Failure
+
+FILE_VARIABLE = "FOXSPREAD_NODE_FILE"
+FILE_USUAL = "/etc/foxspread/node.json"
+Address = tuple[str, int]
+
+# Seconds, unless a name says otherwise: what holds where the file tells no other.
+BOUNDS = {
+    "seed_lag_s": 3.0,
+    "reuse_after_s": 2.0,
+    "in_touch_s": 3.0,
+    "ack_s": 4.0,
+    "catch_up_s": 4.0,
+    "drain_s": 2.0,
+    "grace_s": 6.0,
+    "lost_s": 0.2,
+    "config_s": 2.0,
+    "back_s": 0.25,
+    "outer_s": 5.0,
+    "budget_ratio": 0.2,
+    "budget_window_s": 10.0,
+    "budget_slack": 50.0,
+    "recover_s": 15.0,
+}
+
+_TEXT = {"type": "string", "minlength": 1}
+_NUMBER = {"type": "number", "min": 0}
+SCHEMA = {
+    "node": {**_TEXT, "required": True},
+    "role": {"type": "string"},
+    "machine_class": {"type": "string"},
+    "serves": {"type": "list", "schema": {"type": "string"}, "required": True},
+    "ip": {**_TEXT, "required": True},
+    "zone": {"type": "string", "required": True},
+    "region": {"type": "string"},
+    "zones": {"type": "dict"},
+    "counters": {
+        "type": "dict",
+        "required": True,
+        "valuesrules": {"type": "string", "regex": r"[^\s:]+:[0-9]+"},
+    },
+    "inner_ports": {
+        "type": "list",
+        "minlength": 2,
+        "maxlength": 2,
+        "required": True,
+        "schema": {"type": "integer", "min": 1, "max": 65535},
+    },
+    "seeds": {"type": "list", "schema": {"type": "string", "regex": r"[^\s:]+:[0-9]+"}},
+    "first_start": {"type": "boolean"},
+    "limits": {
+        "type": "dict",
+        "allow_unknown": True,
+        "schema": {"cpu_share": _NUMBER, "memory_mb": _NUMBER, "file_handles": _NUMBER, "link_mbps": _NUMBER},
+    },
+    "data_dir": {"type": "string", "nullable": True},
+    "heartbeat_s": {"type": "number", "min": 0.01},
+    "contracts": {"type": "list"},
+    "tolerate": {
+        "type": "dict",
+        "allow_unknown": True,
+        "schema": {"machines": {"type": "integer", "min": 0}},
+    },
+    "bounds": {"type": ["list", "string"]},
+    "app": {"type": "string", "regex": r"[^\s:]+:[0-9]+"},
+    "service": {"type": "string"},
+}
+
+
+@dataclass(frozen=True)
+class Settings:
+    node: str
+    ip: str
+    zone: str
+    serves: tuple[str, ...]
+    counters: dict[str, Address]
+    inner_ports: tuple[int, int]
+    seeds: tuple[str, ...] = ()  # control addresses, as told
+    region: str = ""
+    zones: dict[str, str] = field(default_factory=dict)
+    first_start: bool = False
+    memory_mb: float = 300.0
+    file_handles: int = 1024
+    data_dir: str | None = None
+    heartbeat_s: float = 1.0
+    tolerate: int = 1
+    bounds: dict[str, float] = field(default_factory=lambda: dict(BOUNDS))
+    app: Address | None = None
+    service: str = ""
+    machine_class: str = ""
+
+    @property
+    def inner(self) -> Address:
+        """Where it hears its own kind. All machines have the same ports free."""
+        return self.ip, self.inner_ports[0]
+
+    @property
+    def keeps(self) -> bool:
+        """Whether it holds the state on a disk."""
+        return self.data_dir is not None
+
+    def seed_addresses(self) -> list[Address]:
+        """Where those that serve control hear their own kind."""
+        return [(address(each)[0], self.inner_ports[0]) for each in self.seeds]
+
+
+def address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def shown(place: Address) -> str:
+    return f"{place[0]}:{place[1]}"
+
+
+def read(path: str | None = None) -> Settings | Failure:
+    """The settings, or a failure that names the key and its value."""
+    path = path or os.environ.get(FILE_VARIABLE) or FILE_USUAL
+    try:
+        with open(path, "rb") as file:
+            data = orjson.loads(file.read())
+    except OSError as error:
+        return Failure(f"{path}: {error.strerror}")
+    except orjson.JSONDecodeError as error:
+        return Failure(f"{path}: {error}")
+    return taken(data)
+
+
+def taken(data: Any) -> Settings | Failure:
+    if not isinstance(data, dict):
+        return Failure("settings must be an object")
+    check = Validator(SCHEMA, allow_unknown=True)
+    if not check.validate(data):
+        return Failure(told(check.errors, data))
+    bounds = _bounds(data.get("bounds", []))
+    if isinstance(bounds, Failure):
+        return bounds
+    limits = data.get("limits", {})
+    return Settings(
+        data["node"],
+        data["ip"],
+        data["zone"],
+        tuple(data["serves"]),
+        {name: address(each) for name, each in data["counters"].items()},
+        tuple(data["inner_ports"]),
+        tuple(data.get("seeds", ())),
+        data.get("region", ""),
+        data.get("zones", {}),
+        data.get("first_start", False),
+        limits.get("memory_mb", 300.0),
+        int(limits.get("file_handles", 1024)),
+        data.get("data_dir"),
+        data.get("heartbeat_s", 1.0),
+        data.get("tolerate", {}).get("machines", 1),
+        bounds,
+        address(data["app"]) if data.get("app") else None,
+        data.get("service", ""),
+        data.get("machine_class", ""),
+    )
+
+
+def _bounds(given: list | str) -> dict[str, float] | Failure:
+    bounds = dict(BOUNDS)
+    for row in given.split(",") if isinstance(given, str) else given:
+        name, found, value = str(row).strip().partition("=")
+        if not found:
+            return Failure(f"bounds: {row!r} is not name=value")
+        if value in ("true", "false"):
+            bounds[name] = float(value == "true")
+            continue
+        try:
+            bounds[name] = float(value)
+        except ValueError:
+            if name in BOUNDS:
+                return Failure(f"bounds: {name}={value!r} is no number")
+    return bounds
+
+
+def told(errors: dict, data: Any) -> str:
+    """The first of cerberus's errors, as a path of keys, the value there and what is wrong with it."""
+    path, found = [], data
+    while isinstance(errors, dict) and errors:
+        key, rows = next(iter(errors.items()))
+        path.append(str(key))
+        try:
+            found = found[key]
+        except (KeyError, IndexError, TypeError):
+            found = None
+        errors = rows[-1] if rows else "is not to be understood"
+    text = repr(found)
+    return f"{'.'.join(path)}: {text if len(text) < 80 else text[:77] + '...'}: {errors}"
+
+
+def moved(old: Settings, new: Settings) -> Settings:
+    """What a running process takes up of a changed file: all but where it listens and what it keeps."""
+    return replace(
+        new,
+        counters=old.counters,
+        ip=old.ip,
+        inner_ports=old.inner_ports,
+        data_dir=old.data_dir,
+        node=old.node,
+        first_start=old.first_start,
+    )
