--- a/foxspread/orchard/furrow/heads.py
+++ b/foxspread/orchard/furrow/heads.py
@@ -20,7 +20,7 @@
         b"x-orchard",
     }
 )
-# Of the system's own on the way between its sidecars. On a request: aim in milliseconds, and whether it is safe;
+# Of the system's own on the way between its sidecars. On a request: aim in milliseconds, whether it is safe;
 # on an answer: a word and how many requests the last hop holds there.
 WORD = b"X-Orchard"
 SENT, UNSENT, LOST, LATE = b"sent", b"unsent", b"lost", b"late"
