Own zone first until its servers fill; refused dials again at once; what goes unserved is logged

Ruled out: failures of inner calls as cause of 500s (133 of 133 are the server's own, the same requests each time).

--- a/foxspread/orchard/furrow/caller.py
+++ b/foxspread/orchard/furrow/caller.py
@@ -2,6 +2,7 @@
 step."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 from foxspread.model import Outcome
@@ -12,6 +13,7 @@
 from foxspread.orchard.furrow.lanes import End, Lane, Lanes
 from foxspread.orchard.furrow.serving import Desk, Exchange, Limits
 from foxspread.orchard.graft.routes import RouteTable
+from foxspread.orchard.log import say
 
 REFUSED_BY_SERVER = ("refused", "silent", "gone")  # why nothing was handed over: the server's own doing
 
@@ -42,7 +44,7 @@
             answer = self.errand.tries[step.number].answer
             self.exchange.answer(answer.status, bytes(answer.body), heads.kept(answer))
         else:
-            self.desk.counts[step.status] = self.desk.counts.get(step.status, 0) + 1
+            self.desk.count(self.errand, step)
             lines = [b"Retry-After: %.3f\r\n" % step.back_in] if step.back_in is not None else []
             self.exchange.answer(step.status, step.why.encode() + b"\n", lines)
 
@@ -106,6 +108,10 @@
         if errand.tries[number].outcome is not None:
             return
         self.legs[number] = None
+        if outcome is not Outcome.DONE:
+            status = answer.status if answer is not None else 0
+            server = errand.tries[number].upstream.id
+            self.desk.tries[errand.route.name, server, outcome.name.lower(), status] += 1
         self.desk.steering.ended(now, errand, number, outcome, arrived, answer, busy)
         self.carry(self.desk.steering.next(now, errand))
 
@@ -184,7 +190,21 @@
         super().__init__(clock, Limits())
         self.node, self.caller, self.steering, self.table, self.knows = node, caller, steering, table, knows
         self.lanes, self.hop = lanes, hop
-        self.counts: dict[int, int] = {}  # of answers that were not a server's
+        self.counts: Counter[tuple[str, int, str]] = Counter()  # of answers that were not a server's
+        self.tries: Counter[tuple[str, str, str, int]] = Counter()  # of sendings that did not end well
+
+    def count(self, errand: Errand, step: Refuse) -> None:
+        tries = ",".join(each.outcome.name.lower() if each.outcome else "out" for each in errand.tries)
+        self.counts[errand.route.name, step.status, f"{step.why} after {tries or 'no try'}"] += 1
+
+    def tell(self) -> None:
+        """What went wrong since the last time: a line a route and reason."""
+        for (route, server, outcome, status), times in self.tries.items():
+            say("tries", route=route, server=server, outcome=outcome, status=status, times=times)
+        self.tries.clear()
+        for (route, status, why), times in self.counts.items():
+            say("unserved", route=route, status=status, why=why, times=times)
+        self.counts.clear()
 
     def take(self, exchange: Exchange) -> None:
         message = exchange.message
--- a/foxspread/orchard/gate/instances.py
+++ b/foxspread/orchard/gate/instances.py
@@ -6,6 +6,7 @@
 from cerberus import Validator
 
 from foxspread.orchard.grove.lives import DRAINING, READY, Lives
+from foxspread.orchard.log import say
 from foxspread.orchard.outcome import Failure
 from foxspread.orchard.settings import told
 
@@ -48,6 +49,7 @@
         if isinstance(news, Failure):
             return news
         if news:
+            say("server", id=id, service=beat["service"], state=beat["state"], sequence=beat["sequence"])
             self.changed()
         if beat["state"] == DRAINING and not await self.spread():
             return Failure("nobody else could be told yet", 503)
@@ -55,5 +57,6 @@
 
     async def post_leave(self, id: str, body: bytes) -> dict | Failure:
         if self.lives.leave(self.clock(), id):
+            say("server", id=id, state="left")
             self.changed()
         return {}
--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -37,6 +37,7 @@
 
 TICK_S = 0.1
 DIAL_S = 0.6  # for a link to come up
+REDIAL_S = 0.12  # after a refusal: whoever refuses is about to be there
 DIALS_MOST = 5  # links to machines with a disk that a sidecar keeps
 QUIET_S = 2.3  # after SIGTERM, by when the platform has missed twice and sends nobody here any more
 SPREAD_S = 0.7  # for others to learn of a drain, before the server is told to ask again
@@ -178,6 +179,7 @@
         self.done.set()
 
     def _reread(self) -> None:
+        """At SIGHUP, and now and then: the file may also change without a signal."""
         new = read()
         if isinstance(new, Failure):
             return say("settings_refused", why=new.reason)
@@ -211,6 +213,8 @@
                     desk.sweep(now)
                 self.lanes.sweep()
                 self.app_lanes.sweep()
+            if count % 100 == 0:
+                self.caller_desk.tell()
             if count % 20 == 0:
                 self._reread()
                 self.hop.core.sweep()
@@ -337,7 +341,10 @@
         try:
             async with asyncio.timeout(DIAL_S):
                 _, link = await self.loop.create_connection(self._link, *place)
-        except (OSError, TimeoutError):
+        except TimeoutError:
+            return
+        except OSError:
+            self.dialling[place] = self.clock() + REDIAL_S * (1 + self.chance.draw())
             return
         link.dialled = place
 
--- a/foxspread/orchard/ripeness/health.py
+++ b/foxspread/orchard/ripeness/health.py
@@ -13,6 +13,7 @@
 
 LOOK_S = 0.25  # after which zones are weighed anew
 QUEUE = 0.5  # of its berths: so many may wait at a server that nobody has a free one beside
+FEW = 0.6            # of its berths: so many requests at a server are never too many
 COLD_PART = 0.5  # of a turn, for a server that has just started
 
 
@@ -44,6 +45,8 @@
                     self.measures.met(now, id, upstream.zone)
             self.seen = service.changed
         ready = service.ready
+        berths = sum(service.by_id[id].berths for id in ready) / max(1, len(ready))
+        self.rotation.few = max(2.0, FEW * berths)
         self.panic = self.marks.in_panic(ready)
         self.groups = {zone: ring.names for zone, ring in service.rings.items()}
         healthy = {
