High ranks first at a server; links that come up late join the round under way

Change: the round's message is sent again to a member whose link comes up; the last hop lets ranks up to 1 wait for 0.35 of their time left and others for 0.15 of their aim, and keeps 0.15 of the berths from others for a second after a high one had to wait.

--- a/foxspread/orchard/furrow/caller.py
+++ b/foxspread/orchard/furrow/caller.py
@@ -11,6 +11,7 @@
 from foxspread.orchard.furrow.errand import Errand, Pass, Refuse, Send, Steering, Step
 from foxspread.orchard.furrow.hop import Handing, Hop
 from foxspread.orchard.furrow.lanes import End, Lane, Lanes
+from foxspread.orchard.furrow.lasthop import Terms
 from foxspread.orchard.furrow.serving import Desk, Exchange, Limits
 from foxspread.orchard.graft.routes import RouteTable
 from foxspread.orchard.log import say
@@ -21,11 +22,12 @@
 class Job:
     """One request of a client, held until its one answer."""
 
-    __slots__ = ("desk", "exchange", "errand", "lines", "legs", "timer")
+    __slots__ = ("desk", "exchange", "errand", "lines", "legs", "timer", "terms")
 
     def __init__(self, desk: "CallerDesk", exchange: Exchange, errand: Errand) -> None:
         self.desk, self.exchange, self.errand = desk, exchange, errand
         self.lines = heads.kept(exchange.message)
+        self.terms = Terms(errand.route.aim, max(0, errand.route.priority), errand.route.safe)
         self.legs: list[Lane | Handing | asyncio.Task | None] = []  # by try: what carries it
         self.timer = asyncio.get_running_loop().call_later(max(0.0, errand.until - errand.begun), self.late)
 
@@ -64,7 +66,7 @@
                 self.ended(number, *judged(word, why, answer), answer, busy)
 
             self.legs[number] = desk.hop.hand(
-                message, self.lines, upstream.id, desk.caller, left, route.aim, route.safe, told
+                message, self.lines, upstream.id, desk.caller, left, self.terms, told
             )
             return None
         lane = desk.lanes.reuse(upstream.place)
@@ -86,9 +88,9 @@
 
     def _ask(self, number: int, lane: Lane) -> None:
         desk, errand, message = self.desk, self.errand, self.exchange.message
-        route, this = errand.route, errand.tries[number]
+        this = errand.tries[number]
         self.legs[number] = lane
-        hint = b"%b: %d %b\r\n" % (heads.WORD, int(route.aim * 1000), b"safe" if route.safe else b"unsafe")
+        hint = heads.hint(self.terms)
         parts = heads.request(
             message, self.lines, errand.until - desk.clock(), desk.caller, this.upstream.id.encode(), hint
         )
--- a/foxspread/orchard/furrow/errand.py
+++ b/foxspread/orchard/furrow/errand.py
@@ -17,6 +17,8 @@
 
 MARGIN_S = 0.012  # before the client gives up: its answer is on the way by then
 TRIES_MOST = 6  # sendings of one request, those that never left included
+QUEUE = {0: 0.5, 1: 0.5}  # of a server's berths, that may wait there, for requests of this rank
+QUEUE_REST = 0.25  # and of any lower one
 LAST_PART = 0.25  # of the time left, after which a client is asked to come back at the latest
 
 
@@ -182,7 +184,10 @@
             now + 0.7 * usual > errand.until or not self.budget(errand.service).allows(now, self.sidecars())
         ):
             return None
-        upstream = errand.health.choose(now, {each.upstream.id for each in tries} if tries else ())
+        queue = (
+            0.0 if arrived else QUEUE.get(route.priority, QUEUE_REST)
+        )  # twice the work only where there is room
+        upstream = errand.health.choose(now, {each.upstream.id for each in tries} if tries else (), queue)
         if upstream is None:
             return None
         if arrived:
--- a/foxspread/orchard/furrow/heads.py
+++ b/foxspread/orchard/furrow/heads.py
@@ -1,6 +1,7 @@
 """Heads as they go on: what concerns one connection stays behind, what the system says is set."""
 
 from foxspread.net import http
+from foxspread.orchard.furrow.lasthop import Terms
 
 # Never passed on: of one connection (RFC 9110, 7.6.1), or written by the system itself.
 OWN = frozenset(
@@ -20,13 +21,12 @@
         b"x-orchard",
     }
 )
-# Of the system's own on the way between its sidecars. On a request: aim in milliseconds, whether it is safe;
+# Of the system's own, on the way between its sidecars. On a request: aim in milliseconds, rank, safe or not;
 # on an answer: a word and how many requests the last hop holds there.
 WORD = b"X-Orchard"
 SENT, UNSENT, LOST, LATE = b"sent", b"unsent", b"lost", b"late"
 
 
-
 def kept(message: http.Message) -> list[bytes]:
     """The lines that go on, as one write's parts."""
     named: set[bytes] = set()
@@ -61,6 +61,23 @@
     ]
 
 
+def hint(terms: Terms) -> bytes:
+    return b"%b: %d %d %b\r\n" % (
+        WORD,
+        int(terms.aim * 1000),
+        terms.rank,
+        b"safe" if terms.safe else b"unsafe",
+    )
+
+
+def terms(told: bytes | None) -> Terms:
+    """What is not plain counts as unsafe and of the lowest rank."""
+    parts = (told or b"").split(b" ")
+    if len(parts) != 3 or not parts[0].isdigit() or not parts[1].isdigit():
+        return Terms()
+    return Terms(int(parts[0]) / 1000, int(parts[1]), parts[2] == b"safe")
+
+
 def deadline(message: http.Message) -> float | None:
     """Seconds; None where it is not told or not to be understood."""
     told = message.header(b"x-deadline-ms")
--- a/foxspread/orchard/furrow/hop.py
+++ b/foxspread/orchard/furrow/hop.py
@@ -8,7 +8,7 @@
 from foxspread.net import http
 from foxspread.orchard.furrow import heads
 from foxspread.orchard.furrow.lanes import End, Lane, Lanes
-from foxspread.orchard.furrow.lasthop import LastHop
+from foxspread.orchard.furrow.lasthop import LastHop, Terms
 from foxspread.orchard.furrow.serving import Desk, Exchange, Limits
 from foxspread.orchard.outcome import Failure
 
@@ -72,14 +72,13 @@
         id: str,
         caller: bytes,
         left: float,
-        aim: float,
-        safe: bool,
+        terms: Terms,
         told: Told,
     ) -> Handing | None:
         """`told` is called once, unless the handing is dropped first; at once where nothing is handed
         over."""
         now = self.clock()
-        place = self.core.admit(now, id, left, aim)
+        place = self.core.admit(now, id, left, terms)
         if isinstance(place, Failure):
             told(heads.UNSENT, place.reason, None, self.core.of(id).busy if place.reason != "gone" else 0)
             return None
@@ -87,7 +86,7 @@
         handing.timer = asyncio.get_running_loop().call_later(left, handing.late)
         parts = heads.request(message, lines, left, caller, id.encode())
         request_id = message.header(b"x-request-id") or b""
-        lane = self.lanes.reuse(place, None if safe else FRESH_S)
+        lane = self.lanes.reuse(place, None if terms.safe else FRESH_S)
         if lane is not None:
             self._ask(handing, lane, parts, request_id)
         else:
@@ -126,11 +125,7 @@
     def take(self, exchange: Exchange) -> None:
         message = exchange.message
         id, caller = message.text(b"x-expect-instance"), message.header(b"x-caller") or b""
-        aim, safe = 1.0, False
-        hint = message.header(heads.WORD.lower())
-        if hint is not None:
-            told, _, word = hint.partition(b" ")
-            aim, safe = int(told) / 1000 if told.isdigit() else 1.0, word == b"safe"
+        terms = heads.terms(message.header(heads.WORD.lower()))
 
         def told(word: bytes, why: str, answer: http.Message | None, busy: int) -> None:
             line = b"%b: %b %d %b\r\n" % (
@@ -147,7 +142,7 @@
                 exchange.answer(answer.status, bytes(answer.body), [*heads.kept(answer), line])
 
         handing = self.hop.hand(
-            message, heads.kept(message), id, caller, heads.deadline(message) or 0.0, aim, safe, told
+            message, heads.kept(message), id, caller, heads.deadline(message) or 0.0, terms, told
         )
         if handing is not None and exchange.parts is None:
             exchange.left = handing.drop
--- a/foxspread/orchard/furrow/lasthop.py
+++ b/foxspread/orchard/furrow/lasthop.py
@@ -4,7 +4,9 @@
 value.
 """
 
+import math
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from foxspread.orchard.grove.lives import DRAINING, GONE, Lives
 from foxspread.orchard.outcome import Failure
@@ -12,16 +14,29 @@
 from foxspread.sums import Mean
 
 DRAIN_PART = 0.6  # of `drain_s`, for which requests under way to a draining server are still let through
-WAIT_PART = 0.6  # of its aim, that a request may be expected to wait at the server
+HIGH = 1  # ranks up to this one are the last to be turned away
+WAIT_HIGH = 0.35  # of the time it has left, that a request of high rank may be expected to wait at the server
+WAIT_REST = 0.15  # of its aim, for others: what is behind is delayed too, and the server no busier for it
+PRESSED_S = 1.0  # after one of high rank found no room or had to wait for long, others get no more than
+PRESSED_PART = 0.85  # of the berths
 QUEUE_MOST = 1.5  # of its berths
 
 
+class Terms(NamedTuple):
+    """What the route says of a request, as far as the last hop needs it."""
+
+    aim: float = 1.0  # seconds
+    rank: int = 2  # 0 is the highest
+    safe: bool = False
+
+
 @dataclass(slots=True)
 class Holding:
     """What is handed over to one life and not answered."""
 
     busy: int = 0
     draining_at: float | None = None
+    pressed_at: float = -math.inf
     took: Mean = None
 
 
@@ -36,7 +51,7 @@
             found = self.holding[id] = Holding(took=Mean(5.0, 0.05, most=50.0))
         return found
 
-    def admit(self, now: float, id: str, left: float, aim: float) -> Address | Failure:
+    def admit(self, now: float, id: str, left: float, terms: Terms) -> Address | Failure:
         """Where to hand it over; counted as held from then on, until `released`."""
         server = self.lives.servers.get(id)
         if server is None or server.state == GONE:
@@ -49,9 +64,12 @@
                 return Failure("draining")
         mean = holding.took.read(now)
         wait = max(0, holding.busy + 1 - server.berths) * mean / server.berths
-        if holding.busy >= server.berths and (
-            wait > WAIT_PART * aim or holding.busy >= QUEUE_MOST * server.berths
-        ):
+        high = terms.rank <= HIGH
+        most = WAIT_HIGH * left if high else WAIT_REST * terms.aim
+        if high and wait > most / 3:
+            holding.pressed_at = now
+        pressed = not high and now - holding.pressed_at < PRESSED_S
+        if wait > most or holding.busy >= (PRESSED_PART if pressed else QUEUE_MOST) * server.berths:
             return Failure("full")
         if left <= 0.0 or wait + 0.3 * mean > left:
             return Failure("late")
--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -146,6 +146,7 @@
                 upto=stock.copy.upto[0],
                 items=len(stock.copy.items),
             )
+        self._dial(self.clock())
         ticking = loop.create_task(self._tick())
         await self.done.wait()
         ticking.cancel()
@@ -380,6 +381,8 @@
         self.exchange.met(name)
         link.send({"t": "have", "v": self.exchange.whole(name)})
         say("link", peer=name)
+        if hello["member"] and self.keeper is not None:
+            self.keeper.reached(hello["member"])
 
     def _noticed(self, versions: dict[str, list]) -> None:
         told = versions.get(self.settings.node)
--- a/foxspread/orchard/ripeness/health.py
+++ b/foxspread/orchard/ripeness/health.py
@@ -12,8 +12,7 @@
 from foxspread.sums import Chance, Mean
 
 LOOK_S = 0.25  # after which zones are weighed anew
-QUEUE = 0.5  # of its berths: so many may wait at a server that nobody has a free one beside
-FEW = 0.6            # of its berths: so many requests at a server are never too many
+FEW = 0.6  # of its berths: so many requests at a server are never too many
 COLD_PART = 0.5  # of a turn, for a server that has just started
 
 
@@ -77,8 +76,9 @@
         ):
             by_id.pop(id, None)
 
-    def choose(self, now: float, tried: Container[str], part: float = 1.0) -> Upstream | None:
-        """The server whose turn it is; None where there is none with room. `part`: of the room there is."""
+    def choose(self, now: float, tried: Container[str], queue: float = 0.0) -> Upstream | None:
+        """The server whose turn it is; None where there is none with room. `queue`: part of its berths that
+        may wait there, where none has a free one."""
         service = self.service
         if now >= self.look_at or self.seen != service.changed:
             self._look(now)
@@ -106,14 +106,14 @@
             cold = 1.0 if now >= by_id[id].warm_at else COLD_PART
             return cold * self.measures.part_of_turn(now, self.entries[id], 1.0)
 
-        for queue in (0.0, QUEUE):
+        for more in (0.0, queue) if queue else (0.0,):
 
-            def fits(id: str, queue: float = queue) -> bool:
+            def fits(id: str, more: float = more) -> bool:
                 upstream = by_id[id]
                 return (
                     id not in tried
                     and (self.panic or id not in marks.marked)
-                    and upstream.busy(now) < upstream.berths * (part + queue)
+                    and upstream.busy(now) < upstream.berths * (1.0 + more)
                 )
 
             for zone in zones:
--- a/foxspread/orchard/rootstock/keeper.py
+++ b/foxspread/orchard/rootstock/keeper.py
@@ -90,6 +90,14 @@
             self.disk.put(found[0], lambda: None)
             self.settled(found[1])
 
+    def reached(self, member: str) -> None:
+        """A link to that member has come up."""
+        if self.stock is not None and self.stock.known:
+            self._do(self.writer.reached(member))
+        else:
+            self.next_enrol = 0.0
+        self.tick()
+
     def tick(self) -> None:
         if self.stock is None:
             return
--- a/foxspread/orchard/rootstock/writer.py
+++ b/foxspread/orchard/rootstock/writer.py
@@ -75,6 +75,15 @@
             self._begin(now, out)
         return out
 
+    def reached(self, member: str) -> Out:
+        """A link to that member has come up: it may have missed what is being asked."""
+        out = Out()
+        if self.ballot is not None:
+            promise = self.promises.get(member)
+            since = ballot(promise["s"]) if promise else self.stock.copy.upto
+            out.sends.append((member, self._prepare() if self.value is None else self._accept(since)))
+        return out
+
     def wake_at(self) -> float | None:
         times = [call.until for call in (*self.waiting, *self.running)]
         if self.ballot is not None:
@@ -119,9 +128,12 @@
         self.round_until, self.wanted = now + ROUND_S, False
         self.running += self.waiting
         self.waiting = []
-        ask = {"t": "prepare", "b": self.ballot, "s": self.stock.copy.upto}
+        ask = self._prepare()
         out.sends += [(member, ask) for member in self.stock.members]
 
+    def _prepare(self) -> Message:
+        return {"t": "prepare", "b": self.ballot, "s": self.stock.copy.upto}
+
     def _lost(self, now: float, draw: float) -> None:
         self.ballot, self.losses = None, min(self.losses + 1, 6)
         self.wanted = self.wanted or not self.running
