--- a/foxspread/orchard/furrow/lasthop.py
+++ b/foxspread/orchard/furrow/lasthop.py
@@ -18,7 +18,7 @@
 WAIT_HIGH = 0.35  # of the time it has left, that a request of high rank may be expected to wait at the server
 WAIT_REST = 0.15  # of its aim, for others: what is behind is delayed too, and the server no busier for it
 PRESSED_S = 1.0  # after one of high rank found no room or had to wait for long, others get no more than
-PRESSED_PART = 0.85  # of the berths
+PRESSED_PART = 1.0  # of the berths
 QUEUE_MOST = 1.5  # of its berths
 
 
