A connection that is gone before it is asked has carried nothing

A server that resets surplus connections may do so between the coming up of one and the first write. Asking such a lane raised in the task of the request, which then waited for its deadline and was answered 504; an unsafe one was never tried elsewhere.

Asking it now ends at once with `written` false, and both hops tell that as not sent: the next server is tried.

--- a/foxspread/orchard/furrow/caller.py
+++ b/foxspread/orchard/furrow/caller.py
@@ -95,7 +95,8 @@
 
         def ended(end: End) -> None:
             if end.message is None:
-                return self.ended(number, Outcome.RESET, True, None, None)
+                outcome = Outcome.RESET if end.written else Outcome.UNCONNECTED
+                return self.ended(number, outcome, end.written, None, None)
             word, busy, why = told_word(end.message)
             self.ended(number, *judged(word, why, end.message), end.message, busy)
 
--- a/foxspread/orchard/furrow/hop.py
+++ b/foxspread/orchard/furrow/hop.py
@@ -109,7 +109,7 @@
 
         def ended(end: End) -> None:
             if end.message is None:
-                handing.end(heads.LOST, end.why)
+                handing.end(heads.LOST if end.written else heads.UNSENT, end.why)
             else:
                 handing.end(heads.SENT, "", end.message)
 
--- a/foxspread/orchard/furrow/lanes.py
+++ b/foxspread/orchard/furrow/lanes.py
@@ -49,6 +49,9 @@
     def ask(self, parts: Sequence[bytes], id: bytes, then: Callable[[End], None]) -> None:
         """`then` is called once, unless `drop` comes first. `id`: what the answer has to carry."""
         self.then, self.id, self.strays = then, id, 0
+        if self.transport is None or self.transport.is_closing():
+            self.close()
+            return self._end(End(None, False, "refused"))
         self.transport.write(b"".join(parts))
 
     def data_received(self, data: bytes) -> None:
--- a/tests/orchard/furrow/test_path.py
+++ b/tests/orchard/furrow/test_path.py
@@ -109,6 +109,12 @@
 BETWEEN = {
     "refused": (None, (200, 1), (200, 1)),
     "no connection comes up": (Loop.SILENT, (200, 1), (200, 1)),
+    "reset before it is asked": (lambda seen: Script(seen=seen, at_once=reset), (200, 1), (200, 1)),
+    "bytes before it is asked": (
+        lambda seen: Script(seen=seen, at_once=lambda line: line.transport.write(b"HTTP/1.1 ")),
+        (200, 1),
+        (200, 1),
+    ),
     "reset of a part": (lambda seen: Script(seen=seen, at_once=after_some(40)), (200, 2), (502, 1)),
     "reset when read": (lambda seen: Script([reset], seen), (200, 2), (502, 1)),
     "closed when read": (lambda seen: Script([close], seen), (200, 2), (502, 1)),
@@ -167,12 +173,18 @@
                     self.assertEqual((status, sendings), got, (beside, name, mail_class))
 
     def test_a_server_that_can_not_be_reached(self):
-        # Guards: nothing was sent, so another is tried, whatever the request.
+        # Guards: nothing was sent, so another is tried, whatever the request; also where a connection comes
+        # up and is reset, or shows bytes, before anything is written to it.
+        def early(line):
+            line.transport.write(answer())
+
         for beside in (False, True):
             for mail_class in ("safe", "unsafe"):
                 for name, broken in (
                     ("refused", None),
                     ("silent", Loop.SILENT),
+                    ("reset", lambda: Script(at_once=reset)),
+                    ("bytes", lambda: Script(at_once=early)),
                 ):
                     first = self.first_asked(mail_class) if not beside else "me"
                     site = Site(self.loop, beside=beside, mail_class=mail_class)
