An unsafe request that a server may have run is not answered 408, 429 or 503

Only X-Not-Run says that a server has not run a request. One that answered 503, 429 or 408 without it had its status passed on to the client, for whom these statuses promise that the request has not run. For unsafe routes the client now gets 502.

--- a/foxspread/orchard/furrow/errand.py
+++ b/foxspread/orchard/furrow/errand.py
@@ -17,6 +17,7 @@
 
 MARGIN_S = 0.012  # before the client gives up: its answer is on the way by then
 TRIES_MOST = 6  # sendings of one request, those that never left included
+PROMISES = (408, 421, 429, 503)  # statuses that tell a client that its request has not run and never will
 LAST_PART = 0.25  # of the time left, after which a client is asked to come back at the latest
 
 
@@ -126,7 +127,7 @@
             return None
         if errand.done is not None:
             errand.over = True
-            return Pass(errand.done)
+            return self._passed(errand, errand.done)
         if errand.out():
             return None
         route = errand.route
@@ -190,11 +191,17 @@
         tries.append(Try(upstream, errand.health.sent(now, upstream)))
         return Send(len(tries) - 1, upstream)
 
+    def _passed(self, errand: Errand, number: int) -> Pass | Refuse:
+        """Without X-Not-Run such a status is no promise of the server's: passed on, it would be ours."""
+        if not errand.route.safe and errand.tries[number].answer.status in PROMISES:
+            return Refuse(502, "the server may have run it")
+        return Pass(number)
+
     def _end(self, now: float, errand: Errand, ran: bool) -> Pass | Refuse:
         errand.over = True
         for number in range(len(errand.tries) - 1, -1, -1):
             if errand.tries[number].outcome is Outcome.ERROR and errand.tries[number].answer is not None:
-                return Pass(number)  # the server's own word
+                return self._passed(errand, number)  # the server's own word
         if ran:
             if any(each.outcome is Outcome.TIMED_OUT for each in errand.tries):
                 return Refuse(504, "no answer in time")
--- a/tests/orchard/furrow/test_path.py
+++ b/tests/orchard/furrow/test_path.py
@@ -103,6 +103,10 @@
     "429 that has not run": (not_run(429), (200, 2), (200, 2)),
     "421 of one that took over the address": (not_run(421), (200, 2), (200, 2)),
     "421 without further word": (answer(421), (200, 2), (200, 2)),
+    # Not the server's word that it has not run: passed on it would be ours.
+    "503 that may have run": (answer(503), (200, 2), (502, 1)),
+    "429 that may have run": (answer(429), (429, 1), (502, 1)),
+    "408 that may have run": (answer(408), (408, 1), (502, 1)),
     "reset of a part": (after_some(40), (200, 2), (502, 1)),
 }
 # The same between sidecars: how the first one that is asked behaves, and how many requests servers see.
