A last answer ends our side of the connection only; a slow reader is one that takes nothing

Closing with bytes unread, as behind pipelined requests, makes the kernel reset the connection, and the peer may lose the answer on its way. Now our side is shut, what still comes is passed over, and the connection closes when the peer ends or after a second. Nothing can be written behind a closing answer any more: a request behind one that closes got a 400 of its own.

A peer counted as stalled from the first byte above the mark until the buffer was low again, so that one that read a large answer steadily was cut off after 8 s; and one that took nothing of a closing answer was never left at all. Now what counts is whether the bytes that wait have moved.

--- a/foxspread/orchard/furrow/serving.py
+++ b/foxspread/orchard/furrow/serving.py
@@ -12,6 +12,7 @@
 WAITING_MOST = 32  # requests of one connection that are read and not answered
 BUFFERED_MOST = 256 * 1024  # bytes of answers that wait to be taken, from which on nothing more is read
 STALL_S = 8.0  # for which a peer may take nothing
+LINGER_S = 1.0  # after our last byte, for the peer to end
 PHRASES = {
     **http.PHRASES,
     202: b"Accepted",
@@ -108,7 +109,7 @@
 
     def end_idle(self) -> None:
         for line in list(self.lines):
-            if not line.waiting and not line.reader.busy and line.transport is not None:
+            if not line.waiting and not line.reader.busy and line.transport is not None and not line.refused:
                 line.transport.close()
 
 
@@ -120,7 +121,9 @@
         self.transport: asyncio.Transport | None = None
         self.retiring = self.refused = self.held_up = False
         self.since = desk.clock()  # idle, or reading what is under way
-        self.stalled: float | None = None
+        self.stalled = False
+        self.unsent, self.took_at = 0, self.since  # bytes that wait to be taken; when that last moved
+        self.ended_at: float | None = None  # when the last answer was written
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -166,6 +169,8 @@
         self._throttle()
 
     def _refuse(self, status: int, text: str) -> None:
+        if self.ended_at is not None:
+            return
         self.refused = True
         exchange = Exchange(self, http.Message(), self.desk.clock())
         self.waiting.append(exchange)
@@ -187,25 +192,34 @@
                 if exchange.left is not None:
                     exchange.left()
             waiting.clear()
-            self.refused = True
-            self.transport.close()
+            self._end()
         else:
             self._throttle()
 
+    def _end(self) -> None:
+        """Of our side only: a close with bytes unread resets the connection, and the answer may be lost. What
+        still comes is passed over."""
+        self.refused, self.ended_at = True, self.desk.clock()
+        if not self.transport.is_closing():
+            self.transport.write_eof()
+        if self.held_up:
+            self.held_up = False
+            self.transport.resume_reading()
+
     def _throttle(self) -> None:
-        if self.transport is None or self.transport.is_closing():
+        if self.transport is None or self.transport.is_closing() or self.ended_at is not None:
             return
-        full = len(self.waiting) >= WAITING_MOST or self.stalled is not None
+        full = len(self.waiting) >= WAITING_MOST or self.stalled
         if full != self.held_up:
             self.held_up = full
             (self.transport.pause_reading if full else self.transport.resume_reading)()
 
     def pause_writing(self) -> None:
-        self.stalled = self.desk.clock()
+        self.stalled = True
         self._throttle()
 
     def resume_writing(self) -> None:
-        self.stalled = None
+        self.stalled = False
         self._throttle()
 
     def sweep(self, now: float) -> None:
@@ -213,8 +227,16 @@
         if self.transport is None:
             return
         limits, reader = self.desk.limits, self.reader
-        if self.stalled is not None and now - self.stalled > STALL_S:
+        unsent = self.transport.get_write_buffer_size()
+        if not unsent or unsent != self.unsent:
+            self.unsent, self.took_at = unsent, now
+        if now - self.took_at > STALL_S:
             self.transport.abort()
+        elif self.ended_at is not None:
+            if unsent:
+                self.ended_at = now
+            elif now - self.ended_at > LINGER_S:
+                self.transport.close()
         elif self.waiting or self.refused:
             return
         elif reader.busy:
--- /dev/null
+++ b/tests/orchard/furrow/test_serving.py
@@ -0,0 +1,231 @@
+"""The side that is asked: bytes in any cut, answers in order, bounds, and how connections end."""
+
+from foxspread.orchard.furrow.serving import (
+    BUFFERED_MOST,
+    LINGER_S,
+    STALL_S,
+    Desk,
+    Limits,
+    Serving,
+)
+from tests.orchard.helpers import OnLoop, Transport, request, request_in, statuses
+
+TWO = request(b"/one", b"POST", b"q1", b"pay") + request(b"/two", id=b"q2")
+# What two readers could see end in two places, or read as two different things.
+SMUGGLED = {
+    "two lengths": b"Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+    "two lengths that differ": b"Content-Length: 3\r\nContent-Length: 0\r\n\r\nabc",
+    "a list of lengths": b"Content-Length: 3, 3\r\n\r\nabc",
+    "a sign": b"Content-Length: +3\r\n\r\nabc",
+    "a length of no digits": b"Content-Length: 0x3\r\n\r\nabc",
+    "an empty length": b"Content-Length: \r\n\r\n",
+    "length, then chunks": b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "chunks, then length": b"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+    "a length in other spelling": b"Content_Length: 3\r\nContent-Length: 0\r\n\r\n",
+    "chunks not alone": b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "almost chunked": b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+    "chunked twice": b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "a fold": b"X-A: b\r\n Content-Length: 3\r\n\r\nabc",
+    "a fold by tab": b"X-A: b\r\n\tContent-Length: 3\r\n\r\nabc",
+    "a bare LF": b"X-A: b\nContent-Length: 3\r\n\r\nabc",
+    "a bare CR": b"X-A: b\rContent-Length: 3\r\n\r\nabc",
+    "a bare CR in a value": b"X-A: b\r c\r\n\r\n",
+    "a zero byte": b"X-A: b\0c\r\n\r\n",
+    "a space before the colon": b"Content-Length : 3\r\n\r\nabc",
+    "no name": b": 3\r\n\r\n",
+    "no colon": b"Content-Length\r\n\r\n",
+    "a bare LF at a chunk's size": b"Transfer-Encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\n",
+    "a bare LF in a chunk's extension": b"Transfer-Encoding: chunked\r\n\r\n3;a\nabc\r\n0\r\n\r\n",
+    "a chunk longer than it says": b"Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
+    "a chunk's size of no digits": b"Transfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n0\r\n\r\n",
+}
+
+
+class Held(Desk):
+    """Keeps what it takes until the test answers; what is `at_once` is answered as it comes."""
+
+    def __init__(self, loop, limits=None):
+        super().__init__(loop.time, limits or Limits())
+        self.taken, self.at_once, self.gone = [], False, []
+
+    def take(self, exchange):
+        self.taken.append(exchange)
+        exchange.left = lambda: self.gone.append(exchange.message.target)
+        if self.at_once:
+            exchange.answer(200, exchange.message.target)
+
+
+class Serves(OnLoop):
+    def desk(self, **limits):
+        return Held(self.loop, Limits(**limits))
+
+    def line(self, desk):
+        line = Serving(desk)
+        transport = Transport(self.loop, line)
+        line.connection_made(transport)
+        return line, transport
+
+    def feed(self, transport, data, size=None):
+        step = size or len(data)
+        for at in range(0, len(data), step):
+            transport.receive(data[at : at + step])
+
+    def test_two_requests_cut_at_every_place(self):
+        # Guards: a request is the same however its bytes come, and none is taken before it is whole.
+        for cut in range(1, len(TWO)):
+            desk = self.desk()
+            line, transport = self.line(desk)
+            transport.receive(TWO[:cut])
+            self.assertEqual(int(cut >= request_in(TWO)), len(desk.taken))
+            transport.receive(TWO[cut:])
+            found = [(each.message.target, bytes(each.message.body)) for each in desk.taken]
+            self.assertEqual([(b"/one", b"pay"), (b"/two", b"")], found, cut)
+        chunked = b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunked += b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nX-T: 1\r\n\r\n"
+        for size in range(1, len(chunked)):
+            desk = self.desk()
+            self.feed(self.line(desk)[1], chunked, size)
+            self.assertEqual([(b"/c", b"abcde")], [(e.message.target, e.message.body) for e in desk.taken])
+
+    def test_nothing_that_reads_in_two_ways_is_taken(self):
+        # Guards: no request is smuggled inside another; whole or byte by byte, 400 and the end.
+        for name, rest in SMUGGLED.items():
+            data = b"POST /a/ HTTP/1.1\r\nHost: h\r\n" + rest + b"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+            for size in (len(data), 1):
+                desk = self.desk()
+                _, transport = self.line(desk)
+                self.feed(transport, data, size)
+                self.assertEqual([], [each.message.target for each in desk.taken], name)
+                self.assertEqual([400], statuses(transport.written), name)
+                self.assertTrue(transport.eof or transport.closing, name)
+
+    def test_answers_go_back_in_order(self):
+        # Guards: the second answered first waits for the first; each answer exactly once.
+        for order in ((0, 1, 2), (1, 0, 2), (2, 1, 0), (1, 2, 0), (2, 0, 1), (0, 2, 1)):
+            desk = self.desk()
+            _, transport = self.line(desk)
+            transport.receive(b"".join(request(b"/%d" % n, id=b"q%d" % n) for n in range(3)))
+            for number in order:
+                desk.taken[number].answer(200 + number, b"x")
+                desk.taken[number].answer(500, b"again")
+            self.assertEqual([200, 201, 202], statuses(transport.written))
+
+    def test_nothing_behind_a_request_that_closes(self):
+        # Guards: what is sent behind an answer that closes counts as not read: it must not be taken, and
+        # nothing is written after that answer, however the bytes come and whether it is answered at once.
+        first = b"GET /one HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+        data = first + request(b"/two")
+        for at_once in (True, False):
+            for cut in range(len(first) - 3, len(data) + 1):
+                desk = self.desk()
+                desk.at_once = at_once
+                _, transport = self.line(desk)
+                transport.receive(data[:cut])
+                transport.receive(data[cut:])
+                self.assertEqual([b"/one"], [each.message.target for each in desk.taken])
+                if not at_once:
+                    desk.taken[0].answer(200)
+                self.assertEqual([200], statuses(transport.written), (at_once, cut))
+                self.assertIn(b"Connection: close", transport.written)
+
+    def test_the_peer_goes_before_its_answer(self):
+        # Guards: whoever works on a request is told that nobody waits; a late answer does no harm.
+        desk = self.desk()
+        line, transport = self.line(desk)
+        transport.receive(TWO)
+        desk.taken[1].answer(200)
+        transport.reset()
+        self.loop.settle()
+        self.assertEqual([[b"/one"], set()], [desk.gone, desk.lines])
+        desk.taken[0].answer(200)
+        self.assertEqual(b"", transport.written)
+
+    def test_a_slow_reader(self):
+        # Guards: nothing more is read for one whose answers wait; one that takes nothing is left, one that
+        # takes something in time keeps its connection for as long as that lasts.
+        for takes in (0, 20_000):
+            desk = self.desk()
+            _, transport = self.line(desk)
+            transport.stuck = True
+            transport.receive(request(b"/large"))
+            desk.taken[0].answer(200, b"x" * 2 * BUFFERED_MOST)
+            self.assertTrue(transport.paused)
+            for _ in range(int(2 * STALL_S)):
+                self.loop.advance(1.0)
+                transport.take(takes)
+                desk.sweep(self.loop.now)
+            self.assertEqual(not takes, transport.aborted)
+            self.loop.settle()
+            while not transport.ended and transport.held:
+                transport.take(20_000)
+            self.assertEqual(not takes, transport.paused)
+
+    def test_an_answer_that_closes_is_not_destroyed(self):
+        # Guards: a close with unread bytes resets the connection, and the answer is lost. So only our side
+        # ends; what still comes is read and passed over until the peer ends, or for a moment.
+        for peer_ends in (True, False):
+            desk = self.desk()
+            _, transport = self.line(desk)
+            transport.receive(request(b"/one", more=b"Connection: close\r\n"))
+            desk.taken[0].answer(200)
+            self.assertEqual([True, False], [transport.eof, transport.closing])
+            transport.receive(request(b"/two") * 100)
+            if peer_ends:
+                transport.receive_eof()
+            else:
+                self.loop.advance(LINGER_S + 0.1)
+            desk.sweep(self.loop.now)
+            self.loop.settle()
+            self.assertEqual([True, set()], [transport.ended, desk.lines])
+            self.assertEqual([200], statuses(transport.written))
+
+    def test_a_peer_that_takes_nothing_of_a_last_answer(self):
+        # Guards: a connection that is closing must end too; its bytes are our memory.
+        desk = self.desk()
+        _, transport = self.line(desk)
+        transport.stuck = True
+        transport.receive(request(b"/one", more=b"Connection: close\r\n"))
+        desk.taken[0].answer(200, b"small")
+        for _ in range(int(STALL_S) + 2):
+            self.loop.advance(1.0)
+            desk.sweep(self.loop.now)
+        self.loop.settle()
+        self.assertEqual([True, set()], [transport.ended, desk.lines])
+
+    def test_times(self):
+        # Guards: an idle connection ends without a word; one that sends no whole request gets 408 in time,
+        # and a request that is worked on has all the time that it needs.
+        for data, seconds, wanted in (
+            (b"", 11, []),
+            (request(), 60, []),
+            (request()[:30], 2, []),
+            (request()[:30], 4, [408]),
+            (request(method=b"POST", body=b"abc")[:-1], 9, [408]),
+        ):
+            desk = self.desk(head_s=3.0, idle_s=10.0)
+            _, transport = self.line(desk)
+            transport.receive(data) if data else None
+            self.loop.advance(seconds)
+            desk.sweep(self.loop.now)
+            self.assertEqual(wanted, statuses(transport.written), data)
+            self.assertEqual(bool(wanted) or not data, transport.eof or transport.closing, data)
+
+    def test_answers_without_a_body(self):
+        # Guards: bytes after the head of these would belong to no answer.
+        for method, status, body in ((b"HEAD", 200, b"x"), (b"GET", 204, b""), (b"GET", 304, b"")):
+            desk = self.desk()
+            _, transport = self.line(desk)
+            transport.receive(request(method=method))
+            desk.taken[0].answer(status, body)
+            self.assertTrue(transport.written.endswith(b"\r\n\r\n"))
+            self.assertEqual(status == 200, b"Content-Length: 1" in transport.written)
+
+    def test_clients_of_the_old_protocol(self):
+        # Guards: HTTP/1.0 closes unless it asks for more, and is told so.
+        for more, kept in ((b"", False), (b"Connection: keep-alive\r\n", True)):
+            desk = self.desk()
+            desk.at_once = True
+            _, transport = self.line(desk)
+            transport.receive(b"GET / HTTP/1.0\r\nHost: h\r\n" + more + b"\r\n")
+            self.assertEqual(kept, not transport.eof)
+            self.assertEqual(kept, b"Connection: keep-alive" in transport.written)
