A connection that retires answers all that was taken before it closes

When a process began to end, the next answer on each connection closed it, and pipelined requests behind that, already read and perhaps handed over, were dropped: they count as lost. Now the answer to the last one taken closes, and nothing more is taken. Connections that come up after the beginning of the end retire too.

--- a/foxspread/orchard/furrow/serving.py
+++ b/foxspread/orchard/furrow/serving.py
@@ -67,8 +67,9 @@
     ) -> None:
         if self.parts is not None or self.line.transport is None:
             return
-        self.close = self.close or close or self.line.retiring
-        last = (
+        last = self.line.waiting and self.line.waiting[-1] is self  # what was taken behind it is answered too
+        self.close = self.close or close or self.line.retiring and last
+        told = (
             b"Connection: close\r\n"
             if self.close
             else b"Connection: keep-alive\r\n"
@@ -80,7 +81,7 @@
             b"HTTP/1.1 %d %s\r\n" % (status, PHRASES.get(status, b"Status")),
             *lines,
             framing,
-            last,
+            told,
             b"\r\n",
             b"" if self.message.method == b"HEAD" else body,
         ]
@@ -94,6 +95,7 @@
     def __init__(self, clock: Callable[[], float], limits: Limits) -> None:
         self.clock, self.limits = clock, limits
         self.lines: set[Serving] = set()
+        self.retired = False
 
     def take(self, exchange: Exchange) -> None:
         raise NotImplementedError
@@ -103,9 +105,10 @@
             line.sweep(now)
 
     def retire(self) -> None:
-        """Each connection ends with the next answer on it."""
+        """Each connection ends with the answer to the last request that was taken, or to the next one."""
+        self.retired = True
         for line in list(self.lines):
-            line.retiring = True
+            line.retire()
 
     def end_idle(self) -> None:
         for line in list(self.lines):
@@ -119,7 +122,7 @@
         self.reader = RequestReader(desk.limits)
         self.waiting: deque[Exchange] = deque()
         self.transport: asyncio.Transport | None = None
-        self.retiring = self.refused = self.held_up = False
+        self.retiring, self.refused, self.held_up = desk.retired, False, False
         self.since = desk.clock()  # idle, or reading what is under way
         self.stalled = False
         self.unsent, self.took_at = 0, self.since  # bytes that wait to be taken; when that last moved
@@ -196,6 +199,11 @@
         else:
             self._throttle()
 
+    def retire(self) -> None:
+        self.retiring = True
+        if self.waiting and self.waiting[-1].parts is None:
+            self.refused = True  # nothing more is taken behind that
+
     def _end(self) -> None:
         """Of our side only: a close with bytes unread resets the connection, and the answer may be lost. What
         still comes is passed over."""
--- a/tests/orchard/furrow/test_serving.py
+++ b/tests/orchard/furrow/test_serving.py
@@ -128,6 +128,40 @@
                 self.assertEqual([200], statuses(transport.written), (at_once, cut))
                 self.assertIn(b"Connection: close", transport.written)
 
+    def test_when_it_retires_what_was_taken_is_answered(self):
+        # Guards: at a planned end requests that were read are answered, pipelined ones too; the last answer
+        # closes, and nothing behind it is taken.
+        for order in ((0, 1), (1, 0)):
+            desk = self.desk()
+            _, transport = self.line(desk)
+            transport.receive(TWO)
+            desk.retire()
+            transport.receive(request(b"/three"))
+            for number in order:
+                desk.taken[number].answer(200)
+            self.assertEqual([200, 200], statuses(transport.written))
+            self.assertEqual([1, True], [transport.written.count(b"Connection: close"), transport.eof])
+            self.assertEqual([2, []], [len(desk.taken), desk.gone])
+
+    def test_when_it_retires_the_next_answer_closes(self):
+        # Guards: idle connections, those whose last answer was made before, and new ones end as well.
+        desk = self.desk()
+        desk.at_once = True
+        _, idle = self.line(desk)
+        _, made = self.line(desk)
+        desk.at_once = False
+        made.receive(TWO)
+        desk.taken[1].answer(200)
+        desk.retire()
+        desk.taken[0].answer(200)
+        _, new = self.line(desk)
+        desk.at_once = True
+        for transport in (idle, made, new):
+            transport.receive(request(b"/last"))
+            self.assertEqual(200, statuses(transport.written)[-1])
+            self.assertTrue(transport.eof)
+            self.assertEqual(1, transport.written.count(b"Connection: close"))
+
     def test_the_peer_goes_before_its_answer(self):
         # Guards: whoever works on a request is told that nobody waits; a late answer does no harm.
         desk = self.desk()
