Leave to send a body is given once, also to a request behind others

A request with `Expect: 100-continue` that came behind one still unanswered never got its leave, and its client waited; one whose first chunk came in pieces got it again with each piece.

--- a/foxspread/orchard/furrow/serving.py
+++ b/foxspread/orchard/furrow/serving.py
@@ -126,6 +126,7 @@
         self.since = desk.clock()  # idle, or reading what is under way
         self.stalled = False
         self.unsent, self.took_at = 0, self.since  # bytes that wait to be taken; when that last moved
+        self.told_to_send: http.Message | None = None  # the body of this one
         self.ended_at: float | None = None  # when the last answer was written
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -155,9 +156,17 @@
         except http.BadMessage as error:
             self._take_ready(now)
             return self._refuse(error.status, str(error))
-        if reader.wants_continue and not self.waiting:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._take_ready(now)
+        self._leave_to_send()
+
+    def _leave_to_send(self) -> None:
+        """Once for each request that waits for it, and not before the answers that come first."""
+        message = self.reader.message
+        if self.refused or self.waiting or message is self.told_to_send:
+            return
+        if self.reader.wants_continue:
+            self.told_to_send = message
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _take_ready(self, now: float) -> None:
         ready = self.reader.ready
@@ -198,6 +207,7 @@
             self._end()
         else:
             self._throttle()
+            self._leave_to_send()
 
     def retire(self) -> None:
         self.retiring = True
--- a/tests/orchard/furrow/test_serving.py
+++ b/tests/orchard/furrow/test_serving.py
@@ -38,6 +38,7 @@
     "a bare LF in a chunk's extension": b"Transfer-Encoding: chunked\r\n\r\n3;a\nabc\r\n0\r\n\r\n",
     "a chunk longer than it says": b"Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
     "a chunk's size of no digits": b"Transfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n0\r\n\r\n",
+
 }
 
 
@@ -226,6 +227,24 @@
         self.loop.settle()
         self.assertEqual([True, set()], [transport.ended, desk.lines])
 
+    def test_leave_to_send_a_body(self):
+        # Guards: `100 Continue` is written once, and not before the answers that come first.
+        head = b"POST /b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n"
+        desk = self.desk()
+        _, transport = self.line(desk)
+        transport.receive(request(b"/first") + head)
+        self.assertEqual(b"", transport.written)
+        desk.taken[0].answer(200)
+        go = b"HTTP/1.1 100 Continue\r\n\r\n"
+        self.assertTrue(transport.written.endswith(b"\r\n\r\n" + go))
+        for byte in b"3\r\nabc\r\n0\r\n\r\n":
+            transport.receive(bytes([byte]))
+        self.assertEqual([b"/first", b"/b"], [each.message.target for each in desk.taken])
+        transport.receive(head)
+        self.assertEqual(1, transport.written.count(go))  # the second waits for the first's answer
+        desk.taken[1].answer(200)
+        self.assertEqual(2, transport.written.count(go))
+
     def test_times(self):
         # Guards: an idle connection ends without a word; one that sends no whole request gets 408 in time,
         # and a request that is worked on has all the time that it needs.
