No more requests of one connection are taken than may wait, however they come

Reading was paused only after all requests of a block of bytes had been taken: thousands of small ones could come in one. What is beyond the bound now waits unparsed by the desk until answers have gone.

--- a/foxspread/orchard/furrow/serving.py
+++ b/foxspread/orchard/furrow/serving.py
@@ -124,7 +124,7 @@
         self.transport: asyncio.Transport | None = None
         self.retiring, self.refused, self.held_up = desk.retired, False, False
         self.since = desk.clock()  # idle, or reading what is under way
-        self.stalled = False
+        self.stalled = self.taking = False
         self.unsent, self.took_at = 0, self.since  # bytes that wait to be taken; when that last moved
         self.told_to_send: http.Message | None = None  # the body of this one
         self.ended_at: float | None = None  # when the last answer was written
@@ -169,15 +169,21 @@
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _take_ready(self, now: float) -> None:
-        ready = self.reader.ready
-        while ready and self.transport is not None:
-            exchange = Exchange(self, ready.popleft(), now)
-            self.waiting.append(exchange)
-            self.since = now
-            self.desk.take(exchange)
-            if exchange.close:  # what was sent behind it counts as not read
-                ready.clear()
-                self.refused = True
+        if self.taking:  # an answer at once: the loop below goes on
+            return
+        self.taking, ready = True, self.reader.ready
+        try:
+            while ready and not self.refused and self.transport is not None:
+                if len(self.waiting) >= WAITING_MOST:
+                    break
+                exchange = Exchange(self, ready.popleft(), now)
+                self.waiting.append(exchange)
+                self.since = now
+                self.desk.take(exchange)
+                if exchange.close:  # what was sent behind it counts as not read
+                    self.refused = True
+        finally:
+            self.taking = False
         self._throttle()
 
     def _refuse(self, status: int, text: str) -> None:
@@ -206,7 +212,7 @@
             waiting.clear()
             self._end()
         else:
-            self._throttle()
+            self._take_ready(self.since)
             self._leave_to_send()
 
     def retire(self) -> None:
--- a/tests/orchard/furrow/test_serving.py
+++ b/tests/orchard/furrow/test_serving.py
@@ -4,6 +4,7 @@
     BUFFERED_MOST,
     LINGER_S,
     STALL_S,
+    WAITING_MOST,
     Desk,
     Limits,
     Serving,
@@ -175,6 +176,20 @@
         desk.taken[0].answer(200)
         self.assertEqual(b"", transport.written)
 
+    def test_the_number_of_requests_is_bounded(self):
+        # Guards: one block of bytes may hold thousands of requests: no more are taken than may wait, and the
+        # rest follows as answers go, without depth of calls.
+        desk = self.desk()
+        _, transport = self.line(desk)
+        many = b"".join(request(b"/%d" % n) for n in range(3000))
+        transport.receive(many)
+        self.assertEqual([WAITING_MOST, True], [len(desk.taken), transport.paused])
+        desk.at_once = True
+        for each in list(desk.taken):
+            each.answer(200, each.message.target)
+        self.assertEqual([b"/%d" % n for n in range(3000)], [each.message.target for each in desk.taken])
+        self.assertEqual([3000, False], [len(statuses(transport.written)), transport.paused])
+
     def test_a_slow_reader(self):
         # Guards: nothing more is read for one whose answers wait; one that takes nothing is left, one that
         # takes something in time keeps its connection for as long as that lasts.
@@ -244,6 +259,11 @@
         self.assertEqual(1, transport.written.count(go))  # the second waits for the first's answer
         desk.taken[1].answer(200)
         self.assertEqual(2, transport.written.count(go))
+        _, transport = self.line(desk)
+        desk.at_once = True
+        desk.retire()
+        transport.receive(request(b"/last") + head)  # nothing behind an answer that closes
+        self.assertEqual([200], statuses(transport.written))
 
     def test_times(self):
         # Guards: an idle connection ends without a word; one that sends no whole request gets 408 in time,
