Changed limits hold for the next request of an open connection

Each connection copied the limits when it came up, so that a request allowed by the configuration in force was refused with 413 or 431 on one that was older.

--- a/foxspread/orchard/furrow/serving.py
+++ b/foxspread/orchard/furrow/serving.py
@@ -42,9 +42,16 @@
 
     def __init__(self, limits: Limits) -> None:
         super().__init__()
-        self.head_most = max(1024, limits.head)
-        self.body_most = limits.body
-        self.kept_most = limits.body
+        self.limits = limits
+        self._bound()
+
+    def _bound(self) -> None:
+        self.head_most = max(1024, self.limits.head)
+        self.body_most = self.kept_most = self.limits.body
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self._bound()
 
 
 class Exchange:
--- a/tests/orchard/furrow/test_serving.py
+++ b/tests/orchard/furrow/test_serving.py
@@ -265,6 +265,30 @@
         transport.receive(request(b"/last") + head)  # nothing behind an answer that closes
         self.assertEqual([200], statuses(transport.written))
 
+    def test_bounds(self):
+        # Guards: head, body and time of a request; a change of the limits holds for the next request of a
+        # connection that is open.
+        chunked = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunked += (b"9c5\r\n" + b"a" * 2501 + b"\r\n") * 2 + b"0\r\n\r\n"
+        for data, status in (
+            (request(more=b"X-A: %b\r\n" % (b"a" * 3000)), 431),
+            (b"GET /" + b"a" * 3000, 431),
+            (request(method=b"POST", body=b"a" * 5001), 413),
+            (chunked, 413),
+        ):
+            for size in (None, 700):
+                desk = self.desk(head=2000, body=5000)
+                _, transport = self.line(desk)
+                self.feed(transport, data, size)
+                self.assertEqual([[status], []], [statuses(transport.written), desk.taken])
+        desk = self.desk(head=2000, body=5000)
+        desk.at_once = True
+        _, transport = self.line(desk)
+        transport.receive(request())
+        desk.limits.head, desk.limits.body = 9000, 9000
+        transport.receive(request(method=b"POST", body=b"a" * 8000, more=b"X-A: %b\r\n" % (b"a" * 3000)))
+        self.assertEqual([200, 200], statuses(transport.written))
+
     def test_times(self):
         # Guards: an idle connection ends without a word; one that sends no whole request gets 408 in time,
         # and a request that is worked on has all the time that it needs.
