--- a/foxspread/orchard/furrow/serving.py
+++ b/foxspread/orchard/furrow/serving.py
@@ -53,6 +53,11 @@
         super().on_message_begin()
         self._bound()
 
+    def on_message_complete(self) -> None:
+        if self.parser.should_upgrade():  # what follows would be in another protocol
+            raise http.BadMessage(400, "no upgrade is offered")
+        super().on_message_complete()
+
 
 class Exchange:
     """One request and its answer to come."""
--- a/tests/orchard/furrow/test_serving.py
+++ b/tests/orchard/furrow/test_serving.py
@@ -39,7 +39,7 @@
     "a bare LF in a chunk's extension": b"Transfer-Encoding: chunked\r\n\r\n3;a\nabc\r\n0\r\n\r\n",
     "a chunk longer than it says": b"Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
     "a chunk's size of no digits": b"Transfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n0\r\n\r\n",
-
+    "an upgrade": b"Connection: Upgrade\r\nUpgrade: other\r\n\r\n",
 }
 
 
