A drain counts from when it was heard, not from the first request after it

The last hop let requests through for its part of drain_s from the first one that came after the drain: one that came late, from a sidecar with old news or as a further try, began that time anew, past drain_s after the acknowledgement. The moment is now noted with the beat. It also outlives a silence: a life that was draining, missed beats and spoke again could be ready.

--- a/foxspread/orchard/furrow/lasthop.py
+++ b/foxspread/orchard/furrow/lasthop.py
@@ -21,7 +21,6 @@
     """What is handed over to one life and not answered."""
 
     busy: int = 0
-    draining_at: float | None = None
     took: Mean = None
 
 
@@ -42,11 +41,8 @@
         if server is None or server.state == GONE:
             return Failure("gone")
         holding = self.of(id)
-        if server.state == DRAINING:
-            if holding.draining_at is None:
-                holding.draining_at = now
-            if now - holding.draining_at > DRAIN_PART * self.drain_s:
-                return Failure("draining")
+        if server.state == DRAINING and now - self.lives.draining_at[id] > DRAIN_PART * self.drain_s:
+            return Failure("draining")
         mean = holding.took.read(now)
         wait = max(0, holding.busy + 1 - server.berths) * mean / server.berths
         if holding.busy >= server.berths and (
--- a/foxspread/orchard/grove/lives.py
+++ b/foxspread/orchard/grove/lives.py
@@ -49,6 +49,7 @@
         self.servers: dict[str, Server] = {}
         self.heard: dict[str, float] = {}
         self.warm_at: dict[str, float] = {}
+        self.draining_at: dict[str, float] = {}  # when that was first heard
         self.ended: dict[str, float] = {}
 
     def beat(self, now: float, id: str, told: dict[str, Any]) -> bool | Failure:
@@ -59,7 +60,9 @@
         if old is not None and told["sequence"] <= old.sequence:
             return False  # late: what it said after that is known
         state = told["state"]
-        if old is not None and old.state == DRAINING:
+        if state == DRAINING:
+            self.draining_at.setdefault(id, now)
+        elif id in self.draining_at:
             state = DRAINING  # there is no way back in one life
         new = Server(
             id,
@@ -81,6 +84,7 @@
         self.ended[id] = now
         self.heard.pop(id, None)
         self.warm_at.pop(id, None)
+        self.draining_at.pop(id, None)
         return self.servers.pop(id, None) is not None
 
     def sweep(self, now: float) -> bool:
@@ -94,6 +98,7 @@
             self.servers[id] = replace(self.servers[id], state=GONE)
         for id in [id for id, at in self.heard.items() if now - at > 20 * self.heartbeat]:
             del self.servers[id], self.heard[id], self.warm_at[id]
+            self.draining_at.pop(id, None)
         for id in [id for id, at in self.ended.items() if now - at > ENDED_KEPT_S]:
             del self.ended[id]
         return bool(silent)
--- /dev/null
+++ b/tests/orchard/furrow/test_lasthop.py
@@ -0,0 +1,64 @@
+"""What the last hop lets through to the server beside it."""
+
+import testtools
+
+from foxspread.orchard.furrow.lasthop import DRAIN_PART, QUEUE_MOST, LastHop
+from foxspread.orchard.grove.lives import DRAINING, READY, Lives
+
+DRAIN_S = 2.0
+
+
+class LetsThrough(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.lives = Lives(1.0)
+        self.hop = LastHop(self.lives, None, DRAIN_S)
+        self.tell(0.0, READY, 1)
+
+    def tell(self, now, state, sequence):
+        told = {"service": "s1", "address": "a:80", "berths": 4, "state": state, "sequence": sequence}
+        self.lives.beat(now, "i", told)
+
+    def why(self, now, id="i", left=1.0, aim=0.5):
+        """Why not; None where it is let through, and ends at once."""
+        found = self.hop.admit(now, id, left, aim)
+        if isinstance(found, tuple):
+            self.assertEqual(("a", 80), found)
+            return self.hop.released(now, id, None)
+        return found.reason
+
+    def test_a_draining_server(self):
+        # Guards: the part of `drain_s` counts from when the drain was heard, not from the first request after
+        # it: nothing reaches a server later than `drain_s` after its acknowledgement.
+        self.tell(1.0, DRAINING, 2)
+        last = 1.0 + DRAIN_PART * DRAIN_S
+        self.assertEqual("draining", self.why(last + 0.01))
+        self.assertIsNone(self.why(last - 0.01))
+        self.tell(last, DRAINING, 3)
+        self.assertEqual("draining", self.why(last + 0.01))
+
+    def test_only_the_right_life(self):
+        # Guards: an address may belong to another server by now; one that has left or is silent is gone.
+        self.assertEqual(["gone", None], [self.why(0.0, "other"), self.why(0.0)])
+        self.lives.sweep(5.0)
+        self.assertEqual("gone", self.why(5.0))
+        self.tell(6.0, READY, 2)
+        self.assertIsNone(self.why(6.0))
+        self.lives.leave(6.0, "i")
+        self.assertEqual("gone", self.why(6.0))
+        self.hop.sweep()
+        self.assertEqual({}, self.hop.holding)
+
+    def test_no_more_than_it_can_serve_in_time(self):
+        # Guards: berths and a queue; who comes back from where it waits too long is told so at once.
+        held = 0
+        while isinstance(found := self.hop.admit(0.0, "i", 100.0, 100.0), tuple):
+            held += 1
+        self.assertEqual([int(4 * QUEUE_MOST), "full"], [held, found.reason])
+        for _ in range(held):
+            self.hop.released(0.0, "i", 1.0)
+        self.assertEqual(0, self.hop.of("i").busy)
+        self.assertEqual(["late", "late", None], [self.why(0.0, left=left) for left in (0.0, 0.1, 5.0)])
+        for _ in range(4):
+            self.hop.admit(0.0, "i", 5.0, 5.0)
+        self.assertEqual(["full", None], [self.why(0.0, aim=0.2), self.why(0.0, left=5.0, aim=5.0)])
--- /dev/null
+++ b/tests/orchard/grove/test_lives.py
@@ -0,0 +1,99 @@
+"""Lives of servers: all orders in which what they say may arrive."""
+
+from itertools import permutations
+
+import testtools
+
+from foxspread.orchard.grove.lives import DRAINING, ENDED_KEPT_S, GONE, MISSED, READY, Lives
+from foxspread.orchard.grove.records import Record, Records, record, server
+from foxspread.orchard.outcome import Failure
+
+BEAT = {"service": "s1", "address": "a:80", "berths": 4, "state": READY, "sequence": 1}
+TOLD = {
+    "beat 1": lambda lives, now: lives.beat(now, "i", BEAT),
+    "beat 2": lambda lives, now: lives.beat(now, "i", BEAT | {"sequence": 2}),
+    "drain 3": lambda lives, now: lives.beat(now, "i", BEAT | {"sequence": 3, "state": DRAINING}),
+    "leave": lambda lives, now: lives.leave(now, "i"),
+}
+
+
+def state(lives):
+    return lives.servers["i"].state if "i" in lives.servers else None
+
+
+class LivesTold(testtools.TestCase):
+    def test_every_order_of_what_a_life_says(self):
+        # Guards: a late beat changes nothing; a drain is final, a leave still more, also where it overtakes
+        # the drain or the first beat of all; what ended is refused from then on.
+        for order in permutations(TOLD):
+            lives, left, drained = Lives(1.0), False, False
+            for number, name in enumerate(order):
+                outcome = TOLD[name](lives, float(number))
+                if left:
+                    self.assertFalse(outcome)
+                    self.assertIsInstance(outcome, Failure, order)
+                left, drained = left or name == "leave", drained or name == "drain 3"
+                self.assertEqual(None if left else DRAINING if drained else READY, state(lives), order)
+
+    def test_a_lower_number_after_a_higher(self):
+        # Guards: what an older beat says is not news, whatever it says.
+        lives = Lives(1.0)
+        self.assertTrue(lives.beat(0.0, "i", BEAT | {"sequence": 5, "berths": 9}))
+        for late in ({"sequence": 4, "berths": 1}, {"sequence": 5, "state": DRAINING}):
+            self.assertIs(False, lives.beat(0.1, "i", BEAT | late))
+        self.assertEqual([READY, 9], [state(lives), lives.servers["i"].berths])
+
+    def test_only_what_others_have_to_know_is_news(self):
+        # Guards: a beat a second of each server must not be a message a second to all sidecars.
+        lives = Lives(1.0)
+        changes = ({}, {"berths": 5}, {"berths": 5, "state": DRAINING}, {"address": "b:80"}, {"zone": "z"})
+        self.assertTrue(lives.beat(0.0, "i", BEAT | {"cold_s_time": 3.0}))
+        self.assertIs(False, lives.beat(0.1, "i", BEAT | {"cold_s_time": 2.9, "sequence": 2}))
+        for number, change in enumerate(changes[1:], start=3):
+            self.assertIs(True, lives.beat(0.2, "i", BEAT | change | {"sequence": number}), change)
+
+    def test_missed_beats(self):
+        # Guards: a silent server is gone, one that speaks again is back, a draining one is not ready again;
+        # and the silence of a process that stood still itself is nobody's.
+        lives = Lives(1.0)
+        lives.beat(0.0, "i", BEAT)
+        self.assertFalse(lives.sweep(MISSED - 0.1))
+        self.assertTrue(lives.sweep(MISSED + 0.1))
+        self.assertEqual([GONE, False], [state(lives), lives.sweep(MISSED + 0.2)])
+        self.assertTrue(lives.beat(3.0, "i", BEAT | {"sequence": 2}))
+        lives.slept(20.0)
+        self.assertFalse(lives.sweep(23.0))
+        lives.beat(23.0, "i", BEAT | {"sequence": 3, "state": DRAINING})
+        lives.sweep(30.0)
+        lives.beat(30.0, "i", BEAT | {"sequence": 4})
+        self.assertEqual(DRAINING, state(lives))
+
+    def test_nothing_is_kept_for_ever(self):
+        # Guards: ids of silent and of ended lives have an end of their own.
+        lives = Lives(1.0)
+        lives.beat(0.0, "i", BEAT | {"state": DRAINING})
+        lives.leave(0.0, "j")
+        lives.sweep(ENDED_KEPT_S + 1.0)
+        for kept in (lives.servers, lives.heard, lives.warm_at, lives.ended, lives.draining_at):
+            self.assertEqual({}, kept)
+
+    def test_rows_say_how_long_a_server_is_still_cold(self):
+        lives = Lives(1.0, zone="here")
+        lives.beat(0.0, "i", BEAT | {"cold_s_time": 5.0})
+        (row,) = lives.rows(2.0)
+        self.assertEqual((3.0, "here"), (server(row).warm_in, server(row).zone))
+        self.assertEqual(0.0, server(lives.rows(9.0)[0]).warm_in)
+
+
+class RecordsTaken(testtools.TestCase):
+    def test_the_newest_of_each_sidecar_holds(self):
+        # Guards: merge by version, not by arrival; of a later life before more of an earlier one.
+        rows = [["n", [life, number], "z", "up", "a:1", []] for life, number in ((1, 1), (1, 9), (2, 1))]
+        for order in permutations(rows):
+            records = Records()
+            taken = [records.take(0.0, record(row)) for row in order]
+            self.assertEqual((2, 1), records.of["n"].version)
+            self.assertTrue(taken[0])
+            self.assertFalse(records.take(0.0, record(order[0])))
+        whole = Record("n", (1, 2), "z", "up", ("a", 1), (server(["i", "s", "a:2", "z", 3, READY, 4]),))
+        self.assertEqual(whole, record(whole.packed()))
