What one neighbour does not give is pulled from another

After its time a pull went to the same neighbour again, the first among those with the newest version, for as long as its link stood. The others that have something newer are now asked in turn.

--- a/foxspread/orchard/hedge/exchange.py
+++ b/foxspread/orchard/hedge/exchange.py
@@ -18,13 +18,20 @@
     told: dict[str, Version] = field(default_factory=dict)
 
 
+@dataclass
+class Asked:
+    version: Version
+    until: float
+    of: set[Hashable]  # in turn, since one of them last gave it
+
+
 class Exchange:
     def __init__(self, tells: Callable[[str], bool] = lambda source: True) -> None:
         """`tells`: of which sources versions are told to neighbours unasked."""
         self.tells = tells
         self.mine: dict[str, Version] = {}
         self.peers: dict[Hashable, Peer] = {}
-        self.asked: dict[str, tuple[Version, float]] = {}  # by source: what is under way, and until when
+        self.asked: dict[str, Asked] = {}  # by source: what is under way
         self.dirty: set[str] = set()
 
     def met(self, peer: Hashable) -> None:
@@ -39,7 +46,7 @@
         if version > self.mine.get(source, ()):
             self.mine[source] = version
             self.dirty.add(source)
-            if source in self.asked and version >= self.asked[source][0]:
+            if source in self.asked and version >= self.asked[source].version:
                 del self.asked[source]
 
     def forget(self, source: str) -> None:
@@ -74,20 +81,24 @@
 
     def pulls(self, now: float) -> list[tuple[Hashable, dict[str, Version]]]:
         """What to ask of whom: each source that some neighbour has newer, of the one that has it newest, with
-        what is had here."""
-        best: dict[str, tuple[Version, Hashable]] = {}
+        what is had here; where it did not come, of the others in turn."""
+        having: dict[str, dict[Hashable, Version]] = {}
         for name, peer in self.peers.items():
             for source, version in peer.has.items():
-                if version > self.mine.get(source, ()) and (source not in best or version > best[source][0]):
-                    best[source] = version, name
+                if version > self.mine.get(source, ()):
+                    having.setdefault(source, {})[name] = version
         rows: dict[Hashable, dict[str, Version]] = {}
-        for source, (version, name) in best.items():
-            under_way = self.asked.get(source)
-            if under_way is not None and now < under_way[1] and under_way[0] >= version:
+        for source, versions in having.items():
+            newest, under_way = max(versions.values()), self.asked.get(source)
+            if under_way is None or under_way.version < newest:
+                under_way = Asked(newest, 0.0, set())
+            elif now < under_way.until:
                 continue
-            self.asked[source] = version, now + ASKED_S
+            if under_way.of >= versions.keys():
+                under_way.of.clear()
+            name = max((each for each in versions if each not in under_way.of), key=versions.__getitem__)
+            self.asked[source] = Asked(newest, now + ASKED_S, under_way.of | {name})
             rows.setdefault(name, {})[source] = self.mine.get(source, ())
-            self.peers[name].has.setdefault(source, version)
         return list(rows.items())
 
     def known_by(self, source: str, version: Version, peers: Iterable[Hashable]) -> int:
