A call with a broken version, or parts of another kind, is refused

A version that ends with a line break passed the check of its form, whose `$` allows that, and raised when it was read: the call got no answer. An empty list or text in the place of an object, and `true` for a number of attempts, were acknowledged.

--- a/foxspread/orchard/graft/reading.py
+++ b/foxspread/orchard/graft/reading.py
@@ -18,8 +18,14 @@
 AIM_OVER_S = 60.0  # and a target may lie less than this over it
 VERSION = re.compile(r"r([0-9]{1,15})")
 
+
+def _whole(field: str, value: Any, error: Callable[[str, str], None]) -> None:
+    if isinstance(value, bool):
+        error(field, "must be of integer type")
+
+
 _NAME = {"type": "string", "minlength": 1, "maxlength": 500, "required": True}
-_VERSION = {"type": "string", "regex": VERSION.pattern, "required": True}
+_VERSION = {"type": "string", "regex": VERSION.pattern + r"\Z", "required": True}
 _SECONDS = {"type": "number", "min": 0, "max": LONGEST_S}
 RULE = {
     "name": _NAME,
@@ -49,7 +55,7 @@
                 },
             },
             "deadline_s": {**_SECONDS, "required": True},
-            "delivery_attempts": {"type": "integer", "min": 1, "required": True},
+            "delivery_attempts": {"type": "integer", "check_with": _whole, "min": 1, "required": True},
         },
     },
 }
@@ -90,7 +96,7 @@
     if not isinstance(call, dict):
         yield invalid("the body must be an object")
         return
-    lodged, dropped = call.get("lodge") or {}, call.get("withdraw") or {}
+    lodged, dropped = (_part(call, word, {}) for word in ("lodge", "withdraw"))
     if not isinstance(lodged, dict) or not isinstance(dropped, dict):
         yield invalid("lodge and withdraw must be objects")
         return
@@ -118,8 +124,14 @@
             yield None
 
 
+def _part(holder: dict, word: str, empty: Any) -> Any:
+    """What is left out is empty; what is there may be anything."""
+    found = holder.get(word)
+    return empty if found is None else found
+
+
 def _steps(lodged: dict, dropped: dict) -> Iterator[Item | Failure]:
-    fleets, gates = lodged.get("fleets") or [], lodged.get("gates") or []
+    fleets, gates = (_part(lodged, word, []) for word in ("fleets", "gates"))
     if not isinstance(fleets, list) or not isinstance(gates, list):
         yield invalid("lodge: gates and fleets must be lists")
         return
@@ -135,7 +147,7 @@
         for rule in gate.get("regulations", []):
             yield _one("rule", f"gates.{host}", rule, lambda each, host=host: _sensible(host, each))
     for word, kind in KINDS.items():
-        rows = dropped.get(word) or []
+        rows = _part(dropped, word, [])
         if not isinstance(rows, list):
             yield invalid(f"withdraw.{word}: must be a list")
             return
--- /dev/null
+++ b/tests/orchard/graft/test_routes.py
@@ -0,0 +1,82 @@
+"""Which route a request takes, and which service of it."""
+
+import testtools
+
+from foxspread.orchard.graft.items import ROUTE, SERVICE, Item
+from foxspread.orchard.graft.routes import RouteTable, route_of
+from foxspread.sums import Chance
+from tests.orchard.helpers import route
+
+
+class Finds(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.table = RouteTable()
+        for name, postcode in (("top", "/"), ("a", "/a/"), ("ab", "/a/b/"), ("deep", "/a/b/c/d/")):
+            self.table.put(route(name=name, postcode=postcode))
+        self.table.put(route(host="Other.Example", name="o", postcode="/a/"))
+
+    def found(self, host, path):
+        there = self.table.find(host, path)
+        return there and there.name
+
+    def test_the_longest_prefix_of_its_host(self):
+        # Guards: by whole parts of the path; host with port, in capitals, and none of another host's routes.
+        for host, path, wanted in (
+            ("h.example", "/a/b/x", "ab"),
+            ("h.example", "/a/b/", "ab"),
+            ("h.example", "/a/b", "a"),
+            ("h.example", "/a/bc/x", "a"),
+            ("h.example", "/a/b/c/x", "ab"),
+            ("h.example", "/a/b/c/d/e/f", "deep"),
+            ("h.example", "/a", "top"),
+            ("h.example", "/", "top"),
+            ("h.example", "/z/", "top"),
+            ("h.example", "", None),
+            ("H.EXAMPLE", "/a/", "a"),
+            ("h.example:8080", "/a/", "a"),
+            ("H.Example:80", "/a/b/x", "ab"),
+            ("other.example", "/a/x", "o"),
+            ("Other.Example:1", "/a/x", "o"),
+            ("other.example", "/b/x", None),
+            ("none.example", "/a/x", None),
+            ("", "/a/x", None),
+        ):
+            self.assertEqual(wanted, self.found(host, path), (host, path))
+
+    def test_changes(self):
+        # Guards: a route that moves leaves its old place; two that swap places, in any order, lose none; one
+        # that is dropped after another has taken its place leaves that alone.
+        self.table.put(route(name="ab", postcode="/moved/", version="r2"))
+        self.assertEqual(["a", "ab"], [self.found("h.example", p) for p in ("/a/b/x", "/moved/x")])
+        self.table.put(route(name="a", postcode="/moved/", version="r2"))
+        self.table.put(route(name="ab", postcode="/a/", version="r3"))
+        self.assertEqual(["ab", "a"], [self.found("h.example", p) for p in ("/a/x", "/moved/x")])
+        self.table.put(route(name="new", postcode="/a/", version="r1"))
+        self.table.put(Item(ROUTE, "ab", 4, None))
+        self.assertEqual("new", self.found("h.example", "/a/x"))
+        self.table.put(Item(ROUTE, "never", 1, None))
+        self.table.put(Item(SERVICE, "a", 9, None))
+        self.assertEqual("a", self.found("h.example", "/moved/x"))
+        for name in ("o", "top", "a", "new", "deep"):
+            self.table.put(Item(ROUTE, name, 9, None))
+        self.assertEqual([{}, {}], [self.table.hosts, self.table.places])
+
+    def test_a_split_by_weight(self):
+        # Guards: shares as the weights say, a weight of nought gets none, and every draw finds a service.
+        weights = {"s0": 90, "s1": 0, "s2": 10, "s3": 0.5}
+        rows = [{"service": name, "weight": weight} for name, weight in weights.items()]
+        split = route_of(route(dispatch={"consignments": rows, "deadline_s": 2, "delivery_attempts": 2}))
+        self.assertEqual(["s0", "s2", "s3"], [split.service(draw) for draw in (0.0, 0.9, 1 - 1e-16)])
+        chance, drawn = Chance(1), dict.fromkeys(weights, 0)
+        for _ in range(20_000):
+            drawn[split.service(chance.draw())] += 1
+        for name, weight in weights.items():
+            self.assertAlmostEqual(weight / 100.5, drawn[name] / 20_000, delta=0.01)
+        self.assertEqual(0, drawn["s1"])
+
+    def test_what_is_left_out(self):
+        # Guards: without a target the deadline is the aim; priority has a middle.
+        row = route()
+        del row.content["rule"]["target_s"], row.content["rule"]["priority"]
+        self.assertEqual((2.0, 1), (route_of(row).aim, route_of(row).priority))
