--- /dev/null
+++ b/tests/orchard/granary/test_budget.py
@@ -0,0 +1,87 @@
+"""The budget of further tries, against a count by hand over every window."""
+
+import random
+from bisect import bisect_left, bisect_right
+
+import testtools
+
+from foxspread.orchard.granary.budget import STEPS, Budget, Window
+
+RATIO, SLACK, SPAN = 0.2, 50, 10.0
+
+
+def within(times, begin, end):
+    return bisect_right(times, end) - bisect_left(times, begin)
+
+
+def worst(asked, spent, span=SPAN):
+    """By how much further arrivals exceed what is allowed, in the worst of all windows (RULES, BUDGET)."""
+    most = -SLACK
+    for end in spent:
+        for begin in (end - span, end):
+            requests = max(within(asked, begin - back, begin - back + span) for back in (0, span / 2, span))
+            most = max(most, within(spent, begin, begin + span) - RATIO * requests - SLACK)
+    return most
+
+
+def bursts(chance, rate, length, burst, pause):
+    """Times at which requests come: bursts of so many at once, between them quiet, over an even rate."""
+    times = [chance.uniform(0, length) for _ in range(int(rate * length))]
+    at = chance.uniform(0, pause)
+    while at < length:
+        times += [at + chance.uniform(0, 0.2) for _ in range(burst)]
+        at += pause * chance.uniform(0.8, 1.2)
+    return sorted(times)
+
+
+class Spends(testtools.TestCase):
+    def test_no_window_is_ever_passed(self):
+        # Guards: whatever wants a further try gets it as soon as it is allowed; summed over all sidecars no
+        # window of any beginning holds more than the rule allows, steady, in bursts, after a pause, or where
+        # each sidecar sees another load.
+        for seed, (sidecars, rate, burst, pause) in enumerate(
+            ((1, 5, 0, 9), (1, 200, 0, 9), (1, 0, 1000, 7.0), (1, 0, 1500, 8.0), (1, 0, 1500, 9.5),
+             (1, 1, 1500, 10.5), (5, 20, 200, 8.0), (5, 0, 300, 9.9), (20, 1, 0, 9), (20, 0, 40, 12.0))
+        ):  # fmt: skip
+            chance = random.Random(seed)
+            budgets = [Budget(RATIO, SLACK, SPAN) for _ in range(sidecars)]
+            events = sorted(
+                (at, number)
+                for number in range(sidecars)
+                for at in bursts(chance, rate, 60.0, burst, pause)
+            )
+            asked, spent = [], []
+            for at, number in events:
+                budgets[number].request(at)
+                asked.append(at)
+                while chance.random() < 0.9 and budgets[number].allows(at, sidecars):
+                    budgets[number].spend(at)
+                    spent.append(at)
+            self.assertLessEqual(worst(asked, spent), 0.0, (sidecars, rate, burst, pause))
+            self.assertLess(SLACK / 10, len(spent))
+
+    def test_the_quiet_have_a_little(self):
+        # Guards: a sidecar with few requests may try again at all; all of them together not beyond the slack.
+        for sidecars in (1, 3, 10):
+            each = 0
+            budget = Budget(RATIO, SLACK, SPAN)
+            while budget.allows(0.0, sidecars):
+                budget.spend(0.0)
+                each += 1
+            self.assertLess(0, each)
+            self.assertLessEqual(sidecars * each, 0.5 * SLACK)
+
+    def test_a_window_against_a_count(self):
+        # Guards: all of the last span are counted, and none older than a step more.
+        chance, window, times, now = random.Random(4), Window(SPAN), [], 1e6
+        for _ in range(3000):
+            now += chance.choice((0.0, 0.01, 0.3, 4.0 if chance.random() < 0.02 else 0.1))
+            window.add(now)
+            times.append(now)
+            now += chance.random()
+            read = window.read(now)
+            least = within(times, now - SPAN, now)
+            most = within(times, now - SPAN - SPAN / STEPS - 1e-6, now)
+            self.assertTrue(least <= read <= most, (least, read, most))
+        self.assertEqual(0, window.read(now + 2 * SPAN))
+        self.assertLessEqual(len(window.steps), STEPS + 2)
