The time in Keep-Alive is found in any order and spelling

Only a value that began with `timeout=` counted: with `max=100, timeout=5` a connection was used after the server had closed it, and what was written to it counted as perhaps run.

--- a/foxspread/orchard/furrow/lanes.py
+++ b/foxspread/orchard/furrow/lanes.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import re
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -15,6 +16,7 @@
 CONNECT_S = 0.5
 STRAYS_MOST = 2  # surplus answers passed over while the one that is due is waited for
 ANSWER_MOST = 32 * 1024 * 1024
+IDLE = re.compile(rb"\btimeout\s*=\s*\"?([0-9]{1,9})", re.IGNORECASE)  # in Keep-Alive: seconds
 
 
 class AnswerReader(http.AnswerReader):
@@ -97,11 +99,8 @@
 
     def _idle(self, message: http.Message) -> None:
         told = message.header(b"keep-alive")
-        if told is not None and told.startswith(b"timeout="):
-            seconds = told[8:].split(b",")[0].strip()
-            self.idle_most = (
-                min(self.pool.idle_most, 0.6 * int(seconds)) if seconds.isdigit() else self.idle_most
-            )
+        if told is not None and (seconds := IDLE.search(told)) is not None:
+            self.idle_most = min(self.pool.idle_most, 0.6 * int(seconds[1]))
         self.pool.keep(self)
 
     def eof_received(self) -> bool:
