A connection whose waiting ends while it comes up is counted off once

Cancelled between the coming up and the return, it was counted off by the one who waited and again when it was lost: the count of another connection to the place went with it, and the bound on connections grew.

--- a/foxspread/orchard/furrow/lanes.py
+++ b/foxspread/orchard/furrow/lanes.py
@@ -162,16 +162,15 @@
             return "too many connections"
         self.open_now[place] = self.open_now.get(place, 0) + 1
         self.opened += 1
+        lane = Lane(self, place)
         try:
             async with asyncio.timeout(patience):
-                _, lane = await asyncio.get_running_loop().create_connection(
-                    lambda: Lane(self, place), *place
-                )
+                await asyncio.get_running_loop().create_connection(lambda: lane, *place)
         except (OSError, TimeoutError) as error:
-            self._less(place)
+            self.gone(lane)  # its connection may have come up, and ends by itself
             return "refused" if isinstance(error, ConnectionRefusedError) else "silent"
         except BaseException:
-            self._less(place)
+            self.gone(lane)
             raise
         return lane
 
--- a/tests/orchard/furrow/test_lanes.py
+++ b/tests/orchard/furrow/test_lanes.py
@@ -1,7 +1,7 @@
 """The side that asks: one answer for each request, in any cut, and connections that are counted."""
 
 from foxspread.orchard.furrow.lanes import STRAYS_MOST, Lane, Lanes
-from tests.orchard.helpers import OnLoop, Script, Transport, answer
+from tests.orchard.helpers import Loop, OnLoop, Script, Transport, answer
 
 PLACE = ("s", 80)
 CHUNKED = (
@@ -154,6 +154,31 @@
 
 
 class Counts(OnLoop):
+    def test_every_way_in_which_a_connection_does_not_come_up(self):
+        # Guards: connections are counted once each, also where the one who waits is cancelled at any moment.
+        for there, told in ((None, "refused"), (Loop.SILENT, "silent"), (Script, None)):
+            for steps in range(8):
+                self.loop.places[PLACE] = there
+                pool = Lanes(self.loop.time, 6.0)
+                other = self.loop.create_task(pool.connect(PLACE)) if there is Script else None
+                self.loop.settle()
+                kept = int(other is not None)
+                self.assertEqual(kept, pool.open_now.get(PLACE, 0))
+                task = self.loop.create_task(pool.connect(PLACE))
+                for _ in range(steps):
+                    if self.loop.ready:
+                        self.loop.ready.popleft()._run()
+                done = task.done()
+                task.cancel()
+                self.loop.advance(1.0)
+                if done and told is None:
+                    kept += 1
+                self.assertEqual(kept, pool.open_now.get(PLACE, 0), (there, steps))
+                self.assertEqual([not done, set()], [task.cancelled(), self.loop.tasks])
+            if told is not None:
+                task = self.loop.create_task(pool.connect(PLACE))
+                self.loop.advance(1.0)
+                self.assertEqual([told, {}], [task.result(), pool.open_now])
 
     def test_not_more_than_so_many(self):
         self.loop.places[PLACE] = Script
