An answer to HEAD is whole with its head

The length that such an answer tells was waited for until the deadline; the client got 504. The connection is not used again, since the parser still waits for that body.

--- a/foxspread/orchard/furrow/lanes.py
+++ b/foxspread/orchard/furrow/lanes.py
@@ -22,6 +22,13 @@
 class AnswerReader(http.AnswerReader):
     body_most = kept_most = ANSWER_MOST
     head_most = 64 * 1024
+    bare = False  # the answer to come has no body, whatever its head tells
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        if self.bare and self.message.status >= 200 and self.message.length != 0:
+            self.on_message_complete()
+            self.message.keep = False  # the parser waits for a body
 
 
 @dataclass(slots=True)
@@ -51,6 +58,7 @@
     def ask(self, parts: Sequence[bytes], id: bytes, then: Callable[[End], None]) -> None:
         """`then` is called once, unless `drop` comes first. `id`: what the answer has to carry."""
         self.then, self.id, self.strays = then, id, 0
+        self.reader.bare = parts[0].startswith(b"HEAD ")
         if self.transport is None or self.transport.is_closing():
             self.close()
             return self._end(End(None, False, "refused"))
--- a/tests/orchard/furrow/test_lanes.py
+++ b/tests/orchard/furrow/test_lanes.py
@@ -107,6 +107,14 @@
         lane.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")  # whose is it?
         self.assertEqual([], ends)
 
+    def test_an_answer_to_head_has_no_body(self):
+        # Guards: the length that it tells is not waited for.
+        for data in (answer(id=b"q1")[:-4], CHUNKED.partition(b"3\r\n")[0]):
+            pool, lane, ends = self.lane(method=b"HEAD")
+            self.feed(lane, data, 9)
+            self.assertEqual([(200, b"")], [(end.message.status, bytes(end.message.body)) for end in ends])
+            self.assertEqual(int(pool.reuse(PLACE) is lane), pool.open_now.get(PLACE, 0))
+
     def test_when_it_is_used_again(self):
         # Guards: the other side's time, in whatever order and spelling; `Connection: close`; bytes or an end
         # while idle.
