A request that was answered leaves no timer behind

The timer after which a try counts as overdue stayed set when the request had been answered or its client had gone, and held it, body and answer included, for up to its deadline: with bodies of some size that is memory of all requests of the last seconds.

--- a/foxspread/orchard/furrow/caller.py
+++ b/foxspread/orchard/furrow/caller.py
@@ -21,13 +21,17 @@
 class Job:
     """One request of a client, held until its one answer."""
 
-    __slots__ = ("desk", "exchange", "errand", "lines", "legs", "timer")
+    __slots__ = ("desk", "exchange", "errand", "lines", "legs", "timers")
 
     def __init__(self, desk: "CallerDesk", exchange: Exchange, errand: Errand) -> None:
         self.desk, self.exchange, self.errand = desk, exchange, errand
         self.lines = heads.kept(exchange.message)
         self.legs: list[Lane | Handing | asyncio.Task | None] = []  # by try: what carries it
-        self.timer = asyncio.get_running_loop().call_later(max(0.0, errand.until - errand.begun), self.late)
+        self.timers: list[asyncio.TimerHandle] = []  # each holds the request until it fires
+        self._watch(max(0.0, errand.until - errand.begun), self.late)
+
+    def _watch(self, seconds: float, then: Callable, *told: int) -> None:
+        self.timers.append(asyncio.get_running_loop().call_later(seconds, then, *told))
 
     def carry(self, step: Step) -> None:
         while step is not None:
@@ -38,7 +42,6 @@
             return
 
     def _finish(self, step: Pass | Refuse) -> None:
-        self.timer.cancel()
         self._drop_legs()
         if isinstance(step, Pass):
             answer = self.errand.tries[step.number].answer
@@ -57,7 +60,7 @@
         if route.safe:
             wait = max(errand.health.overdue(desk.clock()), 0.5 * route.aim)
             if wait < left:
-                asyncio.get_running_loop().call_later(wait, self.overdue, number)
+                self._watch(wait, self.overdue, number)
         if upstream.node == desk.node:
 
             def told(word: bytes, why: str, answer: http.Message | None, busy: int) -> None:
@@ -134,12 +137,13 @@
 
     def left(self) -> None:
         """The client has gone."""
-        self.timer.cancel()
         self._drop_legs()
         self.desk.steering.left(self.desk.clock(), self.errand)
 
     def _drop_legs(self) -> None:
         now = self.desk.clock()
+        for timer in self.timers:
+            timer.cancel()
         for number in self.errand.out():
             self._drop(number)
             self.desk.steering.ended(now, self.errand, number, Outcome.CALLED_OFF, True, None, None)
