A server's 400 goes back as it is

A server answers 400 with X-Not-Run where a request has no id. It counted as a full server: other servers were asked the same out of the budget, each was noted as slow, and the client got 503.

--- a/foxspread/orchard/furrow/caller.py
+++ b/foxspread/orchard/furrow/caller.py
@@ -171,6 +171,8 @@
         return Outcome.TIMED_OUT, True
     if word != heads.SENT or answer is None:
         return Outcome.RESET, True
+    if answer.status == 400:
+        return Outcome.DONE, True  # of the request itself: other servers would say the same
     if answer.header(b"x-not-run") is not None or answer.status == 421:
         return Outcome.FULL, True
     if answer.status >= 500 or answer.status < 200:
--- a/tests/orchard/furrow/test_caller.py
+++ b/tests/orchard/furrow/test_caller.py
@@ -267,6 +267,13 @@
         self.assertTrue(transport.written.endswith(b"\r\n\r\n"))
         self.assertEqual({}, site.idle())
 
+    def test_a_request_without_an_id(self):
+        # Guards: the server's 400 says why; other servers would say the same.
+        site = Site(self.loop)
+        site.acts = [not_run(400).replace(b"X-Request-Id: ID\r\n", b"")] * 3
+        self.assertEqual([400], statuses(site.ask(request(id=b"")).written))
+        self.assertEqual(1, len(site.seen))
+
     def test_every_connection_is_reset(self):
         # Guards: a fleet that resets all there is ends in an answer, not in a loop.
         for at_once, wanted, mail_class in (
@@ -311,6 +318,7 @@
             (b"sent", "", told(299), (Outcome.RESET, True)),
             (b"sent", "", told(302), (Outcome.DONE, True)),
             (b"sent", "", told(404), (Outcome.DONE, True)),
+            (b"sent", "", told(400, b"X-Not-Run"), (Outcome.DONE, True)),
             (b"sent", "", told(421), (Outcome.FULL, True)),
             (b"sent", "", told(429, b"X-Not-Run"), (Outcome.FULL, True)),
             (b"sent", "", told(503, b"X-Not-Run"), (Outcome.FULL, True)),
