--- a/foxspread/orchard/furrow/lasthop.py
+++ b/foxspread/orchard/furrow/lasthop.py
@@ -35,7 +35,6 @@
     """What is handed over to one life and not answered."""
 
     busy: int = 0
-    draining_at: float | None = None
     pressed_at: float = -math.inf
     took: Mean = None
 
@@ -57,11 +56,8 @@
         if server is None or server.state == GONE:
             return Failure("gone")
         holding = self.of(id)
-        if server.state == DRAINING:
-            if holding.draining_at is None:
-                holding.draining_at = now
-            if now - holding.draining_at > DRAIN_PART * self.drain_s:
-                return Failure("draining")
+        if server.state == DRAINING and now - self.lives.draining_at[id] > DRAIN_PART * self.drain_s:
+            return Failure("draining")
         mean = holding.took.read(now)
         wait = max(0, holding.busy + 1 - server.berths) * mean / server.berths
         high = terms.rank <= HIGH
