--- a/foxspread/orchard/rootstock/disk.py
+++ b/foxspread/orchard/rootstock/disk.py
@@ -98,19 +98,7 @@
             _opened(body, seal, kind, name)
             for kind, name, body, seal in self.db.execute("SELECT * FROM items")
         ]
-        accepted, delta = meta.get("accepted", [[0, ""], []])
-        return Saved(
-            meta["disk"],
-            tuple(meta["members"]),
-            tuple(meta.get("promised", (0, ""))),
-            tuple(meta.get("settled", (0, ""))),
-            tuple(accepted),
-            rows,
-            delta,
-            meta.get("disks", {}),
-            meta["voting"],
-            meta["known"],
-        )
+        return Saved.found(meta, rows)
 
     def start(self) -> None:
         threading.Thread(target=self._run, daemon=True, name="disk").start()
--- a/foxspread/orchard/rootstock/stock.py
+++ b/foxspread/orchard/rootstock/stock.py
@@ -38,6 +38,23 @@
     voting: bool = False
     known: bool = False  # who the members are is known for sure, not only from seeds
 
+    @classmethod
+    def found(cls, meta: dict[str, Any], rows: list) -> "Saved":
+        """What `Write`s have left behind."""
+        accepted, delta = meta.get("accepted", [[0, ""], []])
+        return cls(
+            meta["disk"],
+            tuple(meta["members"]),
+            tuple(meta.get("promised", NONE)),
+            tuple(meta.get("settled", NONE)),
+            tuple(accepted),
+            rows,
+            delta,
+            meta.get("disks", {}),
+            meta["voting"],
+            meta["known"],
+        )
+
 
 class Stock:
     def __init__(self, me: str, saved: Saved) -> None:
