What an accept brings along is shown as well

A machine that missed ballots gets what was settled with the next accept; Stock.accept put it into the copy and on disk and dropped the list of new items, so that the node's routes never held them until it was started again. Change: a stock's answers name the settled items that are new here, and tending passes them on.

--- a/foxspread/orchard/rootstock/stock.py
+++ b/foxspread/orchard/rootstock/stock.py
@@ -21,6 +21,7 @@
 
 Message = dict[str, Any]
 Write = tuple  # ("meta", name, value) or ("items", rows)
+Answer = tuple[list[Write], Message | None, list[Item]]  # written, then sent; settled items that are new here
 
 
 @dataclass
@@ -95,12 +96,12 @@
 
     # As an acceptor.
 
-    def prepare(self, message: Message) -> tuple[list[Write], Message | None]:
+    def prepare(self, message: Message) -> Answer:
         if not self.voting:
-            return [], None
+            return [], None, []
         asked = ballot(message["b"])
         if asked < self.promised:
-            return [], self._nack(asked)
+            return [], self._nack(asked), []
         writes = self._promise(asked)
         return writes, {
             "t": "promise",
@@ -110,35 +111,36 @@
             "disk": self.disk,
             "delta": [item.packed() for item in self.delta.values()],
             "ahead": self._ahead(ballot(message["s"])),
-        }
+        }, []
 
-    def accept(self, message: Message) -> tuple[list[Write], Message | None]:
+    def accept(self, message: Message) -> Answer:
         if not self.voting:
-            return [], None
+            return [], None, []
         asked, base = ballot(message["b"]), ballot(message["s"])
         if (
             asked < self.promised
             or any(self.disks.get(m, disk) != disk for m, disk in message["disks"].items())
             or message["disks"].get(self.me, self.disk) != self.disk
         ):
-            return [], self._nack(asked)
+            return [], self._nack(asked), []
         writes: list[Write] = []
+        new: list[Item] = []
         if self.copy.upto < base:
             if ballot(message.get("since", NONE)) > self.copy.upto or "ahead" not in message:
-                return [], {"t": "behind", "b": asked, "s": self.copy.upto}
-            writes += self.learn(base, map(unrow, message["ahead"]))[0]
+                return [], {"t": "behind", "b": asked, "s": self.copy.upto}, []
+            writes, new = self.learn(base, map(unrow, message["ahead"]))
         writes += self._promise(asked)
         if asked > self.copy.upto:
             self.accepted = asked
             self.delta = {item.key: item for item in map(unpacked, message["delta"])}
             writes.append(self._accepted())
-        return writes, {"t": "accepted", "b": asked, "disk": self.disk}
+        return writes, {"t": "accepted", "b": asked, "disk": self.disk}, new
 
-    def enrol(self, sender: str, message: Message) -> tuple[list[Write], Message | None]:
+    def enrol(self, sender: str, message: Message) -> Answer:
         """Notes the new identity of a disk that came back empty, and tells all that is held, as of after
         that."""
         if not self.voting:
-            return [], None
+            return [], None, []
         if sender in self.members:
             self.disks[sender] = message["disk"]
         return [("meta", "disks", self.disks)], {
@@ -151,7 +153,7 @@
             "rows": [row(*each) for each in self.copy.since(NONE)],
             "disks": self.disks,
             "members": list(self.members),
-        }
+        }, []
 
     def _promise(self, asked: Ballot) -> list[Write]:
         if asked <= self.promised:
--- a/foxspread/orchard/rootstock/tending.py
+++ b/foxspread/orchard/rootstock/tending.py
@@ -66,10 +66,9 @@
             return
         kind = message["t"]
         if kind in ASKED:
-            writes, reply = getattr(self.stock, kind)(message)
-            self._reply(sender, writes, reply)
+            self._answer(sender, *getattr(self.stock, kind)(message))
         elif kind == "enrol":
-            self._reply(sender, *self.stock.enrol(sender, message))
+            self._answer(sender, *self.stock.enrol(sender, message))
         elif kind == "enrolled":
             if (found := self.stock.take_in(sender, message)) is not None:
                 say("caught_up", members=len(self.stock.members), upto=self.stock.copy.upto[0])
@@ -123,12 +122,14 @@
             say("state_known", upto=self.stock.copy.upto[0], items=len(self.stock.copy.items))
             self.settled([])
 
-    def _reply(self, sender: str, writes: list[Write], reply: Message | None) -> None:
+    def _answer(self, sender: str, writes: list[Write], reply: Message | None, new: list[Item]) -> None:
         def go() -> None:
             if reply is not None:
                 self._pass(sender, reply)
 
         self.put(writes, go)
+        if new:
+            self.settled(new)
 
     def _pass(self, to: str, message: Message) -> None:
         if to == self.stock.me:
