A settings file that differs in a kept key is told once, not every two seconds

Cause: a process compared the file with its own settings before it left out what it keeps (first_start, addresses, data_dir). The platform writes first_start false after the first start, so each process of the first start logged event=settings every 2 s for its life, and asked its seeds anew each time. Change: what is kept is left out first, then compared. Result: one line for a change, none for first_start alone; tests/orchard/test_node.py.

--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -181,8 +181,9 @@
         new = read()
         if isinstance(new, Failure):
             return say("settings_refused", why=new.reason)
+        new = moved(self.settings, new)
         if new != self.settings:
-            self.settings = moved(self.settings, new)
+            self.settings = new
             for each in new.seed_addresses():
                 self.cores.setdefault(each, "")
             self.caller_desk.caller = new.service.encode()
