--- a/foxspread/orchard/__main__.py
+++ b/foxspread/orchard/__main__.py
@@ -1,6 +1,7 @@
 """`python -m foxspread.orchard node`: one process of the mesh, by its settings file alone."""
 
 import asyncio
+import os
 import sys
 
 import click
@@ -21,9 +22,11 @@
     import uvloop
 
     from foxspread.orchard.node import Node
-    from foxspread.orchard.settings import read
+    from foxspread.orchard.settings import FILE_VARIABLE, read
 
-    told = read(path)
+    if path is not None:
+        os.environ[FILE_VARIABLE] = path  # it is read again while the process runs
+    told = read()
     start(told.node if told else "unknown")
     if isinstance(told, Failure):
         say("settings_refused", why=told.reason)
