--- /dev/null
+++ b/foxspread/orchard/stand_ins/operator.py
@@ -0,0 +1,92 @@
+"""A stand-in of the operator: sends changes until one is taken or refused for good, and reads back."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from foxspread.orchard.furrow.lanes import Lanes
+from foxspread.orchard.settings import Address, address, shown
+from foxspread.orchard.stand_ins.asking import Reply, asked, written
+from foxspread.orchard.stand_ins.ledger import Ledger
+
+PATIENCE_S = 1.0  # of silence, after which it goes on to the next address
+PAUSE_S, PAUSE_MOST_S = 0.05, 1.0  # between askings, doubling
+FOLLOWED_MOST = 2  # answers 307
+REFUSED = (400, 409, 412, 413, 422)  # these end a call at once, any other 4xx at the third
+REFUSALS_MOST = 3
+ELSEWHERE = (408, 429)  # as a 5xx: the next address is asked
+
+
+@dataclass(slots=True)
+class Outcome:
+    """Of a call: the last status (0: no answer), what came with it, and how often it was sent."""
+
+    status: int
+    content: Any
+    sendings: int
+    at: float  # by the loop's clock: when it was known
+
+    def __bool__(self) -> bool:
+        return 200 <= self.status < 300
+
+
+class Operator:
+    def __init__(self, places: Sequence[Address], lanes: Lanes, ledger: Ledger | None = None) -> None:
+        self.places, self.lanes, self.ledger = list(places), lanes, ledger or Ledger()
+        self.turn = 0  # the next address to ask
+
+    async def patch(self, call: dict[str, Any], within: float = 30.0) -> Outcome:
+        """A change, resent unchanged until its answer is clear."""
+        return await self._until_clear("POST", "/api/Config.Patch", orjson.dumps(call), within)
+
+    async def get(self, within: float = 30.0) -> Outcome:
+        return await self._until_clear("GET", "/api/Config.Get", b"", within)
+
+    async def get_at(self, place: Address) -> Outcome:
+        """From one address alone, asked once."""
+        return self._outcome(await self._ask(place, "GET", "/api/Config.Get", b""), 1)
+
+    async def _until_clear(self, method: str, target: str, body: bytes, within: float) -> Outcome:
+        until, pause, refusals, sendings = self.lanes.clock() + within, PAUSE_S, 0, 0
+        while True:
+            place = self.places[self.turn % len(self.places)]
+            reply = await self._ask(place, method, target, body)
+            status, sendings = reply.status, sendings + 1
+            refusals += 400 <= status < 500 and status not in ELSEWHERE
+            if 200 <= status < 300 or status in REFUSED or refusals >= REFUSALS_MOST:
+                return self._outcome(reply, sendings)
+            self.turn += 1
+            if self.lanes.clock() + pause >= until:
+                return self._outcome(reply, sendings)
+            await asyncio.sleep(pause)
+            pause = min(PAUSE_MOST_S, 2 * pause)
+
+    async def _ask(self, place: Address, method: str, target: str, body: bytes) -> Reply:
+        """Follows answers 307."""
+        for followed in range(FOLLOWED_MOST + 1):
+            parts = written(method, target, shown(place), ["Content-Type: application/json"], body)
+            reply = await asked(self.lanes, place, parts, PATIENCE_S + len(body) / 1e6)
+            self.ledger.add(
+                "call", call=f"{method} {target}", place=shown(place), status=reply.status, why=reply.why
+            )
+            if reply.status != 307 or followed == FOLLOWED_MOST:
+                return reply
+            where = reply.message.text(b"location").removeprefix("http://")
+            host, slash, path = where.partition("/")
+            try:
+                place, target = address(host), slash + path
+            except ValueError:
+                return reply
+        raise AssertionError("the last round returns")
+
+    def _outcome(self, reply: Reply, sendings: int) -> Outcome:
+        content: Any = reply.why
+        if reply.message is not None and reply.message.body:
+            try:
+                content = orjson.loads(reply.message.body)
+            except orjson.JSONDecodeError:
+                content = bytes(reply.message.body).decode("latin-1")
+        return Outcome(reply.status, content, sendings, self.lanes.clock())
