The mesh on one machine: python -m foxspread.orchard up, and try

Cause: a new user had no way to see the mesh run. Change: foxspread/orchard/nursery lays a site out on loopback addresses, keeps its processes up and ends them by their ids; try puts a configuration, sends requests, moves a route under load, kills a core and a sidecar, and counts from the stand-ins' ledgers.

--- a/foxspread/orchard/__main__.py
+++ b/foxspread/orchard/__main__.py
@@ -1,18 +1,32 @@
-"""`python -m foxspread.orchard node`: one process of the mesh, by its settings file alone."""
+"""`python -m foxspread.orchard ...`: one process of the mesh by its settings file, and the whole mesh on one
+machine, to try it out."""
 
 import asyncio
 import os
+import signal
 import sys
+import tempfile
+from typing import TYPE_CHECKING
 
 import click
 
 from foxspread.orchard.log import say, start
 from foxspread.orchard.outcome import Failure
 
+if TYPE_CHECKING:
+    from foxspread.orchard.nursery.plot import Plot
+    from foxspread.orchard.nursery.trial import Figures
 
-@click.group()
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
 def main() -> None:
-    """The mesh."""
+    """The mesh.
+
+    \b
+    python -m foxspread.orchard node            one process, by its settings file
+    python -m foxspread.orchard up --folder DIR the whole of it on this machine
+    python -m foxspread.orchard try DIR         what it does, by figures
+    """
 
 
 @main.command()
@@ -39,5 +53,102 @@
     asyncio.run(run())
 
 
+@main.command()
+@click.option("--core", default=3, show_default=True, help="Machines with a disk.")
+@click.option("--side", default=4, show_default=True, help="Sidecars, each with a stand-in server beside it.")
+@click.option("--folder", metavar="DIR", help="For settings, data and logs; else a new one.")
+@click.option(
+    "--net", default="127.0.1", show_default=True, help="The first three numbers of their addresses."
+)
+@click.option(
+    "--fault",
+    "faults",
+    multiple=True,
+    metavar="NAME=SHARE",
+    help="Servers misbehave so at that share of requests.",
+)
+def up(core: int, side: int, folder: str | None, net: str, faults: tuple[str, ...]) -> None:
+    """Run the whole mesh on loopback addresses, in the foreground, until ^C or SIGTERM."""
+    import uvloop
+
+    from foxspread.orchard.nursery.plot import PlotError, laid
+    from foxspread.orchard.stand_ins.server import shares
+
+    try:
+        plot = laid(folder or tempfile.mkdtemp(prefix="orchard-"), core, side, net, shares(faults))
+        uvloop.run(kept_up(plot))
+    except ValueError as error:
+        raise click.UsageError(str(error)) from None
+    except PlotError as error:
+        raise click.ClickException(str(error)) from None
+
+
+async def kept_up(plot: "Plot") -> None:
+    """Until a signal; a second one ends it at once."""
+    from foxspread.orchard.nursery.growing import Nursery
+
+    stop, loop = asyncio.Event(), asyncio.get_running_loop()
+    nursery = Nursery(plot, click.echo)
+
+    def ended() -> None:
+        if stop.is_set():
+            nursery.kill()
+        else:
+            click.echo("ending; once more kills")
+            stop.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended)
+    await nursery.run(stop, lambda: click.echo(where(plot)))
+
+
+def where(plot: "Plot") -> str:
+    """What is where, as a table."""
+    from foxspread.orchard.nursery.plot import SIDE
+    from foxspread.orchard.settings import shown
+
+    rows = [("NODE", "ZONE", "CONTROL", "OUTBOUND", "SERVER")]
+    for each in plot.machines:
+        side = each.kind == SIDE
+        control, outbound = shown(each.place("control")), shown(each.place("outbound")) if side else "-"
+        rows.append((each.node, each.zone, control, outbound, each.service if side else "-"))
+    widths = [max(len(row[n]) for row in rows) for n in range(5)]
+    lines = ["  ".join(text.ljust(width) for text, width in zip(row, widths)).rstrip() for row in rows]
+    lines += [
+        f"up, process {os.getpid()}; settings, data and logs: {plot.folder}",
+        f"try it: python -m foxspread.orchard try {plot.folder}",
+        "end it: ^C",
+    ]
+    return "\n".join(lines)
+
+
+@main.command("try")
+@click.argument("folder", metavar="DIR")
+@click.option("--requests", default=2000, show_default=True, type=click.IntRange(50, 100_000))
+def try_(folder: str, requests: int) -> None:
+    """Send requests through the mesh that `up` runs in DIR, change its configuration, kill two processes.
+
+    Exit code 1 where something was wrong: an unsafe request that ran twice, a mixed up answer, cores that
+    do not read back the same, under nine of ten served.
+    """
+    import uvloop
+
+    from foxspread.orchard.nursery.plot import PlotError
+
+    try:
+        figures = uvloop.run(tried(folder, requests))
+    except PlotError as error:
+        raise click.ClickException(str(error)) from None
+    click.echo("\n".join(figures.lines()))
+    sys.exit(0 if figures.good else 1)
+
+
+async def tried(folder: str, requests: int) -> "Figures":
+    from foxspread.orchard.nursery.plot import read
+    from foxspread.orchard.nursery.trial import Trial
+
+    return await Trial(read(folder), click.echo).run(requests)
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/tests/orchard/test_nursery.py
@@ -0,0 +1,63 @@
+"""The whole mesh on loopback, with real processes: what `up` starts and `try` sees."""
+
+import asyncio
+import os
+import pathlib
+import shutil
+import tempfile
+
+import testtools
+import uvloop
+
+from foxspread.orchard.nursery.growing import Nursery, pid_of
+from foxspread.orchard.nursery.plot import Plot, laid, read
+from foxspread.orchard.nursery.trial import Figures, Trial
+
+MOST_S = 60.0  # far over what it takes
+
+
+class Mesh(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.folder = tempfile.mkdtemp(prefix="orchard-test-")
+        net = f"127.{10 + os.getpid() // 250 % 240}.{os.getpid() % 250}"  # of this process alone
+        self.plot = laid(self.folder, 3, 2, net)
+
+    def test_what_up_starts_serves_through_a_change_and_two_deaths(self) -> None:
+        said: list[str] = []
+        try:
+            figures = uvloop.run(played(self.plot, said))
+            self.assertEqual(self.plot, read(self.folder))
+            self.assertEqual(0, figures.twice)
+            self.assertEqual(0, figures.mixed)
+            self.assertEqual(0, figures.went_back)
+            self.assertEqual(0, figures.strange_callers)
+            self.assertGreater(figures.unsafe, 50)
+            self.assertTrue(figures.read_back_equal)
+            self.assertEqual(6, figures.items)
+            self.assertTrue(figures.good, "\n".join(figures.lines()))
+            self.assertEqual({"side-1", "side-2"}, set(figures.acts))
+            self.assertEqual({"core-1", "side-1"}, set(figures.after_deaths))
+            self.assertEqual([], [each.node for each in self.plot.machines if pid_of(self.plot, each.node)])
+        except BaseException:
+            kept = pathlib.Path(self.folder)
+            logs = [f"{each.name}: {each.read_text()[-600:]}" for each in sorted(kept.glob("*/*.log"))]
+            self.addDetail("logs", testtools.content.text_content("\n".join([*said, str(kept), *logs])))
+            raise
+        shutil.rmtree(self.folder)
+
+
+async def played(plot: Plot, said: list[str]) -> Figures:
+    """The nursery ends its processes in any case."""
+    stop, up = asyncio.Event(), asyncio.Event()
+    async with asyncio.timeout(MOST_S):
+        growing = asyncio.get_running_loop().create_task(Nursery(plot, said.append).run(stop, up.set))
+        try:
+            waiting = asyncio.get_running_loop().create_task(up.wait())
+            await asyncio.wait([waiting, growing], return_when=asyncio.FIRST_COMPLETED)
+            if growing.done():
+                growing.result()
+            return await Trial(plot, said.append, pace=150.0).run(300)
+        finally:
+            stop.set()
+            await growing
