A slow start is not told as a sleep

Cause: the time of the last tick was set when the process was put together, and the first tick came after its disk was opened: on a laden machine each keeper logged event=slept at its start. Change: it counts from the first tick.

--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -190,7 +190,7 @@
             say("settings", seeds=",".join(new.seeds), service=new.service)
 
     async def _tick(self) -> None:
-        count = 0
+        count, self.ticked = 0, self.clock()  # the start, with its disk, was no sleep
         while True:
             await asyncio.sleep(TICK_S)
             now = self.clock()
