--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -184,15 +184,16 @@
         new = read()
         if isinstance(new, Failure):
             return say("settings_refused", why=new.reason)
+        new = moved(self.settings, new)
         if new != self.settings:
-            self.settings = moved(self.settings, new)
+            self.settings = new
             for each in new.seed_addresses():
                 self.cores.setdefault(each, "")
             self.caller_desk.caller = new.service.encode()
             say("settings", seeds=",".join(new.seeds), service=new.service)
 
     async def _tick(self) -> None:
-        count = 0
+        count, self.ticked = 0, self.clock()  # the start, with its disk, was no sleep
         while True:
             await asyncio.sleep(TICK_S)
             now = self.clock()
