--- a/tests/orchard/furrow/test_lasthop.py
+++ b/tests/orchard/furrow/test_lasthop.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from foxspread.orchard.furrow.lasthop import DRAIN_PART, QUEUE_MOST, LastHop
+from foxspread.orchard.furrow.lasthop import DRAIN_PART, PRESSED_S, QUEUE_MOST, LastHop, Terms
 from foxspread.orchard.grove.lives import DRAINING, READY, Lives
 
 DRAIN_S = 2.0
@@ -21,7 +21,7 @@
 
     def why(self, now, id="i", left=1.0, aim=0.5):
         """Why not; None where it is let through, and ends at once."""
-        found = self.hop.admit(now, id, left, aim)
+        found = self.hop.admit(now, id, left, Terms(aim))
         if isinstance(found, tuple):
             self.assertEqual(("a", 80), found)
             return self.hop.released(now, id, None)
@@ -52,7 +52,7 @@
     def test_no_more_than_it_can_serve_in_time(self):
         # Guards: berths and a queue; who comes back from where it waits too long is told so at once.
         held = 0
-        while isinstance(found := self.hop.admit(0.0, "i", 100.0, 100.0), tuple):
+        while isinstance(found := self.hop.admit(0.0, "i", 100.0, Terms(100.0)), tuple):
             held += 1
         self.assertEqual([int(4 * QUEUE_MOST), "full"], [held, found.reason])
         for _ in range(held):
@@ -60,5 +60,22 @@
         self.assertEqual(0, self.hop.of("i").busy)
         self.assertEqual(["late", "late", None], [self.why(0.0, left=left) for left in (0.0, 0.1, 5.0)])
         for _ in range(4):
-            self.hop.admit(0.0, "i", 5.0, 5.0)
+            self.hop.admit(0.0, "i", 5.0, Terms(5.0))
         self.assertEqual(["full", None], [self.why(0.0, aim=0.2), self.why(0.0, left=5.0, aim=5.0)])
+
+    def test_low_ranks_yield_to_high_ones(self):
+        # Guards: a quick inner call must not be turned away behind long work, or its parent runs for nothing;
+        # after one had to wait, others get no place in the queue for a while, but all berths.
+        hold, low, high = self.hop.of("i"), Terms(10.0, 2), Terms(0.06, 1)
+        hold.took.add(0.0, 50.0, 50.0)
+        for _ in range(4):
+            self.assertIsInstance(self.hop.admit(0.0, "i", 10.0, low), tuple)
+        self.assertIsInstance(self.hop.admit(0.0, "i", 10.0, low), tuple)
+        self.assertIsInstance(self.hop.admit(0.0, "i", 2.0, high), tuple)
+        self.hop.released(0.0, "i", None)
+        self.assertEqual("full", self.hop.admit(0.0, "i", 10.0, low).reason)
+        self.assertIsInstance(self.hop.admit(PRESSED_S + 0.01, "i", 10.0, low), tuple)
+        self.hop.released(0.0, "i", None)
+        self.hop.released(0.0, "i", None)
+        self.hop.released(0.0, "i", None)
+        self.assertIsInstance(self.hop.admit(0.5, "i", 10.0, low), tuple)
