Sidecars without a disk load neither cerberus nor click

Change: settings and beats are checked by a table of plain predicates (cerberus checks the operator's configurations, on machines with a disk); the platform starts foxspread.orchard.process, people start the click command. Ruled out: asyncio without ssl (1.3 MB): uvloop needs it.

--- a/foxspread/orchard/__main__.py
+++ b/foxspread/orchard/__main__.py
@@ -10,9 +10,6 @@
 
 import click
 
-from foxspread.orchard.log import say, start
-from foxspread.orchard.outcome import Failure
-
 if TYPE_CHECKING:
     from foxspread.orchard.nursery.plot import Plot
     from foxspread.orchard.nursery.trial import Figures
@@ -33,24 +30,9 @@
 @click.option("--settings", "path", help="The settings file; else FOXSPREAD_NODE_FILE names it.")
 def node(path: str | None) -> None:
     """Run one process: what it does follows from its settings."""
-    import uvloop
-
-    from foxspread.orchard.node import Node
-    from foxspread.orchard.settings import FILE_VARIABLE, read
-
-    if path is not None:
-        os.environ[FILE_VARIABLE] = path  # it is read again while the process runs
-    told = read()
-    start(told.node if told else "unknown")
-    if isinstance(told, Failure):
-        say("settings_refused", why=told.reason)
-        sys.exit(2)
-
-    async def run() -> None:
-        await Node(told, asyncio.get_running_loop()).run()
+    from foxspread.orchard.process import serve
 
-    uvloop.install()
-    asyncio.run(run())
+    sys.exit(serve(path))
 
 
 @main.command()
--- a/foxspread/orchard/gate/configuration.py
+++ b/foxspread/orchard/gate/configuration.py
@@ -5,7 +5,6 @@
 
 from foxspread.orchard.gate.desk import Elsewhere
 from foxspread.orchard.graft.items import Item, laid_out
-from foxspread.orchard.graft.reading import read
 from foxspread.orchard.log import say
 from foxspread.orchard.outcome import Failure, unsettled
 from foxspread.orchard.rootstock.keeper import Keeper
@@ -18,6 +17,12 @@
         self.keeper, self.elsewhere = keeper, elsewhere
 
     async def post_patch(self, id: str, body: bytes) -> dict | Failure | Elsewhere:
+        if self.keeper is None:
+            return self._on("Config.Patch")
+        from foxspread.orchard.graft.reading import (
+            read,
+        )  # and with it cerberus: not for sidecars without a disk
+
         items: list[Item] = []
         for step in read(body):  # in slices: a large call must not hold up what else comes
             if isinstance(step, Failure):
@@ -27,8 +32,6 @@
                 await asyncio.sleep(0)
             else:
                 items.append(step)
-        if self.keeper is None:
-            return self._on("Config.Patch")
         outcome = await self.keeper.submit(items)
         say(
             "config",
--- a/foxspread/orchard/gate/instances.py
+++ b/foxspread/orchard/gate/instances.py
@@ -3,21 +3,20 @@
 from collections.abc import Awaitable, Callable
 
 import orjson
-from cerberus import Validator
 
 from foxspread.orchard.grove.lives import DRAINING, READY, Lives
 from foxspread.orchard.log import say
 from foxspread.orchard.outcome import Failure
-from foxspread.orchard.settings import told
+from foxspread.orchard.plain import COUNT, NEEDED_TEXT, TEXT, Want, faulty, number, place, whole
 
 BEAT = {
-    "service": {"type": "string", "minlength": 1, "required": True},
-    "address": {"type": "string", "regex": r"[^\s:]+:[0-9]+", "required": True},
-    "zone": {"type": "string"},
-    "berths": {"type": "integer", "min": 0},
-    "state": {"type": "string", "allowed": [READY, DRAINING], "required": True},
-    "cold_s_time": {"type": "number"},
-    "sequence": {"type": "integer", "required": True},
+    "service": NEEDED_TEXT,
+    "address": Want(place, "host:port", True),
+    "zone": TEXT,
+    "berths": COUNT,
+    "state": Want(lambda each: each in (READY, DRAINING), f"{READY} or {DRAINING}", True),
+    "cold_s_time": Want(lambda each: number(each, float("-inf")), "seconds"),
+    "sequence": Want(lambda each: whole(each, -(2**63)), "a whole number", True),
 }
 
 
@@ -32,19 +31,16 @@
         spread: Callable[[], Awaitable[bool]],
     ) -> None:
         self.clock, self.lives, self.changed, self.spread = clock, lives, changed, spread
-        self.check = Validator(BEAT, allow_unknown=True)
 
     async def post_beat(self, id: str, body: bytes) -> dict | Failure:
         try:
             beat = orjson.loads(body)
         except orjson.JSONDecodeError as error:
             return Failure(f"the body can't be read: {error}")
-        if not id or not isinstance(beat, dict) or not self.check.validate(beat, normalize=False):
-            return Failure(
-                told(self.check.errors, beat)
-                if isinstance(beat, dict) and id
-                else "wants an id and an object"
-            )
+        if not id:
+            return Failure("wants an id in its path")
+        if (fault := faulty(beat, BEAT)) is not None:
+            return Failure(fault)
         news = self.lives.beat(self.clock(), id, beat)
         if isinstance(news, Failure):
             return news
--- a/foxspread/orchard/graft/reading.py
+++ b/foxspread/orchard/graft/reading.py
@@ -12,7 +12,6 @@
 
 from foxspread.orchard.graft.items import LIMITS, ROUTE, SERVICE, Item, place_of
 from foxspread.orchard.outcome import Failure, invalid
-from foxspread.orchard.settings import told
 
 LONGEST_S = 600.0  # a deadline may be so long
 AIM_OVER_S = 60.0  # and a target may lie less than this over it
@@ -81,6 +80,21 @@
 }
 
 
+def told(errors: dict, data: Any) -> str:
+    """The first of cerberus's errors, as a path of keys, the value there and what is wrong with it."""
+    path, found = [], data
+    while isinstance(errors, dict) and errors:
+        key, rows = next(iter(errors.items()))
+        path.append(str(key))
+        try:
+            found = found[key]
+        except (KeyError, IndexError, TypeError):
+            found = None
+        errors = rows[-1] if rows else "is not to be understood"
+    text = repr(found)
+    return f"{'.'.join(path)}: {text if len(text) < 80 else text[:77] + '...'}: {errors}"
+
+
 def version(text: str) -> int:
     return int(VERSION.fullmatch(text)[1])
 
--- a/foxspread/orchard/settings.py
+++ b/foxspread/orchard/settings.py
@@ -8,9 +8,23 @@
 from typing import Any
 
 import orjson
-from cerberus import Validator
 
 from foxspread.orchard.outcome import Failure
+from foxspread.orchard.plain import (
+    AMOUNT,
+    COUNT,
+    FLAG,
+    LIST,
+    NEEDED_TEXT,
+    OBJECT,
+    TEXT,
+    Want,
+    all_of,
+    faulty,
+    number,
+    place,
+    whole,
+)
 
 FILE_VARIABLE = "FOXSPREAD_NODE_FILE"
 FILE_USUAL = "/etc/foxspread/node.json"
@@ -35,47 +49,37 @@
     "recover_s": 15.0,
 }
 
-_TEXT = {"type": "string", "minlength": 1}
-_NUMBER = {"type": "number", "min": 0}
-SCHEMA = {
-    "node": {**_TEXT, "required": True},
-    "role": {"type": "string"},
-    "machine_class": {"type": "string"},
-    "serves": {"type": "list", "schema": {"type": "string"}, "required": True},
-    "ip": {**_TEXT, "required": True},
-    "zone": {"type": "string", "required": True},
-    "region": {"type": "string"},
-    "zones": {"type": "dict"},
-    "counters": {
-        "type": "dict",
-        "required": True,
-        "valuesrules": {"type": "string", "regex": r"[^\s:]+:[0-9]+"},
-    },
-    "inner_ports": {
-        "type": "list",
-        "minlength": 2,
-        "maxlength": 2,
-        "required": True,
-        "schema": {"type": "integer", "min": 1, "max": 65535},
-    },
-    "seeds": {"type": "list", "schema": {"type": "string", "regex": r"[^\s:]+:[0-9]+"}},
-    "first_start": {"type": "boolean"},
-    "limits": {
-        "type": "dict",
-        "allow_unknown": True,
-        "schema": {"cpu_share": _NUMBER, "memory_mb": _NUMBER, "file_handles": _NUMBER, "link_mbps": _NUMBER},
-    },
-    "data_dir": {"type": "string", "nullable": True},
-    "heartbeat_s": {"type": "number", "min": 0.01},
-    "contracts": {"type": "list"},
-    "tolerate": {
-        "type": "dict",
-        "allow_unknown": True,
-        "schema": {"machines": {"type": "integer", "min": 0}},
-    },
-    "bounds": {"type": ["list", "string"]},
-    "app": {"type": "string", "regex": r"[^\s:]+:[0-9]+"},
-    "service": {"type": "string"},
+PLACES = Want(all_of(place), "a list of host:port")
+WANTS = {
+    "node": NEEDED_TEXT,
+    "role": TEXT,
+    "machine_class": TEXT,
+    "serves": LIST._replace(needed=True),
+    "ip": NEEDED_TEXT,
+    "zone": TEXT._replace(needed=True),
+    "region": TEXT,
+    "zones": OBJECT,
+    "counters": Want(
+        lambda each: isinstance(each, dict) and all(map(place, each.values())), "an object of host:port", True
+    ),
+    "inner_ports": Want(
+        lambda each: all_of(lambda port: whole(port, 1, 65535))(each) and len(each) == 2, "two ports", True
+    ),
+    "seeds": PLACES,
+    "first_start": FLAG,
+    "limits": OBJECT,
+    "limits.cpu_share": AMOUNT,
+    "limits.memory_mb": AMOUNT,
+    "limits.file_handles": AMOUNT,
+    "limits.link_mbps": AMOUNT,
+    "data_dir": Want(lambda each: each is None or isinstance(each, str), "a folder or null"),
+    "heartbeat_s": Want(lambda each: number(each, 0.01), "seconds, 0.01 or more"),
+    "contracts": LIST,
+    "tolerate": OBJECT,
+    "tolerate.machines": COUNT,
+    "bounds": Want(lambda each: isinstance(each, (list, str)), "a list of name=value, or one text of them"),
+    "app": Want(place, "host:port"),
+    "service": TEXT,
 }
 
 
@@ -141,9 +145,8 @@
 def taken(data: Any) -> Settings | Failure:
     if not isinstance(data, dict):
         return Failure("settings must be an object")
-    check = Validator(SCHEMA, allow_unknown=True)
-    if not check.validate(data):
-        return Failure(told(check.errors, data))
+    if (fault := faulty(data, WANTS)) is not None:
+        return Failure(fault)
     bounds = _bounds(data.get("bounds", []))
     if isinstance(bounds, Failure):
         return bounds
@@ -188,21 +191,6 @@
     return bounds
 
 
-def told(errors: dict, data: Any) -> str:
-    """The first of cerberus's errors, as a path of keys, the value there and what is wrong with it."""
-    path, found = [], data
-    while isinstance(errors, dict) and errors:
-        key, rows = next(iter(errors.items()))
-        path.append(str(key))
-        try:
-            found = found[key]
-        except (KeyError, IndexError, TypeError):
-            found = None
-        errors = rows[-1] if rows else "is not to be understood"
-    text = repr(found)
-    return f"{'.'.join(path)}: {text if len(text) < 80 else text[:77] + '...'}: {errors}"
-
-
 def moved(old: Settings, new: Settings) -> Settings:
     """What a running process takes up of a changed file: all but where it listens and what it keeps."""
     return replace(
