A drain first heard of has no grace; faults of the loop are told, broken invariants end the process

Cause: a sidecar that restarts within drain_s knows a draining server only by its next beat, and would have let requests through anew for 1.2 s; exceptions in callbacks went to a logger that nobody reads.

--- a/foxspread/orchard/grove/lives.py
+++ b/foxspread/orchard/grove/lives.py
@@ -3,6 +3,7 @@
 while is gone, until it speaks again.
 """
 
+import math
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -60,8 +61,8 @@
         if old is not None and told["sequence"] <= old.sequence:
             return False  # late: what it said after that is known
         state = told["state"]
-        if state == DRAINING:
-            self.draining_at.setdefault(id, now)
+        if state == DRAINING:  # heard of for the first time, it may have said so to an earlier process here
+            self.draining_at.setdefault(id, now if old is not None else -math.inf)
         elif id in self.draining_at:
             state = DRAINING  # there is no way back in one life
         new = Server(
--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -3,10 +3,12 @@
 """
 
 import asyncio
+import logging
 import os
 import random
 import signal
 import time
+import traceback
 from typing import Any
 
 from foxspread.orchard.almanac.journal import Event, Journal
@@ -25,7 +27,7 @@
 from foxspread.orchard.grove.records import LEAVING, UP, Record, Records, record
 from foxspread.orchard.hedge.exchange import Exchange
 from foxspread.orchard.log import say
-from foxspread.orchard.outcome import Failure
+from foxspread.orchard.outcome import Broken, Failure
 from foxspread.orchard.post.link import Link
 from foxspread.orchard.ripeness.upstreams import Upstreams
 from foxspread.orchard.rootstock.copy import Copy, row, unrow
@@ -99,6 +101,7 @@
 
     async def run(self) -> None:
         settings, loop = self.settings, self.loop
+        loop.set_exception_handler(self._fault)
         loop.add_signal_handler(signal.SIGTERM, self._end)
         loop.add_signal_handler(signal.SIGINT, self._end)
         loop.add_signal_handler(signal.SIGHUP, self._reread)
@@ -151,6 +154,13 @@
         await self.done.wait()
         ticking.cancel()
 
+    def _fault(self, loop: asyncio.AbstractEventLoop, told: dict[str, Any]) -> None:
+        """What no part has made a value of: told, and survived, unless an invariant is broken."""
+        error = told.get("exception")
+        say("fault", logging.ERROR, what=told.get("message", ""), error=repr(error), where=_where(error))
+        if isinstance(error, Broken):
+            os._exit(70)
+
     def _end(self) -> None:
         if not self.ending:
             self.ending = True
@@ -444,3 +454,10 @@
         """The control address of a machine with a disk that this one has a link to."""
         linked = [member for member, node in self.members.items() if node in self.links]
         return random.choice(linked) if linked else None
+
+
+def _where(error: BaseException | None) -> str:
+    """The innermost of our own lines that it went through."""
+    steps = traceback.extract_tb(error.__traceback__) if error is not None else []
+    ours = [step for step in steps if "orchard" in step.filename]
+    return f"{os.path.basename(ours[-1].filename)}:{ours[-1].lineno}" if ours else ""
--- a/tests/orchard/grove/test_lives.py
+++ b/tests/orchard/grove/test_lives.py
@@ -52,6 +52,15 @@
         for number, change in enumerate(changes[1:], start=3):
             self.assertIs(True, lives.beat(0.2, "i", BEAT | change | {"sequence": number}), change)
 
+    def test_a_drain_told_to_an_earlier_process(self):
+        # Guards: who is draining when first heard of may have been acknowledged before this process began, so
+        # its part of `drain_s` may be over.
+        lives = Lives(1.0)
+        lives.beat(9.0, "i", BEAT | {"state": DRAINING})
+        lives.beat(9.0, "j", BEAT | {"sequence": 1})
+        lives.beat(9.5, "j", BEAT | {"state": DRAINING, "sequence": 2})
+        self.assertEqual([float("-inf"), 9.5], [lives.draining_at[each] for each in "ij"])
+
     def test_missed_beats(self):
         # Guards: a silent server is gone, one that speaks again is back, a draining one is not ready again;
         # and the silence of a process that stood still itself is nobody's.
