Turns by a server's pace over all routes; a zone spills for late answers, not for slow times

Change: pace is the mean logarithm of times by what is usual for the route, over all routes of a service; a turn is its fifth power by the best of the zone; a zone serves its own unless 5 % more of its answers are late than elsewhere.

--- a/foxspread/orchard/ripeness/health.py
+++ b/foxspread/orchard/ripeness/health.py
@@ -4,6 +4,7 @@
 """
 
 import math
+from collections import defaultdict
 from collections.abc import Container
 
 from foxspread.logic import Marks, Measures, Rotation
@@ -11,6 +12,10 @@
 from foxspread.orchard.ripeness.upstreams import Service, Upstream
 from foxspread.sums import Chance, Mean
 
+KEENNESS = 5.0  # power of a server's pace, by the best of its zone, that is its part of a turn
+LEAST_PART = 0.02  # of a turn, so that a slow one is met now and then
+WORTH_IT = 0.05  # more answers late than elsewhere, up to which a zone serves its own requests itself
+STEEP = 6.0  # beyond that: so much slower it counts for each share that is late
 LOOK_S = 0.25  # after which zones are weighed anew
 FEW = 0.6  # of its berths: so many requests at a server are never too many
 COLD_PART = 0.5  # of a turn, for a server that has just started
@@ -25,6 +30,11 @@
         self.marks = Marks(max_fails=3, fail_timeout=10.0, spell=4.0)
         self.rotation = Rotation(zone, chance, spill=1.4, well_over=1.3, skip=1.2, few=2)
         self.measures = Measures(now, [self.category])
+        self.usual_log = Mean(20.0, math.log(aim / 4), most=200.0)  # of the time that an answer takes
+        self.late: dict[str, Mean] = defaultdict(
+            lambda: Mean(8.0, 0.03, most=200.0)
+        )  # by zone: share past its aim
+        self.best: dict[str, float] = {}  # by zone: the pace of the quickest
         self.entries: dict[str, ListedServer] = {}
         self.look_at, self.seen = -math.inf, -1
         self.panic = False
@@ -58,11 +68,14 @@
             )
             for zone, names in self.groups.items()
         }
-        slow = self.measures.slow
-        elsewhere = Mean.over(now, [slow[z] for z in self.groups if z != self.zone], 1.0)
-        slowness = {z: slow[z].read(now, elsewhere if z != self.zone else 1.0) for z in self.groups}
+        late = {zone: self.late[zone].read(now) for zone in self.groups}
+        least = min(late.values(), default=0.0)
+        slowness = {zone: 1.0 + STEEP * max(0.0, late[zone] - least - WORTH_IT) for zone in self.groups}
         if self.groups:
             self.rotation.weigh(self.groups, healthy, slowness)
+        self.best = {
+            zone: min(service.pace[id].read(now) for id in names) for zone, names in self.groups.items()
+        }
         self.look_at = now + LOOK_S
 
     def _forget(self, id: str) -> None:
@@ -104,7 +117,8 @@
 
         def turn(id: str) -> float:
             cold = 1.0 if now >= by_id[id].warm_at else COLD_PART
-            return cold * self.measures.part_of_turn(now, self.entries[id], 1.0)
+            behind = service.pace[id].read(now) - self.best[by_id[id].zone]
+            return cold * max(LEAST_PART, math.exp(-KEENNESS * behind))
 
         for more in (0.0, queue) if queue else (0.0,):
 
@@ -138,6 +152,13 @@
         if upstream.id not in self.entries:
             return
         self.measures.ended(now, hand_off, self.category)
+        took = now - hand_off.sent
+        if outcome is Outcome.DONE or outcome is Outcome.TIMED_OUT:
+            self.late[upstream.zone].add(now, float(took > self.category.expected_time))
+            if hand_off.kind is not None and took > 0.0:  # that a cold one is slow will not last
+                log = math.log(took)
+                self.service.pace[upstream.id].add(now, log - self.usual_log.read(now))
+                self.usual_log.add(now, log)
         weight = self.marks.max_fails if outcome is Outcome.UNCONNECTED else 1
         self.marks.record(now, upstream.id, failed, hand_off.trial is not None, weight)
 
--- a/foxspread/orchard/ripeness/upstreams.py
+++ b/foxspread/orchard/ripeness/upstreams.py
@@ -3,12 +3,14 @@
 """
 
 import math
+from collections import defaultdict
 from dataclasses import dataclass, field
 
 from foxspread.orchard.grove.lives import READY
 from foxspread.orchard.grove.records import UP, Records
 from foxspread.orchard.settings import Address
 from foxspread.rings import Ring
+from foxspread.sums import Mean
 
 STALE_S = 0.6  # after which half and more of what was told of others' requests is not believed any more
 
@@ -45,6 +47,8 @@
     rings: dict[str, Ring] = field(default_factory=dict)  # the ready ones by zone
     ready: set[str] = field(default_factory=set)
     changed: int = 0  # counts changes of who is ready
+    # By server: the logarithm of its times by what is usual for the route, over all routes.
+    pace: dict[str, Mean] = field(default_factory=lambda: defaultdict(lambda: Mean(20.0, 0.0, most=80.0)))
 
 
 class Upstreams:
@@ -93,6 +97,7 @@
             if (gone := service.by_id.get(id)) is not None and gone.node == node:
                 self._ready(service, gone, False)
                 del service.by_id[id]
+                service.pace.pop(id, None)
         self.of_node[node] = here
 
     def _ready(self, service: Service, upstream: Upstream, ready: bool) -> None:
