Cores beyond the three seeds are reached

Cause: of two machines with a disk the lower address calls, and a process knows seeds alone, three at the most: with five cores nobody ever called the fourth and the fifth, whose addresses lie above those of the seeds. They never came to a link, answered every call of the operator 503 and lacked every change. Change: one that is no seed calls the seeds itself.

--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -320,9 +320,13 @@
             say("link_ended", peer=link.peer, why=link.why)
 
     def _dial(self, now: float) -> None:
-        """Machines with a disk are called by all others; of two of them the lower address calls."""
-        own = self.settings.inner
-        places = [each for each in self.cores if each != own and (self.keeper is None or own < each)]
+        """Machines with a disk are called by all others; of two of them the lower address calls, but seeds
+        are called by any that is none: they may not know of it."""
+        own, seeds = self.settings.inner, self.settings.seed_addresses()
+        called = set(self.cores)
+        if self.keeper is not None:
+            called = {each for each in called if own < each or own not in seeds and each in seeds}
+        places = [each for each in self.cores if each in called and each != own]
         held = 0
         for place in places:
             if self.cores[place] in self.links or now < self.dialling.get(place, 0.0):
--- a/tests/orchard/test_node.py
+++ b/tests/orchard/test_node.py
@@ -14,7 +14,7 @@
 
 from foxspread.orchard import log
 from foxspread.orchard.node import Node
-from foxspread.orchard.settings import FILE_VARIABLE, read
+from foxspread.orchard.settings import FILE_VARIABLE, read, taken
 
 FILE = {
     "node": "side-1",
@@ -57,3 +57,24 @@
             self.assertEqual(1, self.lines.getvalue().count("event=settings "))
 
         asyncio.run(play())
+
+
+class Dialling(testtools.TestCase):
+    def test_every_two_machines_with_a_disk_come_to_a_link(self) -> None:
+        """Of two seeds the lower calls; one beyond the seeds, whom nobody knows yet, calls them all."""
+        seeds = ["127.0.0.1:8146", "127.0.0.2:8146", "127.0.0.3:8146"]
+
+        async def called(ip: str) -> set[str]:
+            told = {"node": f"core-{ip}", "serves": ["control"], "ip": ip, "data_dir": "x", "seeds": seeds}
+            node = Node(
+                taken({**FILE, **told, "counters": {"control": f"{ip}:8146"}}),
+                loop := asyncio.get_running_loop(),
+            )
+            node.keeper = object()
+            with mock.patch.object(node, "_call", mock.AsyncMock()):
+                node._dial(loop.time())
+            return {place[0] for place in node.dialling}
+
+        self.assertEqual({"127.0.0.2", "127.0.0.3"}, asyncio.run(called("127.0.0.1")))
+        self.assertEqual(set(), asyncio.run(called("127.0.0.3")))
+        self.assertEqual({"127.0.0.1", "127.0.0.2", "127.0.0.3"}, asyncio.run(called("127.0.0.4")))
