up writes nothing where its addresses are taken

Cause: the settings files of a folder were written before it was seen that another up has the addresses, and the text pointed to the wrong folder.

--- a/foxspread/orchard/__main__.py
+++ b/foxspread/orchard/__main__.py
@@ -75,20 +75,20 @@
     from foxspread.orchard.stand_ins.server import shares
 
     try:
-        plot = laid(folder or tempfile.mkdtemp(prefix="orchard-"), core, side, net, shares(faults))
-        uvloop.run(kept_up(plot))
+        plot, found = laid(folder or tempfile.mkdtemp(prefix="orchard-"), core, side, net), shares(faults)
+        uvloop.run(kept_up(plot, found))
     except ValueError as error:
         raise click.UsageError(str(error)) from None
     except PlotError as error:
         raise click.ClickException(str(error)) from None
 
 
-async def kept_up(plot: "Plot") -> None:
+async def kept_up(plot: "Plot", faults: dict[str, float]) -> None:
     """Until a signal; a second one ends it at once."""
     from foxspread.orchard.nursery.growing import Nursery
 
     stop, loop = asyncio.Event(), asyncio.get_running_loop()
-    nursery = Nursery(plot, click.echo)
+    nursery = Nursery(plot, click.echo, faults)
 
     def ended() -> None:
         if stop.is_set():
--- a/foxspread/orchard/nursery/growing.py
+++ b/foxspread/orchard/nursery/growing.py
@@ -11,7 +11,17 @@
 
 import foxspread
 from foxspread.orchard.furrow.lanes import Lanes
-from foxspread.orchard.nursery.plot import APP, CORE, INNER, PORTS, SIDE, Plot, PlotError, write_settings
+from foxspread.orchard.nursery.plot import (
+    APP,
+    CORE,
+    INNER,
+    PORTS,
+    SIDE,
+    Plot,
+    PlotError,
+    prepare,
+    write_settings,
+)
 from foxspread.orchard.settings import FILE_VARIABLE, Address, shown
 from foxspread.orchard.stand_ins.asking import asked, written
 from foxspread.orchard.stand_ins.ledger import rows
@@ -71,8 +81,9 @@
 
 
 class Nursery:
-    def __init__(self, plot: Plot, say: Say) -> None:
-        self.plot, self.say = plot, say
+    def __init__(self, plot: Plot, say: Say, faults: dict[str, float] | None = None) -> None:
+        """`faults`: of the servers."""
+        self.plot, self.say, self.faults = plot, say, faults or {}
         self.nodes, self.servers = [], []
         for machine in plot.machines:
             folder = plot.file(machine.node, "")
@@ -90,6 +101,7 @@
     async def run(self, stop: asyncio.Event, up: Callable[[], None] = lambda: None) -> None:
         """Until `stop`, or until something can't be kept up, which is raised; nothing runs on after it."""
         free(self.plot)
+        prepare(self.plot, self.faults)
         stopped = asyncio.get_running_loop().create_task(stop.wait())
         try:
             for child in (*self.nodes, *self.servers):
@@ -187,8 +199,8 @@
                     tried.bind((machine.ip, port))
                 except OSError as error:
                     raise PlotError(
-                        f"{machine.ip}:{port}: {error.strerror}: is another `up` running, or left from one "
-                        f"that was killed? ({plot.folder}/*/*.pid)"
+                        f"{machine.ip}:{port}: {error.strerror}: by another `up`, or processes of one that "
+                        "was killed (their ids: */*.pid in its folder)? --net takes other addresses"
                     ) from None
 
 
--- a/foxspread/orchard/nursery/plot.py
+++ b/foxspread/orchard/nursery/plot.py
@@ -63,9 +63,7 @@
     """What stands in the way, for whoever called."""
 
 
-def laid(folder: str, core: int, side: int, net: str = NET, faults: dict[str, float] | None = None) -> Plot:
-    """Lays it out and writes every settings file. What the disks of an earlier time hold stays, and then it
-    is no first start."""
+def laid(folder: str, core: int, side: int, net: str = NET) -> Plot:
     if core < 1 or side < 1 or core + side > MOST:
         raise PlotError(f"--core {core} --side {side}: at least one of each, {MOST} together at the most")
     ips = (f"{net}.{number}" for number in range(1, MOST + 1))
@@ -82,16 +80,20 @@
         )
         for number in range(side)
     ]
-    plot = Plot(pathlib.Path(folder).absolute(), tuple(machines))
+    return Plot(pathlib.Path(folder).absolute(), tuple(machines))
+
+
+def prepare(plot: Plot, faults: dict[str, float]) -> None:
+    """Writes every settings file. What the disks of an earlier time hold stays, and then it is no first
+    start."""
     first = not any(plot.file(each.node, "data").exists() for each in plot.of(CORE))
-    for number, machine in enumerate(machines):
+    for number, machine in enumerate(plot.machines):
         plot.file(machine.node, "").mkdir(parents=True, exist_ok=True)
         write_settings(plot, machine, first)
         if machine.kind == SIDE:
-            written(plot.file(machine.node, "server.json"), server(plot, machine, number, faults or {}))
-    rows = [[each.node, each.kind, each.ip, each.zone, each.service] for each in machines]
+            written(plot.file(machine.node, "server.json"), server(plot, machine, number, faults))
+    rows = [[each.node, each.kind, each.ip, each.zone, each.service] for each in plot.machines]
     written(plot.folder / FILE, {"machines": rows})
-    return plot
 
 
 def read(folder: str) -> Plot:
--- a/foxspread/orchard/nursery/trial.py
+++ b/foxspread/orchard/nursery/trial.py
@@ -42,9 +42,7 @@
     p99: float = math.nan
     acts: dict[str, float] = field(default_factory=dict)  # sidecar: seconds from its acknowledgement
     went_back: int = 0  # requests run by the old service after the new one had been seen there
-    after_deaths: dict[str, float] = field(
-        default_factory=dict
-    )  # process: seconds until it serves again
+    after_deaths: dict[str, float] = field(default_factory=dict)  # process: seconds until it serves again
     unsafe: int = 0  # tries of unsafe requests that ran
     twice: int = 0  # of them, more than once
     mixed: int = 0  # answers that were not what they said
