The last hop asks again before the first byte whether its server may have it

A request was let through when it came; the connection to the server may take half a second to come up, in which the server's part of drain_s may end, or its life. It then reached the server all the same.

--- a/foxspread/orchard/furrow/hop.py
+++ b/foxspread/orchard/furrow/hop.py
@@ -101,6 +101,9 @@
             return handing.end(heads.UNSENT, lane)
         if handing.told is None:
             return self.lanes.keep(lane)
+        if (closed := self.core.closed(self.clock(), handing.id)) is not None:
+            self.lanes.keep(lane)
+            return handing.end(heads.UNSENT, closed.reason)
         self._ask(handing, lane, parts, request_id)
 
     def _ask(self, handing: Handing, lane: Lane, parts: list[bytes], request_id: bytes) -> None:
--- a/foxspread/orchard/furrow/lasthop.py
+++ b/foxspread/orchard/furrow/lasthop.py
@@ -50,14 +50,20 @@
             found = self.holding[id] = Holding(took=Mean(5.0, 0.05, most=50.0))
         return found
 
-    def admit(self, now: float, id: str, left: float, terms: Terms) -> Address | Failure:
-        """Where to hand it over; counted as held from then on, until `released`."""
+    def closed(self, now: float, id: str) -> Failure | None:
+        """Why nothing more may reach that life. Asked again before the first byte: connecting takes time."""
         server = self.lives.servers.get(id)
         if server is None or server.state == GONE:
             return Failure("gone")
-        holding = self.of(id)
         if server.state == DRAINING and now - self.lives.draining_at[id] > DRAIN_PART * self.drain_s:
             return Failure("draining")
+        return None
+
+    def admit(self, now: float, id: str, left: float, terms: Terms) -> Address | Failure:
+        """Where to hand it over; counted as held from then on, until `released`."""
+        if (closed := self.closed(now, id)) is not None:
+            return closed
+        server, holding = self.lives.servers[id], self.of(id)
         mean = holding.took.read(now)
         wait = max(0, holding.busy + 1 - server.berths) * mean / server.berths
         high = terms.rank <= HIGH
--- a/tests/orchard/furrow/test_caller.py
+++ b/tests/orchard/furrow/test_caller.py
@@ -9,6 +9,7 @@
 from foxspread.orchard.graft.items import ROUTE, Item
 from foxspread.orchard.settings import BOUNDS
 from tests.orchard.helpers import (
+    Late,
     Loop,
     OnLoop,
     Script,
@@ -198,6 +199,20 @@
             self.assertEqual([200], statuses(transport.written))
             self.assertEqual([wanted], [header(each, b"x-expect-instance").decode() for each in site.seen])
 
+    def test_a_server_that_drains_while_it_is_connected(self):
+        # Guards: the check stands at the act: a connection may take long to come up.
+        for beside in (False, True):
+            site = Site(self.loop, others=("b",), beside=beside, mail_class="unsafe")
+            name = "me" if beside else "b"
+            told = {"service": "s1", "address": "b:80", "berths": 4, "state": "draining", "sequence": 2}
+            site.lives[name].beat(self.loop.now, f"i-{name}", told)
+            self.loop.advance(DRAIN_PART * BOUNDS["drain_s"] - 0.1)
+            self.loop.places[name, 80] = Late(0.2, site.a_server)
+            transport = site.ask(PAY)
+            self.loop.advance(0.3)
+            self.assertEqual([[503], []], [statuses(transport.written), site.seen])
+            self.assertEqual({}, site.idle())
+
     def with_another(self, site):
         """`c` is known too, and more laden than `b`."""
         site.lives["c"] = site.lives["b"].__class__(1.0, "z")
--- a/tests/orchard/helpers.py
+++ b/tests/orchard/helpers.py
@@ -107,6 +107,9 @@
             raise ConnectionRefusedError("nobody listens")
         if other is self.SILENT:
             await self.create_future()
+        if isinstance(other, Late):
+            await asyncio.sleep(other.seconds)
+            other = other.factory
         mine, theirs = factory(), other()
         near, far = Transport(self, mine), Transport(self, theirs)
         near.other, far.other = far, near
@@ -121,6 +124,13 @@
         return near, mine
 
 
+class Late:
+    """A place whose connections take so many seconds to come up."""
+
+    def __init__(self, seconds, factory):
+        self.seconds, self.factory = seconds, factory
+
+
 class Transport:
     """One end of a connection. What is written reaches the other end in pieces of `cut` bytes; without other
     end it gathers in `written`. `stuck`: the peer takes nothing."""
