--- a/foxspread/orchard/furrow/serving.py
+++ b/foxspread/orchard/furrow/serving.py
@@ -141,6 +141,11 @@
         self.told_to_send: http.Message | None = None  # the body of this one
         self.ended_at: float | None = None  # when the last answer was written
 
+    @property
+    def owes(self) -> bool:
+        """A request is not answered, or an answer not taken."""
+        return bool(self.waiting) or self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
         transport.set_write_buffer_limits(high=BUFFERED_MOST)
--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -173,7 +173,7 @@
         for desk in self.desks.values():
             desk.end_idle()
         while self.clock() < began + grace - 0.5 and any(
-            line.waiting for desk in self.desks.values() for line in desk.lines
+            line.owes for desk in self.desks.values() for line in desk.lines
         ):
             await asyncio.sleep(0.02)
         say("end", after=self.clock() - began)
--- a/tests/orchard/furrow/test_serving.py
+++ b/tests/orchard/furrow/test_serving.py
@@ -164,6 +164,23 @@
             self.assertTrue(transport.eof)
             self.assertEqual(1, transport.written.count(b"Connection: close"))
 
+    def test_what_it_owes(self):
+        # Guards: a process that ends waits until answers are taken, not until they are written.
+        desk = self.desk()
+        line, transport = self.line(desk)
+        transport.stuck = True
+        owes = [line.owes]
+        transport.receive(request())
+        owes.append(line.owes)
+        desk.taken[0].answer(200)
+        owes.append(line.owes)
+        transport.take(9999)
+        owes.append(line.owes)
+        transport.receive(request())
+        transport.reset()
+        self.loop.settle()
+        self.assertEqual([False, True, True, False, False], [*owes, line.owes])
+
     def test_the_peer_goes_before_its_answer(self):
         # Guards: whoever works on a request is told that nobody waits; a late answer does no harm.
         desk = self.desk()
