The bound on own connections is no failure of a server

Where this sidecar could open no more connections to another, each request counted as three failures of the server beside it, which soon marked sound servers as down.

--- a/foxspread/orchard/furrow/caller.py
+++ b/foxspread/orchard/furrow/caller.py
@@ -84,7 +84,8 @@
             place, min(0.5, max(0.05, self.errand.until - self.desk.clock()))
         )
         if isinstance(lane, str):
-            return self.ended(number, Outcome.UNCONNECTED, False, None, None)
+            refused = lane in REFUSED_BY_SERVER
+            return self.ended(number, Outcome.UNCONNECTED if refused else Outcome.UNSENT, False, None, None)
         if self.errand.tries[number].outcome is not None:
             return self.desk.lanes.keep(lane)
         self._ask(number, lane)
--- a/tests/orchard/furrow/test_caller.py
+++ b/tests/orchard/furrow/test_caller.py
@@ -293,6 +293,15 @@
         self.assertEqual([400], statuses(site.ask(request(id=b"")).written))
         self.assertEqual(1, len(site.seen))
 
+    def test_our_own_bound_on_connections(self):
+        # Guards: that this sidecar may open no more is no failure of any server.
+        site = Site(self.loop)
+        site.lanes.most = 0
+        self.assertEqual([503], statuses(site.ask(request()).written))
+        (health,) = site.steering.healths.values()
+        self.assertEqual(set(), health.marks.marked)
+        self.assertEqual(0.0, health.marks.verdicts.sums(self.loop.now)[1])
+
     def test_every_connection_is_reset(self):
         # Guards: a fleet that resets all there is ends in an answer, not in a loop.
         for at_once, wanted, mail_class in (
