--- a/tests/orchard/furrow/test_caller.py
+++ b/tests/orchard/furrow/test_caller.py
@@ -9,6 +9,7 @@
 from foxspread.orchard.graft.items import ROUTE, Item
 from foxspread.orchard.settings import BOUNDS
 from tests.orchard.helpers import (
+    Late,
     Loop,
     OnLoop,
     Script,
@@ -198,6 +199,20 @@
             self.assertEqual([200], statuses(transport.written))
             self.assertEqual([wanted], [header(each, b"x-expect-instance").decode() for each in site.seen])
 
+    def test_a_server_that_drains_while_it_is_connected(self):
+        # Guards: the check stands at the act: a connection may take long to come up.
+        for beside in (False, True):
+            site = Site(self.loop, others=("b",), beside=beside, mail_class="unsafe")
+            name = "me" if beside else "b"
+            told = {"service": "s1", "address": "b:80", "berths": 4, "state": "draining", "sequence": 2}
+            site.lives[name].beat(self.loop.now, f"i-{name}", told)
+            self.loop.advance(DRAIN_PART * BOUNDS["drain_s"] - 0.1)
+            self.loop.places[name, 80] = Late(0.2, site.a_server)
+            transport = site.ask(PAY)
+            self.loop.advance(0.3)
+            self.assertEqual([[503], []], [statuses(transport.written), site.seen])
+            self.assertEqual({}, site.idle())
+
     def with_another(self, site):
         """`c` is known too, and more laden than `b`."""
         site.lives["c"] = site.lives["b"].__class__(1.0, "z")
@@ -278,6 +293,15 @@
         self.assertEqual([400], statuses(site.ask(request(id=b"")).written))
         self.assertEqual(1, len(site.seen))
 
+    def test_our_own_bound_on_connections(self):
+        # Guards: that this sidecar may open no more is no failure of any server.
+        site = Site(self.loop)
+        site.lanes.most = 0
+        self.assertEqual([503], statuses(site.ask(request()).written))
+        (health,) = site.steering.healths.values()
+        self.assertEqual(set(), health.marks.marked)
+        self.assertEqual(0.0, health.marks.verdicts.sums(self.loop.now)[1])
+
     def test_every_connection_is_reset(self):
         # Guards: a fleet that resets all there is ends in an answer, not in a loop.
         for at_once, wanted, mail_class in (
