What had little time to connect says nothing of a server; deadlines that make no number

Cause: a connect with 50 ms left marked a sound server down (three failures at once); X-Deadline-Ms: 1e400 sent straight to inbound raised with its berth counted. Change: only a refusal, or silence for the whole of the connect time, counts; deadlines are bounded by an hour.

--- a/foxspread/orchard/furrow/caller.py
+++ b/foxspread/orchard/furrow/caller.py
@@ -10,7 +10,7 @@
 from foxspread.orchard.furrow import heads
 from foxspread.orchard.furrow.errand import Errand, Pass, Refuse, Send, Steering, Step
 from foxspread.orchard.furrow.hop import Handing, Hop
-from foxspread.orchard.furrow.lanes import End, Lane, Lanes
+from foxspread.orchard.furrow.lanes import CONNECT_S, End, Lane, Lanes
 from foxspread.orchard.furrow.lasthop import Terms
 from foxspread.orchard.furrow.serving import Desk, Exchange, Limits
 from foxspread.orchard.graft.routes import RouteTable
@@ -80,11 +80,10 @@
         return None
 
     async def _connect(self, number: int, place: tuple) -> None:
-        lane = await self.desk.lanes.connect(
-            place, min(0.5, max(0.05, self.errand.until - self.desk.clock()))
-        )
-        if isinstance(lane, str):
-            refused = lane in REFUSED_BY_SERVER
+        patience = min(CONNECT_S, max(0.05, self.errand.until - self.desk.clock()))
+        lane = await self.desk.lanes.connect(place, patience)
+        if isinstance(lane, str):   # one that had little time to come up says nothing of the server
+            refused = lane in REFUSED_BY_SERVER and (lane != "silent" or patience == CONNECT_S)
             return self.ended(number, Outcome.UNCONNECTED if refused else Outcome.UNSENT, False, None, None)
         if self.errand.tries[number].outcome is not None:
             return self.desk.lanes.keep(lane)
--- a/foxspread/orchard/furrow/heads.py
+++ b/foxspread/orchard/furrow/heads.py
@@ -24,6 +24,7 @@
 # Of the system's own, on the way between its sidecars. On a request: aim in milliseconds, rank, safe or not;
 # on an answer: a word and how many requests the last hop holds there.
 WORD = b"X-Orchard"
+LONGEST_S = 3600.0  # that a client may say it waits
 SENT, UNSENT, LOST, LATE = b"sent", b"unsent", b"lost", b"late"
 
 
@@ -82,6 +83,6 @@
     """Seconds; None where it is not told or not to be understood."""
     told = message.header(b"x-deadline-ms")
     try:
-        return max(0.0, float(told) / 1000) if told is not None else None
+        return min(LONGEST_S, max(0.0, float(told) / 1000)) if told is not None else None
     except ValueError:
         return None
