--- a/tests/orchard/furrow/test_heads.py
+++ b/tests/orchard/furrow/test_heads.py
@@ -10,7 +10,8 @@
 class Told(testtools.TestCase):
     def test_deadlines(self):
         # Guards: what a peer may write there becomes a timer and a number in the next head; none may raise.
-        for told, wanted in ((b"250", 0.25), (b"-1", 0.0), (b"nan", 0.0), (b"1e400", heads.LONGEST_S), (b"x", None)):
+        longest = heads.LONGEST_S
+        for told, wanted in ((b"250", 0.25), (b"-1", 0.0), (b"nan", 0.0), (b"1e400", longest), (b"x", None)):
             message = http.Message(headers=[(b"X-Deadline-Ms", told)])
             self.assertEqual(wanted, heads.deadline(message), told)
         self.assertIsNone(heads.deadline(http.Message()))
