Partial views, shuffled between neighbours; news from them where no disk can be reached

Cause: the users' house style; and a sidecar that is cut off from the machines with a disk alone kept an old list of servers for as long, though its neighbours knew better. Change: hedge/views (Cyclon, ten neighbours, four told in a shuffle, single datagrams), learnt machines with a disk are dialled, two neighbours without one are asked for news after 0.8 s alone and let go when a disk is reached again.

--- a/foxspread/orchard/hedge/exchange.py
+++ b/foxspread/orchard/hedge/exchange.py
@@ -26,8 +26,8 @@
 
 
 class Exchange:
-    def __init__(self, tells: Callable[[str], bool] = lambda source: True) -> None:
-        """`tells`: of which sources versions are told to neighbours unasked."""
+    def __init__(self, tells: Callable[[Hashable, str], bool] = lambda peer, source: True) -> None:
+        """`tells`: of which sources versions are told to that neighbour unasked."""
         self.tells = tells
         self.mine: dict[str, Version] = {}
         self.peers: dict[Hashable, Peer] = {}
@@ -61,7 +61,7 @@
             news = {
                 s: self.mine[s]
                 for s in self.dirty
-                if s in self.mine and self.tells(s) and peer.told.get(s, ()) < self.mine[s]
+                if s in self.mine and self.tells(name, s) and peer.told.get(s, ()) < self.mine[s]
             }
             if news:
                 peer.told.update(news)
@@ -71,7 +71,7 @@
 
     def whole(self, peer: Hashable) -> dict[str, Version]:
         """All versions that a new neighbour is told."""
-        news = {s: v for s, v in self.mine.items() if self.tells(s)}
+        news = {s: v for s, v in self.mine.items() if self.tells(peer, s)}
         self.peers[peer].told.update(news)
         return news
 
--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -26,8 +26,10 @@
 from foxspread.orchard.grove.lives import Lives
 from foxspread.orchard.grove.records import LEAVING, UP, Record, Records, record
 from foxspread.orchard.hedge.exchange import Exchange
+from foxspread.orchard.hedge.views import Neighbour, View, neighbour
 from foxspread.orchard.log import say
 from foxspread.orchard.outcome import Broken, Failure
+from foxspread.orchard.post.datagrams import Datagrams
 from foxspread.orchard.post.link import Link
 from foxspread.orchard.ripeness.upstreams import Upstreams
 from foxspread.orchard.rootstock.copy import Copy, row, unrow
@@ -44,7 +46,8 @@
 QUIET_S = 2.3  # after SIGTERM, by when the platform has missed twice and sends nobody here any more
 SPREAD_S = 0.7  # for others to learn of a drain, before the server is told to ask again
 SETTLED = "="  # the source of the settled set, among those of records
-RECORDS_KEPT_S = 90.0  # of a sidecar that no link leads to
+SIDES_AFTER_S = 0.8  # without a link to any machine with a disk, neighbours are asked for news
+SIDES_MOST = 2  # of them
 
 
 class Node:
@@ -74,6 +77,9 @@
         self.dialling: dict[Address, float] = {}
         self.flushing = False
         self.members: dict[str, str] = {}  # control address -> node
+        me = Neighbour(settings.node, settings.inner, settings.keeps)
+        self.view, self.datagrams = View(me, self.chance.draw), Datagrams(self._shuffled)
+        self.alone_since: float | None = self.clock()  # without a link to any machine with a disk
         # The path.
         self.lives = Lives(settings.heartbeat_s, settings.zone)
         self.steering = Steering(settings.zone, self.upstreams, settings.bounds, self.chance, self._sidecars)
@@ -126,6 +132,7 @@
                     await loop.create_server(lambda desk=desk: Serving(desk), *place, backlog=1024)
                 )
         self.servers.append(await loop.create_server(self._link, *settings.inner, backlog=256))
+        await loop.create_datagram_endpoint(lambda: self.datagrams, local_addr=settings.inner)
         self._own_record()
         say(
             "start",
@@ -216,6 +223,10 @@
             if self.keeper is not None:
                 self.keeper.tick()
             self._dial(now)
+            if self.keeper is None:
+                self._lean_on_neighbours(now)
+            if (step := self.view.shuffle(now)) is not None:
+                self.datagrams.send(*step)
             if self.lives.sweep(now):
                 self._own_record()
             self._flush()
@@ -244,9 +255,10 @@
     def _sidecars(self) -> int:
         return sum(1 for each in self.records.of.values() if each.inbound is not None)
 
-    def _tells(self, source: str) -> bool:
+    def _tells(self, peer: str, source: str) -> bool:
+        """Machines with a disk hear of each sidecar from itself; neighbours without one hear of all."""
         if self.keeper is None:
-            return source == self.settings.node
+            return source == self.settings.node or peer not in self.cores.values()
         return source != SETTLED or self.keeper.fresh
 
     def _settled(self, new: list[Item]) -> None:
@@ -353,6 +365,30 @@
             self.dialling[place] = now + DIAL_S * (1 + 0.5 * self.chance.draw())
             self.loop.create_task(self._call(place))
 
+    def _lean_on_neighbours(self, now: float) -> None:
+        """Where no machine with a disk can be reached, a few others are asked for news until one can."""
+        cores = self.cores.values()
+        if any(name in self.links for name in cores):
+            self.alone_since = None
+            for name, link in list(self.links.items()):
+                if link.dialled is not None and name not in cores:
+                    link.close("a machine with a disk is reached")
+        elif self.alone_since is None:
+            self.alone_since = now
+        elif now - self.alone_since > SIDES_AFTER_S and len(self.links) < SIDES_MOST:
+            for each in self.view.some_sides(SIDES_MOST - len(self.links)):
+                if each.node not in self.links and now >= self.dialling.get(each.place, 0.0):
+                    self.dialling[each.place] = now + DIAL_S * (1 + 0.5 * self.chance.draw())
+                    self.loop.create_task(self._call(each.place))
+
+    def _shuffled(self, message: dict[str, Any]) -> None:
+        answer = self.view.heard(message)
+        if answer is not None:
+            self.datagrams.send(neighbour(message["view"][0]).place, answer)
+        for each in self.view.of.values():
+            if each.keeps:
+                self.cores.setdefault(each.place, "")
+
     async def _call(self, place: Address) -> None:
         try:
             async with asyncio.timeout(DIAL_S):
@@ -388,6 +424,7 @@
         if (old := self.links.get(name)) is not None and old is not link:
             old.close("a newer link")
         self.links[name] = link
+        self.view.met(Neighbour(name, tuple(hello["inner"]), bool(hello["member"])))
         if hello["member"]:
             self.cores[tuple(hello["inner"])] = name
             self.members[hello["member"]] = name
--- a/tests/orchard/hedge/test_exchange.py
+++ b/tests/orchard/hedge/test_exchange.py
@@ -69,7 +69,7 @@
 class Notices(testtools.TestCase):
     def test_each_neighbour_is_told_once(self):
         # Guards: a version goes to each neighbour once, an older one never, others' sources only if meant to.
-        it = Exchange(lambda source: source != "theirs")
+        it = Exchange(lambda peer, source: source != "theirs")
         it.have("x", (1, 1))
         it.met("a")
         self.assertEqual({"x": (1, 1)}, it.whole("a"))
