A sidecar that is stopped waits while too few of its zone are in

Change: after the time in which the platform misses it twice, a sidecar serves on until half of its zone's others are back for 1.5 s, or 1.7 s of its time are left. Tests of who may go.

--- a/foxspread/orchard/grove/records.py
+++ b/foxspread/orchard/grove/records.py
@@ -44,15 +44,24 @@
 
 
 class Records:
-    """A view: the newest record of each sidecar, and when it came."""
+    """A view: the newest record of each sidecar, and since when it says so."""
 
     def __init__(self) -> None:
         self.of: dict[str, Record] = {}
-        self.at: dict[str, float] = {}
+        self.since: dict[str, float] = {}  # in that state, in that life
 
     def take(self, now: float, new: Record) -> bool:
         old = self.of.get(new.node)
         if old is not None and old.version >= new.version:
             return False
-        self.of[new.node], self.at[new.node] = new, now
+        if old is None or (old.state, old.version[0]) != (new.state, new.version[0]):
+            self.since[new.node] = now
+        self.of[new.node] = new
         return True
+
+    def spares(self, now: float, node: str, zone: str, settled: float) -> bool:
+        """Whether callers of that sidecar have others to go to: at least half of the zone's have been up for
+        `settled` seconds. With fewer in, a platform sends callers to whatever there is."""
+        here = [each for each in self.of.values() if each.zone == zone and each.inbound is not None]
+        up = [each for each in here if each.node != node and each.state == UP]
+        return len(here) < 2 or 2 * sum(now - self.since[each.node] >= settled for each in up) >= len(here)
--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -44,6 +44,8 @@
 REDIAL_S = 0.12  # after a refusal: whoever refuses is about to be there
 DIALS_MOST = 5  # links to machines with a disk that a sidecar keeps
 QUIET_S = 2.3  # after SIGTERM, by when the platform has missed twice and sends nobody here any more
+BACK_S = 1.5  # after its start, by when the platform sends callers to a sidecar again
+LAST_S = 1.7  # of the time that the platform gives, in which what is under way is answered in any case
 SPREAD_S = 0.7  # for others to learn of a drain, before the server is told to ask again
 SETTLED = "="  # the source of the settled set, among those of records
 SIDES_AFTER_S = 0.8  # without a link to any machine with a disk, neighbours are asked for news
@@ -182,6 +184,10 @@
         side = "outbound" in self.settings.counters
         if side:
             await asyncio.sleep(min(QUIET_S, 0.4 * grace))
+            while self.clock() < began + grace - LAST_S and not self.records.spares(
+                self.clock(), self.settings.node, self.settings.zone, BACK_S
+            ):
+                await asyncio.sleep(TICK_S)
         for desk in self.desks.values():
             desk.retire()
         await asyncio.sleep(0.1 if side else 0.3)
--- a/tests/orchard/grove/test_lives.py
+++ b/tests/orchard/grove/test_lives.py
@@ -106,3 +106,22 @@
             self.assertFalse(records.take(0.0, record(order[0])))
         whole = Record("n", (1, 2), "z", "up", ("a", 1), (server(["i", "s", "a:2", "z", 3, READY, 4]),))
         self.assertEqual(whole, record(whole.packed()))
+
+    def test_who_may_go_while_others_of_its_zone_are_out(self):
+        # Guards: stopped in turn at short gaps, all of a zone would be away at once and callers find nobody.
+        records = Records()
+
+        def told(now, node, state, number=1, zone="z", life=1):
+            records.take(now, record([node, [life, number], zone, state, "a:1", []]))
+
+        for node in "abc":
+            told(0.0, node, "up")
+        told(0.0, "far", "up", zone="y")
+        spares = [records.spares(now, "a", "z", 1.5) for now in (1.0, 2.0)]
+        told(2.0, "b", "leaving", 2)
+        spares.append(records.spares(3.0, "a", "z", 1.5))
+        told(4.0, "b", "up", 1, life=2)
+        told(5.4, "b", "up", 2, life=2)   # more of the same life does not begin anew
+        spares += [records.spares(now, "a", "z", 1.5) for now in (5.0, 5.6)]
+        self.assertEqual([False, True, False, False, True], spares)
+        self.assertTrue(records.spares(9.0, "far", "y", 1.5))   # the only one of its zone waits for nobody
