No majority is made of what a disk told before it was wiped and others after

Only accept looked at identities, only of those that promised, only where they had been noted. Besides, identities had no order: an enrolment of an older disk that came late, or a machine that had noted an older one only, shut the newer out for good. Change: answers name the identities that are known where they were given; a writer counts no answer that another one knows to be of a disk that is gone (stock.sound), for promises and for acceptances; an identity is a number and chance, above all that were noted for its machine, and the higher one holds. The format of the disk is 2.

--- a/foxspread/orchard/rootstock/disk.py
+++ b/foxspread/orchard/rootstock/disk.py
@@ -18,7 +18,7 @@
 from foxspread.orchard.rootstock.stock import Saved, Write
 
 FILE = "rootstock.sqlite"
-FORMAT = "1"
+FORMAT = "2"
 AGAIN_S = 0.05  # after a write that the disk refused
 
 
@@ -72,7 +72,7 @@
                     os.remove(os.path.join(self.folder, name))
             self.db = self._connected(path)
             first = False
-        return Saved(uuid.uuid4().hex[:16], members, voting=first, known=first)
+        return Saved((0 if first else 1, uuid.uuid4().hex[:16]), members, voting=first, known=first)
 
     def _connected(self, path: str) -> sqlite3.Connection:
         db = sqlite3.connect(path, check_same_thread=False, isolation_level=None)
--- a/foxspread/orchard/rootstock/stock.py
+++ b/foxspread/orchard/rootstock/stock.py
@@ -6,13 +6,14 @@
 majority has accepted; each later value extends it, so a delta over an older settled set may be laid over a
 newer one.
 
-A disk that comes back empty has forgotten promises and acceptances. It gets a new identity, and takes part
-again only when so many others have noted that identity that each majority it may have been part of is met:
-from then on they refuse what was promised by the old one, and what they told while noting holds all that it
-may have accepted.
+A disk that comes back empty has forgotten promises and acceptances. It gets a new identity, above any that
+others have noted for its machine, and takes part again only when so many others have noted that one that each
+majority it may have been part of is met: what they told while noting holds all that it may have promised and
+accepted. Each answer names the identities that are known where it was given; one that another answer knows to
+be gone counts for nothing, so that no majority is made of what was told before a wipe and after.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -21,6 +22,7 @@
 
 Message = dict[str, Any]
 Write = tuple  # ("meta", name, value) or ("items", rows)
+Identity = Ballot  # of a disk: a number, 0 on the first start of all, and chance
 Answer = tuple[list[Write], Message | None, list[Item]]  # written, then sent; settled items that are new here
 
 
@@ -28,14 +30,14 @@
 class Saved:
     """What was found on a disk."""
 
-    disk: str
+    disk: Identity
     members: tuple[str, ...]
     promised: Ballot = NONE
     settled: Ballot = NONE
     accepted: Ballot = NONE
     rows: list = field(default_factory=list)
     delta: list = field(default_factory=list)
-    disks: dict[str, str] = field(default_factory=dict)
+    disks: dict[str, Identity] = field(default_factory=dict)
     voting: bool = False
     known: bool = False  # who the members are is known for sure, not only from seeds
 
@@ -44,19 +46,28 @@
         """What `Write`s have left behind."""
         accepted, delta = meta.get("accepted", [[0, ""], []])
         return cls(
-            meta["disk"],
+            ballot(meta["disk"]),
             tuple(meta["members"]),
             tuple(meta.get("promised", NONE)),
             tuple(meta.get("settled", NONE)),
             tuple(accepted),
             rows,
             delta,
-            meta.get("disks", {}),
+            {member: ballot(disk) for member, disk in meta.get("disks", {}).items()},
             meta["voting"],
             meta["known"],
         )
 
 
+def sound(answers: Mapping[str, Message]) -> dict[str, Message]:
+    """Without those of disks that another of them knows to be gone."""
+    newest: dict[str, Identity] = {}
+    for each in answers.values():
+        for member, disk in each["disks"].items():
+            newest[member] = max(newest.get(member, NONE), ballot(disk))
+    return {m: each for m, each in answers.items() if ballot(each["disks"][m]) == newest[m]}
+
+
 class Stock:
     def __init__(self, me: str, saved: Saved) -> None:
         self.me, self.disk, self.members = me, saved.disk, tuple(sorted(saved.members))
@@ -81,6 +92,10 @@
         """It may speak for the state: it votes, or is a mere copy beside those that do."""
         return self.known and (self.voting or self.me not in self.members)
 
+    @property
+    def disks_known(self) -> dict[str, Identity]:
+        return {**self.disks, self.me: self.disk}
+
     @property
     def unsettled(self) -> bool:
         return self.accepted > self.copy.upto
@@ -108,7 +123,7 @@
             "b": asked,
             "acc": self.accepted,
             "s": self.copy.upto,
-            "disk": self.disk,
+            "disks": self.disks_known,
             "delta": [item.packed() for item in self.delta.values()],
             "ahead": self._ahead(ballot(message["s"])),
         }, []
@@ -117,11 +132,8 @@
         if not self.voting:
             return [], None, []
         asked, base = ballot(message["b"]), ballot(message["s"])
-        if (
-            asked < self.promised
-            or any(self.disks.get(m, disk) != disk for m, disk in message["disks"].items())
-            or message["disks"].get(self.me, self.disk) != self.disk
-        ):
+        promised_by = {member: ballot(disk) for member, disk in message["disks"].items()}
+        if asked < self.promised or any(promised_by.get(m, d) < d for m, d in self.disks_known.items()):
             return [], self._nack(asked), []
         writes: list[Write] = []
         new: list[Item] = []
@@ -134,24 +146,25 @@
             self.accepted = asked
             self.delta = {item.key: item for item in map(unpacked, message["delta"])}
             writes.append(self._accepted())
-        return writes, {"t": "accepted", "b": asked, "disk": self.disk}, new
+        return writes, {"t": "accepted", "b": asked, "disks": self.disks_known}, new
 
     def enrol(self, sender: str, message: Message) -> Answer:
         """Notes the new identity of a disk that came back empty, and tells all that is held, as of after
-        that."""
+        that; a later identity than the one that asks is told as well."""
         if not self.voting:
             return [], None, []
+        disk = max(ballot(message["disk"]), self.disks.get(sender, NONE))
         if sender in self.members:
-            self.disks[sender] = message["disk"]
-        return [("meta", "disks", self.disks)], {
+            self.disks[sender] = disk
+        return [("meta", "disks", dict(self.disks))], {
             "t": "enrolled",
-            "disk": message["disk"],
+            "disk": disk,
             "promised": self.promised,
             "s": self.copy.upto,
             "acc": self.accepted,
             "delta": [item.packed() for item in self.delta.values()],
             "rows": [row(*each) for each in self.copy.since(NONE)],
-            "disks": self.disks,
+            "disks": self.disks_known,
             "members": list(self.members),
         }, []
 
@@ -196,8 +209,12 @@
 
     def take_in(self, sender: str, message: Message) -> tuple[list[Write], list[Item]] | None:
         """An answer to `enrol`; None until enough have come. Then it is caught up, and votes from then on."""
-        if self.known or message["disk"] != self.disk:
+        noted = ballot(message["disk"])
+        if self.known or noted < self.disk:
             return None
+        if noted > self.disk:  # of this machine's earlier disk: this one has to stand above it
+            self.disk, self.enrolled = (noted[0] + 1, self.disk[1]), {}
+            return [("meta", "disk", self.disk)], []
         self.members = tuple(sorted(message["members"]))
         if self.me not in self.members:
             self.known = True
@@ -218,6 +235,8 @@
             self.delta = {item.key: item for item in map(unpacked, last["delta"])}
             writes.append(self._accepted())
         for each in others:
-            self.disks.update({m: d for m, d in each["disks"].items() if m != self.me})
+            for member, disk in each["disks"].items():
+                if member != self.me:
+                    self.disks[member] = max(ballot(disk), self.disks.get(member, NONE))
         self.voting, self.known, self.enrolled = True, True, {}
-        return [*self.first(), *writes, ("meta", "disks", self.disks)], new
+        return [*self.first(), *writes, ("meta", "disks", dict(self.disks))], new
--- a/foxspread/orchard/rootstock/tending.py
+++ b/foxspread/orchard/rootstock/tending.py
@@ -71,9 +71,12 @@
             self._answer(sender, *self.stock.enrol(sender, message))
         elif kind == "enrolled":
             if (found := self.stock.take_in(sender, message)) is not None:
-                say("caught_up", members=len(self.stock.members), upto=self.stock.copy.upto[0])
                 self.put(found[0], lambda: None)
-                self.settled(found[1])
+                if self.stock.known:
+                    say("caught_up", members=len(self.stock.members), upto=self.stock.copy.upto[0])
+                    self.settled(found[1])
+                else:
+                    self.next_enrol = 0.0  # by another identity
         elif kind in TOLD:
             self._do(self.writer.heard(self.clock(), sender, message))
 
--- a/foxspread/orchard/rootstock/writer.py
+++ b/foxspread/orchard/rootstock/writer.py
@@ -15,7 +15,7 @@
 from foxspread.orchard.graft.items import Item, Key, consistent, merged, unpacked
 from foxspread.orchard.outcome import Failure, unsettled
 from foxspread.orchard.rootstock.copy import Ballot, ballot, row, unrow
-from foxspread.orchard.rootstock.stock import Message, Stock, Write
+from foxspread.orchard.rootstock.stock import Message, Stock, Write, sound
 
 ROUND_S = 0.45  # for a majority to answer one message: two syncs of a slow disk
 PAUSE_S = 0.012  # after a lost ballot, by chance up to that, doubling
@@ -48,7 +48,7 @@
         self.running: list[Call] = []
         self.ballot: Ballot | None = None  # of the round that is under way
         self.promises: dict[str, Message] = {}
-        self.accepts: set[str] = set()
+        self.accepts: dict[str, Message] = {}
         self.value: dict[Key, Item] | None = None  # the delta proposed; None while preparing
         self.round_until = self.start_at = 0.0
         self.losses = 0
@@ -95,13 +95,14 @@
             self._lost(now, self.draw())
         elif kind == "promise" and self.value is None:
             self.promises[sender] = message
-            if len(self.promises) >= self.stock.majority:
+            if len(promises := sound(self.promises)) >= self.stock.majority:
+                self.promises = promises
                 self._propose(now, out)
         elif kind == "behind" and self.value is not None:
             out.sends.append((sender, self._accept(ballot(message["s"]))))
         elif kind == "accepted" and self.value is not None:
-            self.accepts.add(sender)
-            if len(self.accepts) >= self.stock.majority:
+            self.accepts[sender] = message
+            if len(sound(self.accepts)) >= self.stock.majority:
                 self._chosen(now, out)
         return out
 
@@ -115,7 +116,7 @@
 
     def _begin(self, now: float, out: Out) -> None:
         self.seen = max(self.seen, self.stock.promised[0], self.stock.copy.upto[0]) + 1
-        self.ballot, self.value, self.promises, self.accepts = (self.seen, self.life), None, {}, set()
+        self.ballot, self.value, self.promises, self.accepts = (self.seen, self.life), None, {}, {}
         self.round_until, self.wanted = now + ROUND_S, False
         self.running += self.waiting
         self.waiting = []
@@ -164,7 +165,7 @@
             "b": self.ballot,
             "s": copy.upto,
             "delta": [item.packed() for item in self.value.values()],
-            "disks": {member: promise["disk"] for member, promise in self.promises.items()},
+            "disks": {member: promise["disks"][member] for member, promise in self.promises.items()},
         }
         if since < copy.upto:
             message["since"], message["ahead"] = since, [row(*each) for each in copy.since(since)]
--- a/foxspread/orchard/sim/disks.py
+++ b/foxspread/orchard/sim/disks.py
@@ -27,7 +27,8 @@
 
     def open(self, members: tuple[str, ...], first: bool) -> Saved:
         if "disk" not in self.meta:
-            return Saved(f"{self.name}.{self.wipes}.{self.turn}", members, voting=first, known=first)
+            identity = (0 if first else 1, f"{self.name}.{self.wipes}.{self.turn}")
+            return Saved(identity, members, voting=first, known=first)
         meta = {name: orjson.loads(body) for name, body in self.meta.items()}
         return Saved.found(meta, [orjson.loads(body) for body in self.items.values()])
 
--- a/tests/orchard/rootstock/test_stock.py
+++ b/tests/orchard/rootstock/test_stock.py
@@ -14,7 +14,7 @@
 class Accepting(TestCase):
     def test_what_an_accept_brings_along_is_shown(self) -> None:
         # Guards the way of items to a machine that was cut off: its copy had them, its routes never did.
-        stock = Stock("a", Saved("a0", ("a", "b", "c"), voting=True, known=True))
+        stock = Stock("a", Saved((0, "a0"), ("a", "b", "c"), voting=True, known=True))
         accept = {"t": "accept", "b": (2, "b"), "s": (1, "b"), "since": (0, ""), "disks": {}}
         accept |= {"ahead": [row(service("v"), (1, "b"))], "delta": [service("w").packed()]}
         _, answer, new = stock.accept(accept)
