The decisions split by concern: marks, rotation, cold servers, portion, measures, gate

Change: foxspread/decisions/, one file a concern; Balancer keeps the order of things, each exception of a choice is a question of its own (_may_be_sent, _has_room, _fits, ...); bookkeeping without a decision moved to rings, members and carry. The mesh's bound of a body is the reader's, so a test sets it there.

--- a/foxspread/carry.py
+++ b/foxspread/carry.py
@@ -1,6 +1,6 @@
 """What an instance has learnt of the servers and still means the same for the next one, and the whole state
-that a successor beside it goes on from: written and read as plain values (JSON). Bookkeeping, no decision;
-docs/migration.md and docs/design/handover.md say what carries over and why.
+that a successor beside it goes on from: written and read as plain values (JSON); and what is
+forgotten. Bookkeeping, no decision; docs/migration.md and docs/design/handover.md say what carries over, why.
 """
 
 import math
@@ -24,6 +24,9 @@
     view_until: float
     tries: Any
     worth: Mean
+    rotation: Any
+    out: dict[str, Any]
+    longest: float
 
     def servers_listed(self, now: float, entries: Iterable[ListedServer], whole: bool) -> None: ...
 
@@ -136,6 +139,17 @@
     return count
 
 
+def forget(it: Learner, now: float) -> None:
+    """Guards against growth where servers are ever new: of one that no lookup has met nothing stays."""
+    servers, marks, measures, rotation = it.servers, it.marks, it.measures, it.rotation
+    for server in servers.over(now - it.longest, it.out):
+        servers.forget(server)
+        marks.met(server, it.categories)
+        for by_id in (servers.tokens, servers.awaited, marks.of, measures.done, measures.slow,
+                      measures.passed, rotation.turns, rotation.saved):
+            by_id.pop(server, None)
+
+
 def set_mean(mean: Mean, sums: tuple[float, float]) -> None:
     mean.total, mean.count = sums
 
--- /dev/null
+++ b/foxspread/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions by concern; `foxspread.logic` puts them together."""
--- a/foxspread/lab/at_revision.py
+++ b/foxspread/lab/at_revision.py
@@ -1,6 +1,6 @@
 """Plays scenarios with the decisions of another folder (our own earlier commit): the present lab, and
-`facade`, `logic`, `model`, `sums` and `config` from there. Started by `experiments.at_revision`; JSON in,
-JSON out."""
+`facade`, `logic`, `decisions`, `model`, `sums` and `config` from there. Started by `experiments.at_revision`;
+JSON in, JSON out."""
 
 import json
 import sys
--- a/foxspread/lab/experiments/mutants.py
+++ b/foxspread/lab/experiments/mutants.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from foxspread.decisions.gate import Gate
 from foxspread.facade import Facade, Outcome
 from foxspread.lab.engines import virtual
 from foxspread.lab.world.demand import Want
-from foxspread.logic import Gate
 from foxspread.model import Effect, Lookup, Readiness
 
 
--- a/foxspread/members.py
+++ b/foxspread/members.py
@@ -37,7 +37,8 @@
         self.orders: dict[str, Alternating] | None = None  # of the ready ones by zone, if asked for
 
     def warmth(self, now: float, server: str) -> float:
-        return self.known[server].warmth(now, self.cold_from, self.cold_time)
+        entry = self.known[server]
+        return 1.0 if entry.started <= 0 else entry.warmth(now, self.cold_from, self.cold_time)
 
     def warmed(self, now: float) -> None:
         for server in [each for each in self.cold if self.warmth(now, each) == 1.0]:
@@ -53,6 +54,28 @@
             left[entry.zone, entry.kind] -= entry.size
         return {group: size for group, size in sizes.items() if left[group] > 1e-9}
 
+    def warm_of(self, servers: Iterable[str]) -> dict[tuple[str, str], float]:
+        """Sizes of the warm ones among these, by zone and kind."""
+        sizes = dict.fromkeys(self.warm_sizes, 0.0)
+        for entry in (self.known[server] for server in servers if server not in self.cold):
+            sizes[entry.zone, entry.kind] += entry.size
+        return sizes
+
+    def together(self, scope: str, one: str, other: str) -> bool:
+        """Whether both are of one such group: all, a zone or a cell."""
+        a, b = self.known.get(one), self.known.get(other)
+        near = None not in (a, b) and a.zone == b.zone
+        return scope == "all" or near and (scope == "zone" or a.cell == b.cell)
+
+    def cell_of(self, server: str) -> list[str] | None:
+        """The ready servers of its cell; None where nobody knows it."""
+        entry = self.known.get(server)
+        return None if entry is None else self.cells.get((entry.zone, entry.cell), [])
+
+    def lacking(self, now: float, servers: Container[str]) -> dict[str, float]:
+        """Of these, the cold ones: which part each is short of a warm one."""
+        return {s: 1.0 - self.warmth(now, s) for s in sorted(self.cold) if s in servers}
+
     def _size(self, entry: ListedServer, times: int) -> None:
         """One more or less that is warm. What a server has done goes with it, but for a part that the rest
         takes over at once: else the last of a few would seem to do the work of all for a while."""
--- a/foxspread/model.py
+++ b/foxspread/model.py
@@ -29,16 +29,13 @@
     CALLED_OFF = "called off"
     UNSENT = "unsent"
 
-    @property
-    def never_ran(self) -> bool:
-        return self in (Outcome.FULL, Outcome.UNCONNECTED, Outcome.UNSENT)
-
-    @property
-    def failure(self) -> bool | None:
-        """The verdict on the server; None where there is none: being full, called off or unsent."""
-        if self in (Outcome.FULL, Outcome.CALLED_OFF, Outcome.UNSENT):
-            return None
-        return self is not Outcome.DONE
+    def __init__(self, how: str) -> None:   # worked out once: each end of a hand-off asks for all of it
+        self.done = how == "done"
+        self.answered = how in ("done", "error")
+        self.cut_off = how in ("timed out", "called off")
+        self.never_ran = how in ("full", "unconnected", "unsent")
+        # The verdict on the server; None where there is none: being full, called off or unsent.
+        self.failure: bool | None = None if how in ("full", "called off", "unsent") else not self.done
 
 
 class Readiness(Enum):
@@ -126,6 +123,10 @@
     def may_have_run(self) -> list[HandOff]:
         return [h for h in self.sent if h.outcome is None or not h.outcome.never_ran]
 
+    def repeated(self) -> list[HandOff]:
+        """Those that a further one would repeat, where some servers know a repeat."""
+        return self.may_have_run() if self.category.effect is Effect.LABELLED else []
+
 
 @dataclass
 class Mark:
--- a/foxspread/orchard/ripeness/health.py
+++ b/foxspread/orchard/ripeness/health.py
@@ -7,7 +7,9 @@
 from collections import defaultdict
 from collections.abc import Container
 
-from foxspread.logic import Marks, Measures, Rotation
+from foxspread.decisions.marks import Marks
+from foxspread.decisions.measures import Measures
+from foxspread.decisions.rotation import Rotation
 from foxspread.model import Category, HandOff, ListedServer, Outcome
 from foxspread.orchard.ripeness.upstreams import Service, Upstream
 from foxspread.sums import Chance, Mean
--- a/foxspread/rings.py
+++ b/foxspread/rings.py
@@ -7,9 +7,10 @@
 import math
 import zlib
 from bisect import bisect_left, insort
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from typing import Any
 
-from foxspread.model import HandOff
+from foxspread.model import HandOff, ListedServer, Lookup, Mark, Outcome
 
 
 class Ring:
@@ -98,13 +99,13 @@
         self.codes: dict[int, list[tuple[int, str]]] = {}
 
     def add(self, name: str) -> None:
-        data = name.encode()
+        data = f"{name}".encode()   # a name may be anything that sorts
         code = self.code[name] = zlib.crc32(data) ^ zlib.crc32(bytes(len(data)))
         insort(self.codes.setdefault(len(data), []), (code, name))
 
     def remove(self, name: str) -> None:
         if (code := self.code.pop(name, None)) is not None:
-            size = len(name.encode())
+            size = len(f"{name}".encode())
             codes = self.codes[size]
             del codes[bisect_left(codes, (code, name))]
             if not codes:
@@ -169,19 +170,72 @@
         self.flying = self.hushed_hold = 0      # over all, and at the silent ones
         self.hushed: set[str] = set()
         self.full_for: dict[str, float] = {}    # parts of the room that found none, by zone
+        self.touched: set[str] = set()          # whose ring may be another by now
         self.out: dict[str, dict[tuple[str, int], HandOff]] = {}   # by server with any, the oldest first
-
-    def _sent(self, hand_off: HandOff, key: tuple[str, int]) -> None:
-        self.out.setdefault(hand_off.server, {})[key] = hand_off
+        self.open_at = -math.inf                # from when on the parked ones are opened
+        self.large: set[str] = set()            # the zones whose rings are; small ones are walked each time
+        self.due: dict[str, list[str]] = {}     # the marked ones by zone, for trials
+        self.next_trial: dict[str, float] = {}  # by zone: from when on the first of these may get one
+        self.lookups: dict[str, Lookup] = {}
+        self.waiting: dict[str, Lookup] = {}    # to be looked at
+        self.queue: dict[str, Lookup] = {}      # without room so far
+        self.alarms: list[tuple[float, str]] = []   # when to look at which; a heap
+
+    def client_left(self, now: float, id: str) -> None:
+        if (lookup := self.lookups.get(id)) is not None:
+            lookup.over, self.waiting[id] = True, lookup   # to call off what is still out
+
+    def _settle(self, lookup: Lookup) -> None:
+        """Of one that is over, with nothing out, nothing stays."""
+        if lookup.over and not lookup.out():
+            self.lookups.pop(lookup.id, None)
+            self.waiting.pop(lookup.id, None)
+
+    def _passes(self, now: float, lookup: Lookup, hand_off: HandOff, gone: bool) -> None:
+        """A body begins to go out, or has gone: under way, it makes its server neither slow nor full."""
+        lookup.spent, lookup.coming = True, not gone
+        took, hand_off.overdue, hand_off.late = now - hand_off.sent, math.inf, not gone
+        self._count(hand_off.server, 1 if gone else -1)
+        if gone:
+            hand_off.sent = now
+            lookup.expected_at, lookup.abandon_at = lookup.expected_at + took, lookup.abandon_at + took
+
+    def _wake(self, id: str, *times: float) -> None:
+        for at in set(times):
+            heapq.heappush(self.alarms, (at, id))
+
+    def _alarmed(self, until: float) -> Iterator[Lookup]:
+        """Whose alarms are due: each is to be looked at, but for those that are over."""
+        while self.alarms and self.alarms[0][0] <= until:
+            if (lookup := self.lookups.get(heapq.heappop(self.alarms)[1])) is not None:
+                if not lookup.over:
+                    self.waiting[lookup.id] = lookup
+                yield lookup
+
+    def _next_alarm(self) -> float:
+        while self.alarms and self.alarms[0][1] not in self.lookups:   # what is over need not wake anybody
+            heapq.heappop(self.alarms)
+        return self.alarms[0][0] if self.alarms else math.inf
+
+    def _sent(self, lookup: Lookup, hand_off: HandOff) -> None:
+        self.out.setdefault(hand_off.server, {})[lookup.id, len(lookup.sent)] = hand_off
+        lookup.sent.append(hand_off)
         self._count(hand_off.server, 1)
 
-    def _back(self, hand_off: HandOff, key: tuple[str, int]) -> None:
+    def _back(self, id: str, number: int, outcome: Outcome) -> HandOff | None:
+        """None where no such one is out."""
+        lookup = self.lookups.get(id)
+        if lookup is None or number >= len(lookup.sent) or lookup.sent[number].outcome is not None:
+            return None
+        hand_off = lookup.sent[number]
+        hand_off.outcome, lookup.coming = outcome, False
         out = self.out[hand_off.server]
-        del out[key]
+        del out[id, number]
         if not out:
             del self.out[hand_off.server]
         if not hand_off.late:
             self._count(hand_off.server, -1)
+        return hand_off
 
     def _held(self, server: str) -> int:
         return self.held.get(server, 0)
@@ -192,7 +246,7 @@
 
     def _park(self, server: str, worth: bool) -> bool:
         """Passes over it, until it is opened again, where it would be walked past time and again; False."""
-        if worth and server in self.ring_of:
+        if worth and self.large and server in self.ring_of:
             self.sound[self.ring_of[server]].park(server)
         return False
 
@@ -222,6 +276,53 @@
                 self.held_in[zone] = self.held_in.get(zone, 0) + self._held(server)
 
 
+    def _all_touched(self) -> list[str]:
+        touched, self.touched = sorted(self.touched), set()
+        return touched
+
+    def _regroup(self, zones: Iterable[str]) -> None:
+        """A ring for each of these zones and for no other; what was found full counts as unknown."""
+        self.sound = {z: self.sound.get(z) or Ring() for z in zones}
+        self.held_in = {z: self.held_in.get(z, 0) for z in zones}
+        self.large = {z for z, ring in self.sound.items() if len(ring) > 64}
+        self.hushed_hold = sum(map(self._held, self.hushed))
+        self.full_for.clear()
+
+    def _mean_held(self) -> dict[str, float]:
+        return {z: self.held_in[z] / (len(ring.names) or 1) for z, ring in self.sound.items()}
+
+    def _sizes(self, lacking: dict[str, float]) -> dict[str, float]:
+        """How many are in each ring, less what these are short of one."""
+        sizes = {z: float(len(ring)) for z, ring in self.sound.items()}
+        for server, lack in lacking.items():
+            sizes[self.ring_of[server]] -= lack
+        return sizes
+
+    def _not_full(self, zones: list[str], part: float) -> Iterator[str]:
+        """Those of the zones that may have room for this part; one that is gone on from had none."""
+        for zone in zones:
+            if zone not in self.large:
+                yield zone
+            elif part > self.full_for.get(zone, 0.0):
+                yield zone
+                self.full_for[zone] = part
+
+    def _sort_trials(self, marked: set[str], known: dict[str, ListedServer], marks: dict[Any, Mark]) -> None:
+        self.due, self.next_trial = {}, {}
+        for server in sorted(marked):
+            zone, mark = known[server].zone, marks[server]
+            self.due.setdefault(zone, []).append(server)
+            if not mark.trial_out:
+                self.next_trial[zone] = min(mark.until, self.next_trial.get(zone, math.inf))
+
+    def _open_all(self, now: float) -> None:
+        """What is parked, four times a second."""
+        if now >= self.open_at:
+            self.open_at = now + 0.25
+            for ring in self.sound.values():
+                ring.open_all()
+
+
 class Alternating:
     """One order of names that all who know them come to, in which the kinds alternate by their shares. It is
     merged only as far as it is walked, and a change is sorted in: both cost little in a large fleet."""
--- a/tests/net/test_passing.py
+++ b/tests/net/test_passing.py
@@ -141,7 +141,7 @@
     @on_loop
     async def test_more_than_may_pass_is_413_and_a_short_request_after_a_long_one_is_served(self):
         async with SlowServer() as server, Running(known=[entry(server.address)]) as it:
-            with mock.patch("foxspread.net.http.PASSED_MOST", MIB):
+            with mock.patch("foxspread.net.http.Reader.body_most", MIB):
                 for chunked in (False, True):
                     self.assertEqual((await sent(it, f"l{chunked}", MIB + 1, chunked=chunked))[0], 413)
             reader, writer = await connected(it.it.listener.address)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -9,7 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from foxspread.logic import Balancer, Rotation
+from foxspread.decisions.rotation import Rotation
+from foxspread.logic import Balancer
 from foxspread.model import Category, Effect, ListedServer, Outcome, Readiness
 from foxspread.rings import Nearest, Ring, Sizes
 
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -3,7 +3,11 @@
 from dataclasses import replace
 from unittest import mock
 
-from foxspread.logic import Marks, Measures, Portion, Rotation, ServerList
+from foxspread.decisions.cold import ServerList
+from foxspread.decisions.marks import Marks
+from foxspread.decisions.measures import Measures
+from foxspread.decisions.portion import Portion
+from foxspread.decisions.rotation import Rotation
 from foxspread.model import Act, Category, Effect, ListedServer, Mark, Outcome, Readiness
 from foxspread.rings import Ring
 from foxspread.sums import Chance, Decaying
