--- a/foxspread/orchard/sim/agreement.py
+++ b/foxspread/orchard/sim/agreement.py
@@ -17,7 +17,7 @@
 from foxspread.orchard.rootstock.tending import Tending
 from foxspread.orchard.rootstock.writer import Writer
 from foxspread.orchard.sim.disks import SYNC_S, SimDisk
-from foxspread.orchard.sim.judge import Break, Call, Judge, shown
+from foxspread.orchard.sim.judge import ANSWERED_S, Break, Call, Judge, shown
 from foxspread.orchard.sim.world import Links, World
 from foxspread.sums import Chance
 
@@ -26,6 +26,7 @@
 MEET_S = 1.5  # links come up anew, whoever was missed is told
 SILENCE_S = 1.0  # after which an operator asks another
 GIVES_UP_S = 14.0
+ALIKE_S = 5.0  # after which all that live hold the same, without a call
 
 FAULTS = (
     "kill",
@@ -37,7 +38,9 @@
     "split",
     "power_off",
     "power_off_wiped",
+    "power_at_ack",
     "acker_wiped",
+    "behind",
     "disk_slow",
     "disk_stalls",
     "disk_refuses",
@@ -47,14 +50,14 @@
     "link_slow",
     "clock",
 )
+WIPES = ("wipe", "power_off_wiped", "acker_wiped", "behind")
 
 
 @dataclass(frozen=True)
 class Plan:
     machines: int = 3
     sidecars: int = 2
-    seconds: float = 9.0  # calls and faults begin within this
-    settle: float = 7.0  # then all is whole again
+    seconds: float = 9.0  # calls and faults begin within this; then all is whole again
     rounds: int = 9  # of calls, by two operators
     most: int = 5  # faults
     faults: tuple[str, ...] = FAULTS
@@ -235,6 +238,7 @@
         self.disk = fleet.cores.disk(fleet.world, name)
         self.core: Tending | None = None
         self.cut = 0  # faults that cut it off
+        self.slow_start = 0.0  # it is away for so much longer, the next time
         self.wiped: list | None = None  # the trouble that is over once it has caught up
 
     @property
@@ -310,7 +314,7 @@
         self.links = Links(self.world, self._deliver)
         self.befell: dict[str, int] = {}
         self.calls = 0
-        self.last_acker: Machine | None = None
+        self.at_ack: list[Callable[[Machine], None]] = []  # what befalls the next that acknowledges a call
         self.machines = [Machine(self, f"c{n + 1}") for n in range(plan.machines)]
         self.sidecars = [Sidecar(self, f"s{n + 1}") for n in range(plan.sidecars)]
         self.parties: dict[str, Party] = {each.name: each for each in (*self.machines, *self.sidecars)}
@@ -342,12 +346,14 @@
             self.world.at(event.at, lambda event=event: self._befall(event))
         self.world.run(self.plan.seconds)
         self._whole()
-        end = self.plan.seconds + self.plan.settle
+        self.world.run(self.plan.seconds + ALIKE_S)
+        self.judge.now = self.world.now
+        self.judge.alike([each.named for each in self.parties.values()])
         for each in self.machines:
-            self.world.after(2.0, lambda each=each: self._call((), each))
-        self.world.run(end)
+            self._call((), each)
+        self.world.run(self.plan.seconds + ALIKE_S + ANSWERED_S + 0.5)
         self.judge.now = self.world.now
-        self.judge.close([each.named for each in self.parties.values() if each.up])
+        self.judge.close()
         return Played(
             self.seed,
             self.plan,
@@ -384,8 +390,9 @@
                 self._try(call, another, count + 1)
 
         def told(outcome: bool | Failure, held: dict) -> None:
-            if outcome is True:
-                self.last_acker = machine
+            if outcome is True and call.items and self.at_ack:
+                befall = self.at_ack.pop()
+                world.after(0.0, lambda: befall(machine))
             world.after(world.within(0.0005, 0.004), lambda: answered(outcome, held))
 
         def answered(outcome: bool | Failure, held: dict) -> None:
@@ -414,8 +421,6 @@
         machine = self.machines[event.where % len(self.machines)]
         if event.kind in ("call", "read"):
             return self._call(event.items, machine)
-        if event.kind == "acker_wiped":
-            machine = self.last_acker or machine
         if getattr(self, f"_{event.kind}")(machine, event.seconds) is False:
             return
         self.befell[event.kind] = self.befell.get(event.kind, 0) + 1
@@ -462,18 +467,45 @@
         return self._kill(machine, seconds, True)
 
     def _power_off(self, machine: Machine, seconds: float, wiped: bool = False) -> bool | None:
+        """All lose power; one that is wiped comes back with nothing."""
         unknowing = {each for each in self.machines if each.wiped is not None or (wiped and each is machine)}
         if len(unknowing) > self.plan.tolerate or not all(each.up for each in self.machines):
             return False
-        self._until(seconds + 1.0, None, lambda: None)
+        self._until(seconds + 2.0, None, lambda: None)
         for each in self.machines:
-            self._down(each, 0.05 + self.world.draw() * seconds, wiped and each is machine)
+            away = 0.05 + self.world.draw() * seconds + each.slow_start
+            each.slow_start = 0.0
+            self._down(each, away, wiped and each is machine)
 
     def _power_off_wiped(self, machine: Machine, seconds: float) -> bool | None:
         return self._power_off(machine, seconds, True)
 
-    def _acker_wiped(self, machine: Machine, seconds: float) -> bool | None:
-        return self._power_off(machine, seconds, True)
+    def _power_at_ack(self, machine: Machine, seconds: float, wiped: bool = False) -> None:
+        """All lose power right after the next call is acknowledged."""
+        self.at_ack.append(lambda acker: self._power_off(acker, seconds, wiped))
+
+    def _acker_wiped(self, machine: Machine, seconds: float) -> None:
+        self._power_at_ack(machine, seconds, True)
+
+    def _behind(self, machine: Machine, seconds: float) -> bool | None:
+        """Some miss a call; then all lose power, one that has it is wiped, and the others that have it are
+        the last to come back."""
+        at = self.machines.index(machine)
+        turned = self.machines[at:] + self.machines[:at]
+        missing, wiped = turned[: self.plan.tolerate], turned[self.plan.tolerate]
+        late, seconds = turned[self.plan.tolerate + 1 :], 0.02 + seconds / 10
+        if self._cut_off(missing, seconds, "io") is False:
+            return False
+
+        def then() -> None:
+            for each in late:
+                each.slow_start = 1.0
+            if self._power_off(wiped, 0.2, True) is False:
+                return
+            again = late[0]
+            self.world.after(1.2 + self.world.draw() * 1.5, lambda: self._kill(again, 1.0))
+
+        self.world.after(seconds + 0.001, then)
 
     def _freeze(self, machine: Machine, seconds: float) -> bool | None:
         if not machine.up or machine.frozen or not self._bearable(machine):
@@ -581,6 +613,10 @@
         kind = plan.faults[int(chance.draw() * len(plan.faults))]
         long = chance.draw() ** 2 * 3.0 + 0.02
         events.append(Event(at, kind, int(chance.draw() * plan.machines), long))
+        if kind in WIPES:  # who knows what, while it catches up
+            for _ in range(2):
+                after = min(at + long / 10 + chance.draw() * 2, plan.seconds - 0.1)
+                events.append(Event(after, "read", int(chance.draw() * plan.machines)))
     return sorted(events, key=lambda each: each.at)
 
 
--- a/foxspread/orchard/sim/judge.py
+++ b/foxspread/orchard/sim/judge.py
@@ -134,11 +134,9 @@
         if row[1] is None:
             row[1] = self.now
 
-    def close(self, current: Iterable[str]) -> None:
-        """`current`: the copies that live; all is whole again for a while."""
-        self._refused()
-        self._answered()
-        shown_by = {copy: self.copies[copy] for copy in current}
+    def alike(self, current: Iterable[str]) -> None:
+        """All has been whole for a while: the copies that live show the same."""
+        shown_by = {copy: self.copies.get(copy, {}) for copy in current}
         newest: dict[Key, Item] = {}
         for held in shown_by.values():
             for key, item in held.items():
@@ -149,6 +147,10 @@
                 lacks = [shown(item) for key, item in newest.items() if held.get(key) != item]
                 self.broken("all alike", f"{copy} lacks {', '.join(lacks)}")
 
+    def close(self) -> None:
+        self._refused()
+        self._answered()
+
     def _refused(self) -> None:
         users: dict[tuple[Key, int, bytes], list[Call]] = {}
         for call in self.calls:
