--- /dev/null
+++ b/tests/orchard/rootstock/test_orders.py
@@ -0,0 +1,227 @@
+"""Single orders of messages that take a mistake to break, and all orders of a few."""
+
+from itertools import permutations
+
+from testtools import TestCase
+
+from foxspread.orchard.graft.items import Item
+from foxspread.orchard.outcome import Failure
+from foxspread.orchard.rootstock.stock import Saved, Stock
+from foxspread.orchard.sim.agreement import Cores
+from foxspread.orchard.sim.broken import CORES
+from foxspread.orchard.sim.explore import Case, Table, explore, read_from
+from tests.orchard.rootstock.orders import (
+    FIVE,
+    ORDERS,
+    SHOWN_BY,
+    THREE,
+    answer,
+    ask,
+    begin,
+    enrol,
+    laid,
+    put,
+    route,
+    service,
+    wipe,
+)
+
+V1, V2 = service(tag=1), service(tag=2)
+
+
+def calls(table: Table, name: str, others: str, above: int | None = None) -> tuple[Item, bool] | None:
+    """Its next call, with all answers of `others`; its outcome where there is one."""
+    before = len(table.told)
+    begin(table, name, above)
+    ask(table, name, others)
+    if table.writers[name].value is not None:
+        put(table, name, others)
+    return table.told[-1] if len(table.told) > before else None
+
+
+def submit(table: Table, name: str, item: Item) -> None:
+    writer = table.writers[name]
+    table.starts[name] = 9
+    writer.start_at = 1e9
+    writer.submit(0.0, item, [item], 1e9)
+
+
+class Orders(TestCase):
+    def test_orders_that_a_mistake_breaks(self) -> None:
+        # The cores stand each; every broken one falls by its own: else an order tests nothing.
+        for name, order in ORDERS.items():
+            self.assertEqual([], order(Cores()).faults, name)
+        for broken, names in SHOWN_BY.items():
+            for begins in names:
+                order = next(order for name, order in ORDERS.items() if name.startswith(begins))
+                self.assertNotEqual([], order(CORES[broken]).faults, (broken, begins))
+
+    def test_all_orders_of_small_cases(self) -> None:
+        # Nothing is out of reach of a schedule: every order, of messages, crashes, wipes; states are counted
+        # so that a case that shrinks by mistake is seen.
+        one, two = (("a", V1),), (("a", V1), ("b", V2))
+        cases = (
+            (Case(calls=one, starts=2), 100),
+            (Case(calls=one, crashes=1), 100),
+            (Case(calls=one, wipes=1, may_wipe=("c",)), 500),
+            (Case(calls=two, news=True, members=("a", "b")), 50),
+        )
+        for case, least in cases:
+            found = explore(case)
+            self.assertEqual((True, []), (found.ended, found.way + found.faults), case)
+            self.assertGreater(found.states, least, case)
+
+    def test_the_explorer_finds_what_is_broken(self) -> None:
+        for name in ("any ballot is accepted", "acknowledges after one acceptance"):
+            found = explore(Case(calls=(("a", V1), ("b", V2))), CORES[name], most=20_000)
+            self.assertNotEqual([], found.faults, name)
+
+    def test_three_writers_on_one_version(self) -> None:
+        # Whoever comes first with whichever machine, one content is taken and two are refused.
+        items = {name: service(tag=n) for n, name in enumerate(THREE)}
+        for first, second, third in permutations(THREE):
+            table = laid(THREE, *items.items())
+            begin(table, first)
+            ask(table, first, second)  # its own disk alone accepts
+            begin(table, second, above=1)
+            ask(table, second, third)
+            begin(table, third, above=2)
+            for above, name in enumerate((first, third, second), start=9):
+                calls(table, name, second if name != second else third, above)
+            self.assertEqual([], table.faults)
+            self.assertEqual([False, False, True], sorted(taken for _, taken in table.told))
+
+    def test_a_writer_dies_and_its_call_is_sent_elsewhere(self) -> None:
+        # After none, one, two, three acceptances; resent unchanged it is taken whatever came of it; another
+        # content is refused where the first may have been settled, and only one of them ever holds.
+        for accepted in ("", "b", "bc"):
+            for item in (V1, V2):
+                table = laid(THREE, ("a", V1))
+                begin(table, "a")
+                ask(table, "a", "bc")
+                put(table, "a", accepted, back=False)
+                table.do(("crash", "a"))
+                submit(table, "c", item)
+                outcome = calls(table, "c", "b")
+                self.assertEqual((item, item is V1 or not accepted), outcome, (accepted, item))
+                self.assertEqual([], table.faults)
+
+    def test_power_lost_between_two_syncs_of_one_call(self) -> None:
+        # Promised and not accepted: the promise is kept, the call is not half there.
+        table = laid(THREE, ("a", V1))
+        begin(table, "a")
+        ask(table, "a", "bc")
+        for name in THREE:
+            table.do(("crash", name))
+        self.assertEqual([(1, "a.0")] * 3, [table.stocks[name].promised for name in THREE])
+        submit(table, "b", V2)
+        self.assertEqual((V2, True), calls(table, "b", "c"))
+
+    def test_all_start_in_any_order_with_one_disk_empty(self) -> None:
+        # An acknowledged call is known to any two that vote, whichever disk was wiped, the writer's as well.
+        for wiped in THREE:
+            for others in permutations(name for name in THREE if name != wiped):
+                table = laid(THREE, ("a", V1))
+                self.assertEqual((V1, True), calls(table, "a", "c"))
+                for name in others:
+                    table.do(("crash", name))
+                table.do(("wipe", wiped))
+                enrol(table, wiped, others[0])
+                self.assertFalse(table.stocks[wiped].serves)
+                enrol(table, wiped, others[1])
+                self.assertEqual({V1.key: V1}, read_from([table.stocks[wiped], table.stocks["b"]]))
+                self.assertEqual([], table.faults)
+
+    def test_one_that_was_wiped_keeps_to_what_it_had_promised(self) -> None:
+        # Promised to 9, wiped, asked with 7: the promise that it can't remember is told by who made it too.
+        table = laid(THREE, ("a", V1), ("b", V2))
+        begin(table, "a", above=8)
+        ask(table, "a", "c")
+        wipe(table, "c", "ab")
+        begin(table, "b", above=6)
+        ask(table, "b", "c")
+        self.assertEqual((None, 9), (table.writers["b"].ballot, table.stocks["c"].promised[0]))
+
+    def test_an_older_identity_that_comes_late_does_not_shut_out_the_newer(self) -> None:
+        # Guards against a machine that is wiped twice and is never heard again by one it asked meanwhile.
+        table = laid(FIVE, ("a", V1))
+        wipe(table, "x", "bcd")
+        table.do(("wipe", "x"))
+        for other in "abd":
+            table.passed("x", other, "enrol", newest=True)
+        table.passed("x", "a", "enrol")  # of the disk before
+        for other in "abd":
+            table.passed(other, "x", "enrolled", newest=other != "a")
+        self.assertTrue(table.stocks["x"].voting)
+        self.assertEqual((V1, True), calls(table, "a", "xc"))
+
+    def test_a_new_identity_rises_above_all_that_were_noted(self) -> None:
+        # Chance alone says nothing of which of two disks is the newer one.
+        stocks = {name: Stock(name, Saved((0, name), FIVE, voting=True, known=True)) for name in "abc"}
+        for each in stocks.values():
+            each.enrol("x", {"disk": (1, "z")})
+        stock = Stock("x", Saved((1, "m"), FIVE))
+        for _ in range(2):
+            for name, each in stocks.items():
+                _, told, _ = each.enrol("x", {"disk": stock.disk})
+                stock.take_in(name, told)
+        self.assertEqual(((2, "m"), True), (stock.disk, stock.voting))
+        self.assertEqual({(2, "m")}, {each.disks["x"] for each in stocks.values()})
+
+    def test_one_that_is_behind_is_brought_up(self) -> None:
+        # A writer that does not know how far another is asks, and what it sends then is shown there.
+        table = laid(THREE, ("a", V1), ("b", service("w")))
+        calls(table, "a", "b")
+        calls(table, "b", "a")
+        submit(table, "b", service("u"))
+        begin(table, "b")
+        ask(table, "b", "a")
+        table.passed("b", "c", "accept", newest=True)
+        answer(table, "c", "b")  # behind
+        put(table, "b", "c")
+        self.assertEqual(table.stocks["b"].copy.items, read_from([table.stocks["c"]]))
+        self.assertEqual(3, len(table.stocks["c"].copy.items) + len(table.stocks["c"].delta))
+
+
+class Outcomes(TestCase):
+    """What a second call comes to, at another machine, after a first."""
+
+    def test_outcomes(self) -> None:
+        # 409 for another content of a version that holds, 400 for what may not stand, and nothing of either
+        # comes into force; what is no news is acknowledged.
+        drop = Item("service", "v", 1, None)
+        here, there = route("r", "/p/", "v"), route("q", "/p/", "v")
+        rows = (
+            ("the same", [V1], V1, None),
+            ("another content", [V1], V2, 409),
+            ("a drop of the version that is set", [V1], drop, 409),
+            ("a set of the version that is dropped", [drop], V1, 409),
+            ("a lower version", [service(version=2)], V1, None),
+            ("a higher version", [V1], service(version=2), None),
+            ("the place of another", [V1, here], there, 400),
+            ("the place of one that goes", [V1, here, Item("route", "r", 2, None)], there, None),
+            ("a drop of what a route needs", [V1, here], Item("service", "v", 2, None), 400),
+            ("a route to what is dropped", [V1, Item("service", "v", 2, None)], here, 400),
+            ("a route to nothing", [], here, 400),
+        )
+        for name, before, item, status in rows:
+            table = laid(THREE)
+            for each in before:
+                submit(table, "a", each)
+                self.assertEqual((each, True), calls(table, "a", "b"), name)
+            done, stocks, writer = [], table.stocks, table.writers["c"]
+            writer.seen = 50
+            waiting = [("c", *each) for each in writer.submit(0.0, "call", [item], 1e9).sends]
+            while waiting:
+                sender, to, message = waiting.pop(0)
+                if message["t"] in ("prepare", "accept"):
+                    _, said, _ = getattr(stocks[to], message["t"])(message)
+                    waiting += [(to, "c", said)]
+                else:
+                    out = writer.heard(0.0, sender, message)
+                    done += out.done
+                    waiting += [("c", *each) for each in out.sends]
+            (_, outcome), held = done[0], stocks["c"].copy.items.get(item.key)
+            self.assertEqual(status, outcome.status if isinstance(outcome, Failure) else None, name)
+            if status is not None:
+                self.assertNotEqual(item, held, name)
