Tests of the virtual orchard: seeds, broken cores, scripts, the judge, links and disks

Cause: a run that finds nothing may be one that does nothing. Change: tests/orchard/sim: seeds of 3, 5 and 11 machines in which every fault befalls; 16 broken cores by a seed each, which with the orders by hand are all 21; hard cases by name; each rule of the judge on what breaks it and on what does not.

--- a/foxspread/orchard/sim/agreement.py
+++ b/foxspread/orchard/sim/agreement.py
@@ -760,10 +760,10 @@
 
 
 def minimised(played: Played, cores: Cores = Cores()) -> Played:
-    """The fewest events that still break the same rule: parts are left out, then halves of them."""
+    """Fewer events that still break the same rule: parts are left out, halves of them, single ones."""
     rule, size = played.breaks[0].rule, max(1, len(played.events) // 2)
-    while True:
-        begin = 0
+    while size:
+        before, begin = len(played.events), 0
         while begin < len(played.events):
             fewer = played.events[:begin] + played.events[begin + size :]
             again = play(played.plan, played.seed, cores, fewer)
@@ -771,6 +771,5 @@
                 played = again
             else:
                 begin += size
-        if size == 1:
-            return play(played.plan, played.seed, cores, played.events, trace=True)
-        size //= 2
+        size = 1 if size == 1 and len(played.events) < before else size // 2
+    return play(played.plan, played.seed, cores, played.events, trace=True)
--- a/tests/orchard/rootstock/orders.py
+++ b/tests/orchard/rootstock/orders.py
@@ -182,6 +182,7 @@
     "takes the older acceptance over": ("two acceptances",),
     "a wiped one votes at once": ("a wiped one",),
     "enrolled by one other": ("a wiped one",),
+    "enrolled with the first answer": ("a wiped one",),
     "an acceptance is not saved": ("power is lost",),
     "drops what is open": ("power is lost",),
 }
--- /dev/null
+++ b/tests/orchard/sim/test_agreement.py
@@ -0,0 +1,156 @@
+"""The virtual orchard: what it plays, that the cores stand it, and that broken ones do not."""
+
+from itertools import product
+
+from testtools import TestCase
+
+from foxspread.orchard.graft.items import SERVICE, Item
+from foxspread.orchard.sim.agreement import FAULTS, Event, Fleet, Plan, Played, drawn, minimised, play
+from foxspread.orchard.sim.broken import CORES
+from foxspread.orchard.sim.runs import several, traced
+from tests.orchard.rootstock.orders import SHOWN_BY, route, service
+
+CAUGHT_BY = {  # broken cores, by a seed that shows them and the rule that they break there
+    "a wiped one votes at once": (62, "nothing lost"),
+    "enrolled by one other": (62, "nothing lost"),
+    "a promise is not saved": (27, "no broken invariant"),
+    "an acceptance is not saved": (13, "nothing lost"),
+    "any ballot is promised": (58, "nothing lost"),
+    "any ballot is accepted": (1, "consistent"),
+    "news settle another ballot": (14, "all alike"),
+    "what an accept brings is not shown": (62, "all alike"),
+    "acts before it is chosen": (1, "consistent"),
+    "takes the older acceptance over": (486, "one content"),
+    "drops what is open": (5, "consistent"),
+    "acknowledges after one acceptance": (5, "consistent"),
+    "reads from its own copy": (13, "nothing lost"),
+    "answers before it is written": (33, "nothing lost"),
+    "pulls no news": (218, "all alike"),
+    "a disk that lies": (13, "nothing lost"),
+}
+SHORT = Plan(seconds=4.0)
+
+
+def outcomes(played: Played) -> list[int | bool | None]:
+    return [call.outcome if call.outcome in (None, True) else call.outcome.status for call in played.calls]
+
+
+def told(*rows: tuple) -> list[Event]:
+    """(when, what, machine from 1, seconds or items)"""
+    return [
+        Event(at, kind, where - 1, *((0.0, tuple(more)) if kind == "call" else more))
+        for at, kind, where, *more in rows
+    ]
+
+
+class Sound(TestCase):
+    def test_seeds_break_nothing_and_every_fault_befalls(self) -> None:
+        # Guards the whole: calls that race, disks, links, clocks and power, for three machines and more.
+        for machines, seeds in ((3, range(1, 61)), (5, range(1, 13)), (11, range(1, 3))):
+            summary = several(Plan(machines=machines), seeds, jobs=1)
+            self.assertEqual([], summary.breaks, machines)
+            self.assertGreater(summary.acknowledged, summary.calls / 2)
+            if machines == 3:
+                self.assertEqual(set(FAULTS), set(summary.befell))
+
+    def test_a_seed_is_the_same_each_time(self) -> None:
+        # A failure that does not come again can't be mended.
+        first, again = (play(Plan(), 5, trace=True) for _ in range(2))
+        self.assertEqual(first.told, again.told)
+        self.assertNotEqual(first.told, play(Plan(), 6, trace=True).told)
+
+    def test_never_more_machines_are_lost_than_are_tolerated(self) -> None:
+        # Else a broken rule would say nothing; only power is lost by more at once.
+        for machines, seed in product((3, 5), range(1, 9)):
+            kinds = ("kill", "wipe", "freeze", "cut", "split", "disk_stalls")
+            plan = Plan(machines=machines, most=12, faults=kinds)
+            fleet = Fleet(plan, seed)
+            most = []
+            befall = fleet._befall
+
+            def watched(event: Event) -> None:
+                befall(event)
+                most.append(sum(each.lost for each in fleet.machines))
+
+            fleet._befall = watched
+            fleet.play(drawn(plan, seed))
+            self.assertLessEqual(max(most), plan.tolerate)
+            self.assertGreater(max(most), 0)
+
+
+class Broken(TestCase):
+    def test_each_broken_core_is_caught(self) -> None:
+        # A judge that never speaks says nothing; each mistake is shown by a seed, an order by hand, or both.
+        for name, (seed, rule) in CAUGHT_BY.items():
+            self.assertIn(rule, [each.rule for each in play(Plan(), seed, CORES[name]).breaks], name)
+        self.assertEqual(set(CORES), set(CAUGHT_BY) | set(SHOWN_BY))
+
+    def test_a_failure_is_told_with_the_fewest_events(self) -> None:
+        name = "reads from its own copy"
+        cores, seed = CORES[name], CAUGHT_BY[name][0]
+        played = play(Plan(), seed, cores)
+        fewest = minimised(played, cores)
+        self.assertEqual(played.breaks[0].rule, fewest.breaks[0].rule)
+        self.assertLess(len(fewest.events), len(played.events) / 2)
+        self.assertIn("broken at", traced(Plan(), seed, name)[-1])
+
+
+class Scripts(TestCase):
+    """Hard cases by name, judged by all rules."""
+
+    first = (service(version=1),)
+
+    def played(self, *rows: tuple, plan: Plan = SHORT) -> Played:
+        played = play(plan, 1, events=told((0.4, "call", 1, *self.first), *rows))
+        self.assertEqual([], played.breaks)
+        faults = {kind for _, kind, *_ in rows if kind in FAULTS}
+        self.assertEqual(faults, set(played.befell))
+        return played
+
+    def test_cut_in_two_with_an_operator_on_each_side(self) -> None:
+        # One version, two contents; cut both ways and one way only; resent over the join: one is taken.
+        for way, machines in product(("cut", "cut_in", "cut_out"), (3, 5)):
+            one, two = service(version=2, tag=1), service(version=2, tag=2)
+            played = self.played(
+                (1.0, way, 1, 2.0),
+                (1.1, "call", 1, one),
+                (1.1, "call", 2, two),
+                plan=Plan(machines=machines, seconds=4.0),
+            )
+            self.assertEqual([True, True, 409], sorted(map(_order, outcomes(played)[:3])), way)
+
+    def test_two_calls_that_may_not_both_stand(self) -> None:
+        # Each valid alone; one is refused, whichever, and is nowhere.
+        drop, to = Item(SERVICE, "v", 2, None), route("r", "/p/", "v")
+        for first, second in (((drop,), (to,)), ((to,), (route("q", "/p/", "v"),))):
+            for gap in (0.0, 0.002, 0.004, 0.008, 0.016):
+                played = self.played((1.0, "call", 2, *first), (1.0 + gap, "call", 3, *second))
+                self.assertEqual([True, True, 400], sorted(map(_order, outcomes(played)[:3])), gap)
+
+    def test_power_is_lost_at_any_time_of_a_call(self) -> None:
+        # Before, between and after its syncs; all come back, one of them with nothing, and the call is taken.
+        for step in range(0, 24, 2):
+            for kind in ("power_off", "power_off_wiped"):
+                played = self.played(
+                    (1.0, "call", 1, service(version=2)), (1.0 + step / 1000, kind, 1 + step % 3, 0.3)
+                )
+                self.assertEqual(True, outcomes(played)[1])
+
+    def test_the_one_that_acknowledges_is_wiped_while_the_others_lose_power(self) -> None:
+        for machine in (1, 2, 3):
+            played = self.played(
+                (0.9, "acker_wiped", machine, 0.5),
+                (1.0, "call", machine, service(version=2)),
+                (1.2, "read", machine),
+                (1.6, "read", machine),
+            )
+            self.assertEqual([True] * 4, outcomes(played)[:4])
+
+    def test_a_read_at_a_wiped_one_is_never_older(self) -> None:
+        # Asked while it knows nothing it says so, and the operator is served all the same.
+        played = self.played((1.0, "wipe", 2, 0.1), (1.11, "read", 2), (1.13, "read", 2))
+        self.assertEqual([True] * 3, outcomes(played)[:3])
+
+
+def _order(outcome: int | bool | None) -> int:
+    return 1 if outcome is True else outcome or 999
--- /dev/null
+++ b/tests/orchard/sim/test_judge.py
@@ -0,0 +1,102 @@
+"""Each rule speaks when it is broken, and not where it is not."""
+
+from testtools import TestCase
+
+from foxspread.orchard.graft.items import Item
+from foxspread.orchard.outcome import conflict, unsettled
+from foxspread.orchard.sim.judge import Call, Judge
+from tests.orchard.rootstock.orders import route, service
+
+V1, V2, OTHER = service(version=1), service(version=2), service(version=1, tag=1)
+
+
+def call(judge: Judge, outcome: object, *items: Item, number: int = 1, ended: float = 1.0) -> Call:
+    made = Call(number, items, 0.0, [(0.0, "c1")])
+    judge.calls.append(made)
+    judge.now = ended
+    if outcome is not None:
+        judge.ended(made, outcome)
+    return made
+
+
+def shows(*steps: tuple) -> Judge:
+    judge = Judge()
+    for copy, *items in steps:
+        if copy not in judge.copies:
+            judge.started(copy)
+        judge.shows(copy, items)
+    return judge
+
+
+def read_after(acknowledged: list[Item], held: list[Item]) -> Judge:
+    judge = shows(("a", *acknowledged))
+    call(judge, True, *acknowledged)
+    judge.read(Call(2, (), 1.0), judge.floor(), "c1", {item.key: item for item in held})
+    return judge
+
+
+def refused(*seen: Item) -> Judge:
+    judge = shows(("a", *seen))
+    call(judge, conflict("another"), V1)
+    judge.close()
+    return judge
+
+
+def answered(ended: float | None, trouble: str | None = "", until: float = 9.0) -> Judge:
+    judge = Judge()
+    if trouble != "":
+        judge.trouble(trouble)[1] = until
+    call(judge, None if ended is None else True, ended=ended or 0.0)
+    judge.now = 10.0
+    judge.close()
+    return judge
+
+
+def alike(*held: list[Item]) -> Judge:
+    judge = shows(*((f"c{n}", *items) for n, items in enumerate(held)))
+    judge.alike(judge.copies)
+    return judge
+
+
+class Rules(TestCase):
+    def test_rules(self) -> None:
+        needs = route("r", "/p/", "v")
+        rows = {
+            "two contents of one version": (shows(("a", V1), ("b", OTHER)), "one content"),
+            "one content in two copies": (shows(("a", V1), ("b", V1)), None),
+            "a version that falls": (shows(("a", V2), ("a", V1)), "no way back"),
+            "an older one in another life": (shows(("a.0", V2), ("a.1", V1)), None),
+            "a route to nothing": (shows(("a", needs)), "consistent"),
+            "a route to what came before": (shows(("a", V1), ("a", needs)), None),
+            "a read that lacks it": (read_after([V1], []), "nothing lost"),
+            "a read that is older": (read_after([V2], [V1]), "nothing lost"),
+            "a read that is newer": (read_after([V1], [V2]), None),
+            "a read of another content": (read_after([V1], [OTHER]), "one content"),
+            "refused and in force": (refused(V1), "refused is nowhere"),
+            "refused, and another is in force": (refused(OTHER), None),
+            "answered late": (answered(4.5), "answered"),
+            "never answered": (answered(None), "answered"),
+            "answered in time": (answered(3.5), None),
+            "late at a machine in trouble": (answered(4.5, "c1"), None),
+            "late with trouble elsewhere": (answered(4.5, "c2"), "answered"),
+            "late with trouble everywhere": (answered(4.5, None), None),
+            "late after trouble": (answered(4.5, "c1", until=0.0), "answered"),
+            "a copy that lacks an item": (alike([V1], []), "all alike"),
+            "copies alike": (alike([V1], [V1]), None),
+        }
+        for name, (judge, rule) in rows.items():
+            self.assertEqual([rule] if rule else [], [each.rule for each in judge.breaks], name)
+
+    def test_an_old_version_is_acknowledged_whatever_it_holds(self) -> None:
+        # "Changes nothing" is a clear answer once a newer version is in force, and only then.
+        for newest, rules in ((V2, []), (V1, ["one content"])):
+            judge = shows(("a", V1), ("a", newest))
+            call(judge, True, V1)
+            call(judge, True, OTHER, number=2)
+            self.assertEqual(rules, [each.rule for each in judge.breaks])
+
+    def test_a_call_without_a_clear_answer_may_be_in_force(self) -> None:
+        judge = shows(("a", V1))
+        call(judge, unsettled("no majority"), V1)
+        judge.close()
+        self.assertEqual([], judge.breaks)
