--- a/foxspread/orchard/__main__.py
+++ b/foxspread/orchard/__main__.py
@@ -149,9 +149,9 @@
 @click.option("--jobs", type=click.IntRange(1, 256), help="Processes; as many as there are processors.")
 def sim(seeds: range, machines: int, faults: str, trace: int | None, broken: str, jobs: int | None) -> None:
     """Plays a fleet that agrees in virtual time, one run a seed. Exit code 1 where a rule is broken."""
-    from foxspread.orchard.sim.agreement import FAULTS, Plan
-    from foxspread.orchard.sim.broken import CORES
-    from foxspread.orchard.sim.runs import several, traced
+    from foxspread.orchard.simulation.agreement import FAULTS, Plan
+    from foxspread.orchard.simulation.broken import CORES
+    from foxspread.orchard.simulation.runs import several, traced
 
     kinds = FAULTS if not faults else tuple(each for each in faults.split(",") if each != "none")
     if unknown := [each for each in kinds if each not in FAULTS]:
--- a/foxspread/orchard/graft/reading.py
+++ b/foxspread/orchard/configuration/reading.py
@@ -10,7 +10,7 @@
 import orjson
 from cerberus import Validator
 
-from foxspread.orchard.graft.items import LIMITS, ROUTE, SERVICE, Item, place_of
+from foxspread.orchard.configuration.items import LIMITS, ROUTE, SERVICE, Item, place_of
 from foxspread.orchard.outcome import Failure, invalid
 
 LONGEST_S = 600.0  # a deadline may be so long
--- a/foxspread/orchard/gate/configuration.py
+++ b/foxspread/orchard/control/configuration.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
-from foxspread.orchard.gate.desk import Elsewhere
-from foxspread.orchard.graft.items import Item, laid_out
+from foxspread.orchard.control.desk import Elsewhere
+from foxspread.orchard.configuration.items import Item, laid_out
 from foxspread.orchard.log import say
 from foxspread.orchard.outcome import Failure, unsettled
-from foxspread.orchard.rootstock.keeper import Keeper
+from foxspread.orchard.replication.keeper import Keeper
 
 
 class Configuration:
@@ -19,7 +19,7 @@
     async def post_patch(self, id: str, body: bytes) -> dict | Failure | Elsewhere:
         if self.keeper is None:
             return self._on("Config.Patch")
-        from foxspread.orchard.graft.reading import (
+        from foxspread.orchard.configuration.reading import (
             read,
         )  # and with it cerberus: not for sidecars without a disk
 
@@ -45,7 +45,7 @@
         if self.keeper is None:
             return self._on("Config.Get")
         outcome = await self.keeper.submit([])
-        return laid_out(self.keeper.stock.copy.items.values()) if outcome is True else outcome
+        return laid_out(self.keeper.acceptor.copy.items.values()) if outcome is True else outcome
 
     def _on(self, call: str) -> Failure | Elsewhere:
         place = self.elsewhere()
--- a/foxspread/orchard/gate/desk.py
+++ b/foxspread/orchard/control/desk.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from foxspread.orchard.furrow.serving import Desk, Exchange, Limits
+from foxspread.orchard.dataplane.serving import Desk, Exchange, Limits
 from foxspread.orchard.log import say
 from foxspread.orchard.outcome import Failure
 
--- a/foxspread/orchard/gate/instances.py
+++ b/foxspread/orchard/control/instances.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from foxspread.orchard.grove.lives import DRAINING, READY, Lives
+from foxspread.orchard.registry.lives import DRAINING, READY, Lives
 from foxspread.orchard.log import say
 from foxspread.orchard.outcome import Failure
 from foxspread.orchard.plain import COUNT, NEEDED_TEXT, TEXT, Want, faulty, number, place, whole
--- a/foxspread/orchard/furrow/caller.py
+++ b/foxspread/orchard/dataplane/caller.py
@@ -7,13 +7,13 @@
 
 from foxspread.model import Outcome
 from foxspread.net import http
-from foxspread.orchard.furrow import heads
-from foxspread.orchard.furrow.errand import Errand, Pass, Refuse, Send, Steering, Step
-from foxspread.orchard.furrow.hop import Handing, Hop
-from foxspread.orchard.furrow.lanes import CONNECT_S, End, Lane, Lanes
-from foxspread.orchard.furrow.lasthop import Terms
-from foxspread.orchard.furrow.serving import Desk, Exchange, Limits
-from foxspread.orchard.graft.routes import RouteTable
+from foxspread.orchard.dataplane import heads
+from foxspread.orchard.dataplane.errand import Errand, Pass, Refuse, Send, Steering, Step
+from foxspread.orchard.dataplane.hop import Handing, Hop
+from foxspread.orchard.dataplane.lanes import CONNECT_S, End, Lane, Lanes
+from foxspread.orchard.dataplane.lasthop import Terms
+from foxspread.orchard.dataplane.serving import Desk, Exchange, Limits
+from foxspread.orchard.configuration.routes import RouteTable
 from foxspread.orchard.log import say
 
 REFUSED_BY_SERVER = ("refused", "silent", "gone")  # why nothing was handed over: the server's own doing
--- a/foxspread/orchard/furrow/hop.py
+++ b/foxspread/orchard/dataplane/hop.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 
 from foxspread.net import http
-from foxspread.orchard.furrow import heads
-from foxspread.orchard.furrow.lanes import End, Lane, Lanes
-from foxspread.orchard.furrow.lasthop import LastHop, Terms
-from foxspread.orchard.furrow.serving import Desk, Exchange, Limits
+from foxspread.orchard.dataplane import heads
+from foxspread.orchard.dataplane.lanes import End, Lane, Lanes
+from foxspread.orchard.dataplane.lasthop import LastHop, Terms
+from foxspread.orchard.dataplane.serving import Desk, Exchange, Limits
 from foxspread.orchard.outcome import Failure
 
 FRESH_S = 2.0  # idle for longer, a connection is not used for what must not be lost
--- a/foxspread/orchard/furrow/lasthop.py
+++ b/foxspread/orchard/dataplane/lasthop.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from foxspread.orchard.grove.lives import DRAINING, GONE, Lives
+from foxspread.orchard.registry.lives import DRAINING, GONE, Lives
 from foxspread.orchard.outcome import Failure
 from foxspread.orchard.settings import Address, address
 from foxspread.sums import Mean
--- a/foxspread/orchard/ripeness/upstreams.py
+++ b/foxspread/orchard/health/upstreams.py
@@ -6,8 +6,8 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from foxspread.orchard.grove.lives import READY
-from foxspread.orchard.grove.records import UP, Records
+from foxspread.orchard.registry.lives import READY
+from foxspread.orchard.registry.records import UP, Records
 from foxspread.orchard.settings import Address
 from foxspread.rings import Ring
 from foxspread.sums import Mean
--- a/foxspread/orchard/post/datagrams.py
+++ b/foxspread/orchard/messaging/datagrams.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from foxspread.orchard.outcome import Failure
-from foxspread.orchard.post.netstrings import Decoder, encode
+from foxspread.orchard.messaging.netstrings import Decoder, encode
 from foxspread.orchard.settings import Address
 
 
--- a/foxspread/orchard/post/link.py
+++ b/foxspread/orchard/messaging/link.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from foxspread.orchard.outcome import Failure
-from foxspread.orchard.post.netstrings import Decoder, encode
+from foxspread.orchard.messaging.netstrings import Decoder, encode
 
 BEAT_S = 0.4
 SILENT_S = 1.5
--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -11,31 +11,31 @@
 import traceback
 from typing import Any
 
-from foxspread.orchard.almanac.journal import Event, Journal
-from foxspread.orchard.furrow.caller import CallerDesk
-from foxspread.orchard.furrow.errand import Steering
-from foxspread.orchard.furrow.hop import Hop, HopDesk
-from foxspread.orchard.furrow.lanes import Lanes
-from foxspread.orchard.furrow.lasthop import LastHop
-from foxspread.orchard.furrow.serving import Desk, Serving
-from foxspread.orchard.gate.configuration import Configuration
-from foxspread.orchard.gate.desk import ControlDesk, ReadyDesk
-from foxspread.orchard.gate.instances import Instances
-from foxspread.orchard.graft.items import LIMITS, Item
-from foxspread.orchard.graft.routes import RouteTable
-from foxspread.orchard.grove.lives import Lives
-from foxspread.orchard.grove.records import LEAVING, UP, Record, Records, record
-from foxspread.orchard.hedge.exchange import Exchange
-from foxspread.orchard.hedge.views import Neighbour, View, neighbour
+from foxspread.orchard.events.journal import Event, Journal
+from foxspread.orchard.dataplane.caller import CallerDesk
+from foxspread.orchard.dataplane.errand import Steering
+from foxspread.orchard.dataplane.hop import Hop, HopDesk
+from foxspread.orchard.dataplane.lanes import Lanes
+from foxspread.orchard.dataplane.lasthop import LastHop
+from foxspread.orchard.dataplane.serving import Desk, Serving
+from foxspread.orchard.control.configuration import Configuration
+from foxspread.orchard.control.desk import ControlDesk, ReadyDesk
+from foxspread.orchard.control.instances import Instances
+from foxspread.orchard.configuration.items import LIMITS, Item
+from foxspread.orchard.configuration.routes import RouteTable
+from foxspread.orchard.registry.lives import Lives
+from foxspread.orchard.registry.records import LEAVING, UP, Record, Records, record
+from foxspread.orchard.membership.exchange import Exchange
+from foxspread.orchard.membership.views import Neighbour, View, neighbour
 from foxspread.orchard.log import say
 from foxspread.orchard.outcome import Broken, Failure
-from foxspread.orchard.post.datagrams import Datagrams
-from foxspread.orchard.post.link import Link
-from foxspread.orchard.ripeness.upstreams import Upstreams
-from foxspread.orchard.rootstock.copy import Copy, row, unrow
-from foxspread.orchard.rootstock.disk import Disk
-from foxspread.orchard.rootstock.keeper import Keeper
-from foxspread.orchard.rootstock.stock import Stock
+from foxspread.orchard.messaging.datagrams import Datagrams
+from foxspread.orchard.messaging.link import Link
+from foxspread.orchard.health.upstreams import Upstreams
+from foxspread.orchard.replication.copy import Copy, row, unrow
+from foxspread.orchard.replication.disk import Disk
+from foxspread.orchard.replication.keeper import Keeper
+from foxspread.orchard.replication.acceptor import Acceptor
 from foxspread.orchard.settings import Address, Settings, moved, read, shown
 from foxspread.sums import Chance
 
@@ -149,14 +149,14 @@
                 None, self.keeper.disk.open, tuple(sorted(settings.seeds)), settings.first_start
             )
             self.keeper.disk.start()
-            self.copy = (stock := Stock(self.member, saved)).copy
-            self.keeper.begin(stock)
+            self.copy = (acceptor := Acceptor(self.member, saved)).copy
+            self.keeper.begin(acceptor)
             say(
                 "disk",
-                disk=stock.disk,
-                voting=stock.voting,
-                upto=stock.copy.upto[0],
-                items=len(stock.copy.items),
+                disk=acceptor.disk,
+                voting=acceptor.voting,
+                upto=acceptor.copy.upto[0],
+                items=len(acceptor.copy.items),
             )
         self._dial(self.clock())
         ticking = loop.create_task(self._tick())
--- a/foxspread/orchard/nursery/growing.py
+++ b/foxspread/orchard/nursery/growing.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 import foxspread
-from foxspread.orchard.furrow.lanes import Lanes
+from foxspread.orchard.dataplane.lanes import Lanes
 from foxspread.orchard.nursery.plot import (
     APP,
     CORE,
--- a/foxspread/orchard/nursery/trial.py
+++ b/foxspread/orchard/nursery/trial.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from foxspread.orchard.furrow.lanes import Lanes
+from foxspread.orchard.dataplane.lanes import Lanes
 from foxspread.orchard.nursery.growing import pid_of
 from foxspread.orchard.nursery.plot import CORE, SERVICES, SIDE, Plot, PlotError
 from foxspread.orchard.stand_ins.client import Answered, Client, Way
--- a/foxspread/orchard/grove/records.py
+++ b/foxspread/orchard/registry/records.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass, field
 
-from foxspread.orchard.grove.lives import Server, server
+from foxspread.orchard.registry.lives import Server, server
 from foxspread.orchard.settings import Address, address, shown
 
 UP, LEAVING = "up", "leaving"
--- a/foxspread/orchard/rootstock/stock.py
+++ b/foxspread/orchard/replication/acceptor.py
@@ -17,8 +17,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from foxspread.orchard.graft.items import Item, Key, unpacked
-from foxspread.orchard.rootstock.copy import NONE, Ballot, Copy, ballot, row, unrow
+from foxspread.orchard.configuration.items import Item, Key, unpacked
+from foxspread.orchard.replication.copy import NONE, Ballot, Copy, ballot, row, unrow
 
 Message = dict[str, Any]
 Write = tuple  # ("meta", name, value) or ("items", rows)
@@ -68,7 +68,7 @@
     return {m: each for m, each in answers.items() if ballot(each["disks"][m]) == newest[m]}
 
 
-class Stock:
+class Acceptor:
     def __init__(self, me: str, saved: Saved) -> None:
         self.me, self.disk, self.members = me, saved.disk, tuple(sorted(saved.members))
         self.promised, self.accepted = saved.promised, saved.accepted
@@ -118,15 +118,19 @@
         if asked < self.promised:
             return [], self._nack(asked), []
         writes = self._promise(asked)
-        return writes, {
-            "t": "promise",
-            "b": asked,
-            "acc": self.accepted,
-            "s": self.copy.upto,
-            "disks": self.disks_known,
-            "delta": [item.packed() for item in self.delta.values()],
-            "ahead": self._ahead(ballot(message["s"])),
-        }, []
+        return (
+            writes,
+            {
+                "t": "promise",
+                "b": asked,
+                "acc": self.accepted,
+                "s": self.copy.upto,
+                "disks": self.disks_known,
+                "delta": [item.packed() for item in self.delta.values()],
+                "ahead": self._ahead(ballot(message["s"])),
+            },
+            [],
+        )
 
     def accept(self, message: Message) -> Answer:
         if not self.voting:
@@ -156,17 +160,21 @@
         disk = max(ballot(message["disk"]), self.disks.get(sender, NONE))
         if sender in self.members:
             self.disks[sender] = disk
-        return [("meta", "disks", dict(self.disks))], {
-            "t": "enrolled",
-            "disk": disk,
-            "promised": self.promised,
-            "s": self.copy.upto,
-            "acc": self.accepted,
-            "delta": [item.packed() for item in self.delta.values()],
-            "rows": [row(*each) for each in self.copy.since(NONE)],
-            "disks": self.disks_known,
-            "members": list(self.members),
-        }, []
+        return (
+            [("meta", "disks", dict(self.disks))],
+            {
+                "t": "enrolled",
+                "disk": disk,
+                "promised": self.promised,
+                "s": self.copy.upto,
+                "acc": self.accepted,
+                "delta": [item.packed() for item in self.delta.values()],
+                "rows": [row(*each) for each in self.copy.since(NONE)],
+                "disks": self.disks_known,
+                "members": list(self.members),
+            },
+            [],
+        )
 
     def _promise(self, asked: Ballot) -> list[Write]:
         if asked <= self.promised:
--- a/foxspread/orchard/rootstock/copy.py
+++ b/foxspread/orchard/replication/copy.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from foxspread.orchard.graft.items import Item, Key
+from foxspread.orchard.configuration.items import Item, Key
 from foxspread.orchard.outcome import Broken
 
 Ballot = tuple[int, str]  # a number, and the life of the process that chose it: no two alike
--- a/foxspread/orchard/rootstock/disk.py
+++ b/foxspread/orchard/replication/disk.py
@@ -1,4 +1,4 @@
-"""The stock's disk: one SQLite file, written by one thread, many messages to a sync. What is handed over
+"""The acceptor's disk: one SQLite file, written by one thread, many messages to a sync. What is handed over
 together with what is to follow it is written and synced first. A disk that refuses a write is asked again,
 and nothing goes out meanwhile; a file that is torn, cut off or not ours counts as none.
 """
@@ -15,7 +15,7 @@
 import orjson
 
 from foxspread.orchard.log import say
-from foxspread.orchard.rootstock.stock import Saved, Write
+from foxspread.orchard.replication.acceptor import Saved, Write
 
 FILE = "rootstock.sqlite"
 FORMAT = "2"
--- a/foxspread/orchard/rootstock/keeper.py
+++ b/foxspread/orchard/replication/keeper.py
@@ -1,17 +1,17 @@
-"""Puts stock, writer, disk and links together on a machine with a disk: `Tending` in an event loop, each call
-a future.
+"""Puts acceptor, proposer, disk and links together on a machine with a disk: `Replica` in an event loop,
+each call a future.
 """
 
 import asyncio
 from collections.abc import Callable
 
-from foxspread.orchard.graft.items import Item
-from foxspread.orchard.rootstock.disk import Disk
-from foxspread.orchard.rootstock.stock import Message
-from foxspread.orchard.rootstock.tending import Tending
+from foxspread.orchard.configuration.items import Item
+from foxspread.orchard.replication.disk import Disk
+from foxspread.orchard.replication.acceptor import Message
+from foxspread.orchard.replication.replica import Replica
 
 
-class Keeper(Tending):
+class Keeper(Replica):
     def __init__(
         self,
         clock: Callable[[], float],
--- a/foxspread/orchard/rootstock/writer.py
+++ b/foxspread/orchard/replication/proposer.py
@@ -5,17 +5,17 @@
 
 What is answered is final: a call is acknowledged, or refused for good, only once the value that it was
 judged on is settled. Without a majority it ends as "not known" at its time, which also is right where its
-writer dies.
+proposer dies.
 """
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
-from foxspread.orchard.graft.items import Item, Key, consistent, merged, unpacked
+from foxspread.orchard.configuration.items import Item, Key, consistent, merged, unpacked
 from foxspread.orchard.outcome import Failure, unsettled
-from foxspread.orchard.rootstock.copy import Ballot, ballot, row, unrow
-from foxspread.orchard.rootstock.stock import Message, Stock, Write, sound
+from foxspread.orchard.replication.copy import Ballot, ballot, row, unrow
+from foxspread.orchard.replication.acceptor import Message, Acceptor, Write, sound
 
 ROUND_S = 0.45  # for a majority to answer one message: two syncs of a slow disk
 PAUSE_S = 0.012  # after a lost ballot, by chance up to that, doubling
@@ -40,9 +40,9 @@
     new: list[Item] = field(default_factory=list)  # settled items that are new here
 
 
-class Writer:
-    def __init__(self, stock: Stock, life: str, draw: Callable[[], float]) -> None:
-        self.stock, self.life, self.draw = stock, life, draw
+class Proposer:
+    def __init__(self, acceptor: Acceptor, life: str, draw: Callable[[], float]) -> None:
+        self.acceptor, self.life, self.draw = acceptor, life, draw
         self.seen = 0
         self.waiting: list[Call] = []
         self.running: list[Call] = []
@@ -80,7 +80,7 @@
         out = Out()
         if self.ballot is not None:
             promise = self.promises.get(member)
-            since = ballot(promise["s"]) if promise else self.stock.copy.upto
+            since = ballot(promise["s"]) if promise else self.acceptor.copy.upto
             out.sends.append((member, self._prepare() if self.value is None else self._accept(since)))
         return out
 
@@ -94,7 +94,7 @@
 
     def heard(self, now: float, sender: str, message: Message) -> Out:
         out, kind = Out(), message["t"]
-        if sender not in self.stock.members:
+        if sender not in self.acceptor.members:
             return out
         if kind == "nack":
             self.seen = max(self.seen, message["promised"][0])
@@ -104,14 +104,14 @@
             self._lost(now, self.draw())
         elif kind == "promise" and self.value is None:
             self.promises[sender] = message
-            if len(promises := sound(self.promises)) >= self.stock.majority:
+            if len(promises := sound(self.promises)) >= self.acceptor.majority:
                 self.promises = promises
                 self._propose(now, out)
         elif kind == "behind" and self.value is not None:
             out.sends.append((sender, self._accept(ballot(message["s"]))))
         elif kind == "accepted" and self.value is not None:
             self.accepts[sender] = message
-            if len(sound(self.accepts)) >= self.stock.majority:
+            if len(sound(self.accepts)) >= self.acceptor.majority:
                 self._chosen(now, out)
         return out
 
@@ -124,16 +124,16 @@
                 out.done.append((call.token, unsettled("no majority in time")))
 
     def _begin(self, now: float, out: Out) -> None:
-        self.seen = max(self.seen, self.stock.promised[0], self.stock.copy.upto[0]) + 1
+        self.seen = max(self.seen, self.acceptor.promised[0], self.acceptor.copy.upto[0]) + 1
         self.ballot, self.value, self.promises, self.accepts = (self.seen, self.life), None, {}, {}
         self.round_until, self.wanted = now + ROUND_S, False
         self.running += self.waiting
         self.waiting = []
         ask = self._prepare()
-        out.sends += [(member, ask) for member in self.stock.members]
+        out.sends += [(member, ask) for member in self.acceptor.members]
 
     def _prepare(self) -> Message:
-        return {"t": "prepare", "b": self.ballot, "s": self.stock.copy.upto}
+        return {"t": "prepare", "b": self.ballot, "s": self.acceptor.copy.upto}
 
     def _lost(self, now: float, draw: float) -> None:
         self.ballot, self.losses = None, min(self.losses + 1, 6)
@@ -141,14 +141,14 @@
         self.start_at = now + draw * min(PAUSE_MOST_S, PAUSE_S * 2**self.losses)
 
     def _propose(self, now: float, out: Out) -> None:
-        stock = self.stock
+        acceptor = self.acceptor
         newest = max(self.promises.values(), key=lambda each: ballot(each["s"]))
-        writes, new = stock.learn(ballot(newest["s"]), map(unrow, newest["ahead"]))
+        writes, new = acceptor.learn(ballot(newest["s"]), map(unrow, newest["ahead"]))
         out.writes += writes
         out.new += new
         last = max(self.promises.values(), key=lambda each: ballot(each["acc"]))
-        held, delta = stock.copy.items, {}
-        open_before = ballot(last["acc"]) > stock.copy.upto  # it may be settled, unknown to us: it goes on
+        held, delta = acceptor.copy.items, {}
+        open_before = ballot(last["acc"]) > acceptor.copy.upto  # it may be settled, unknown to us: it goes on
         if open_before:
             delta = {item.key: item for item in map(unpacked, last["delta"]) if held.get(item.key) != item}
         for call in self.running:
@@ -165,13 +165,13 @@
         if not delta and not open_before:
             return self._tell(out)
         self.value, self.round_until = delta, now + ROUND_S
-        for member in stock.members:
+        for member in acceptor.members:
             promise = self.promises.get(member)
-            out.sends.append((member, self._accept(ballot(promise["s"]) if promise else stock.copy.upto)))
+            out.sends.append((member, self._accept(ballot(promise["s"]) if promise else acceptor.copy.upto)))
 
     def _accept(self, since: Ballot) -> Message:
         """For one whose settled set is as of `since`."""
-        copy = self.stock.copy  # may know more by now than at the proposal: the delta goes over that as well
+        copy = self.acceptor.copy  # may know more by now than at the proposal: the delta goes over that too
         message = {
             "t": "accept",
             "b": self.ballot,
@@ -185,7 +185,7 @@
 
     def _chosen(self, now: float, out: Out) -> None:
         at = self.ballot
-        writes, new = self.stock.learn(at, [(item, at) for item in self.value.values()])
+        writes, new = self.acceptor.learn(at, [(item, at) for item in self.value.values()])
         out.writes += writes
         out.new += new
         self._tell(out)
--- a/foxspread/orchard/rootstock/tending.py
+++ b/foxspread/orchard/replication/replica.py
@@ -1,19 +1,19 @@
-"""What a machine with a disk does with its stock and its writer: written, then sent, then told; enrolment of
-a disk that came back empty; what is accepted and not settled is taken up. Without I/O: `put` hands writes to
-a disk and calls back once they, and all that was put before, are there.
+"""What a machine with a disk does with its acceptor and its proposer: written, then sent, then told;
+enrolment of a disk that came back empty; what is accepted and not settled is taken up. Without I/O: `put`
+hands writes to a disk and calls back once they, and all that was put before, are there.
 """
 
 from collections.abc import Callable
 
-from foxspread.orchard.graft.items import Item
+from foxspread.orchard.configuration.items import Item
 from foxspread.orchard.log import say
 from foxspread.orchard.outcome import Failure, unsettled
-from foxspread.orchard.rootstock.copy import Ballot, unrow
-from foxspread.orchard.rootstock.stock import Message, Stock, Write
-from foxspread.orchard.rootstock.writer import Out, Writer
+from foxspread.orchard.replication.copy import Ballot, unrow
+from foxspread.orchard.replication.acceptor import Message, Acceptor, Write
+from foxspread.orchard.replication.proposer import Out, Proposer
 
-ASKED = ("prepare", "accept")  # of a stock
-TOLD = ("promise", "nack", "behind", "accepted")  # to a writer
+ASKED = ("prepare", "accept")  # of an acceptor
+TOLD = ("promise", "nack", "behind", "accepted")  # to a proposer
 PATIENCE_S = 0.85  # for a call: the caller goes elsewhere after a second
 SETTLE_S = 0.35  # after which what is accepted and not settled is taken up by whoever notices
 ENROL_S = 0.25  # between askings of one whose disk came back empty
@@ -21,8 +21,8 @@
 Tell = Callable[[bool | Failure], None]
 
 
-class Tending:
-    writes_with = Writer
+class Replica:
+    proposes_with = Proposer
 
     def __init__(
         self,
@@ -37,8 +37,8 @@
         """`soon` has a call made once what is under way is done: so a machine hears itself."""
         self.clock, self.life, self.draw, self.put = clock, life, draw, put
         self.send, self.soon, self.settled = send, soon, settled
-        self.stock: Stock | None = None
-        self.writer: Writer | None = None
+        self.acceptor: Acceptor | None = None
+        self.proposer: Proposer | None = None
         self.calls: dict[int, Tell] = {}
         self.count = 0
         self.unsettled_at: tuple[Ballot, float] | None = None
@@ -46,91 +46,99 @@
         self.reading = False
         self.next_enrol = 0.0
 
-    def begin(self, stock: Stock) -> None:
-        self.stock, self.writer = stock, self.writes_with(stock, self.life, self.draw)
-        self.put(stock.first(), lambda: None)
-        self.settled(list(stock.copy.items.values()))
+    def begin(self, acceptor: Acceptor) -> None:
+        self.acceptor, self.proposer = acceptor, self.proposes_with(acceptor, self.life, self.draw)
+        self.put(acceptor.first(), lambda: None)
+        self.settled(list(acceptor.copy.items.values()))
 
     def ask(self, items: list[Item], tell: Tell) -> None:
         """Tells True, or a failure, within `PATIENCE_S`; without items a read: True once this copy is as new
         as any."""
-        if self.stock is None or not self.stock.serves:
+        if self.acceptor is None or not self.acceptor.serves:
             return tell(unsettled("the state is not known here yet"))
         self.count += 1
         self.calls[self.count] = tell
-        self._do(self.writer.submit(self.clock(), self.count, items, self.clock() + PATIENCE_S))
+        self._do(self.proposer.submit(self.clock(), self.count, items, self.clock() + PATIENCE_S))
 
     def heard(self, sender: str, message: Message) -> None:
         """From another keeper, or itself; `sender`: who it is among the members."""
-        if self.stock is None:
+        if self.acceptor is None:
             return
         kind = message["t"]
         if kind in ASKED:
-            self._answer(sender, *getattr(self.stock, kind)(message))
+            self._answer(sender, *getattr(self.acceptor, kind)(message))
         elif kind == "enrol":
-            self._answer(sender, *self.stock.enrol(sender, message))
+            self._answer(sender, *self.acceptor.enrol(sender, message))
         elif kind == "enrolled":
-            if (found := self.stock.take_in(sender, message)) is not None:
+            if (found := self.acceptor.take_in(sender, message)) is not None:
                 self.put(found[0], lambda: None)
-                if self.stock.known:
-                    say("caught_up", members=len(self.stock.members), upto=self.stock.copy.upto[0])
+                if self.acceptor.known:
+                    say("caught_up", members=len(self.acceptor.members), upto=self.acceptor.copy.upto[0])
                     self.settled(found[1])
                 else:
                     self.next_enrol = 0.0  # by another identity
         elif kind in TOLD:
-            self._do(self.writer.heard(self.clock(), sender, message))
+            self._do(self.proposer.heard(self.clock(), sender, message))
 
     def learn(self, upto: Ballot, rows: list) -> None:
         """News of the settled set, from another copy."""
-        if self.stock is None or not self.stock.serves:
+        if self.acceptor is None or not self.acceptor.serves:
             return
-        writes, new = self.stock.learn(upto, map(unrow, rows))
+        writes, new = self.acceptor.learn(upto, map(unrow, rows))
         self.put(writes, lambda: None)
         self.settled(new)
 
     def peer_settled(self, at: Ballot) -> None:
         """Another has settled that: if it is what was accepted here, nothing need be pulled."""
-        if self.stock is not None and self.stock.voting and (found := self.stock.settle(at)) is not None:
+        if (
+            self.acceptor is not None
+            and self.acceptor.voting
+            and (found := self.acceptor.settle(at)) is not None
+        ):
             self.put(found[0], lambda: None)
             self.settled(found[1])
 
     def reached(self, member: str) -> None:
         """A link to that member has come up."""
-        if self.stock is not None and self.stock.known:
-            self._do(self.writer.reached(member))
+        if self.acceptor is not None and self.acceptor.known:
+            self._do(self.proposer.reached(member))
         else:
             self.next_enrol = 0.0
         self.tick()
 
     def tick(self) -> None:
-        if self.stock is None:
+        if self.acceptor is None:
             return
-        now, stock = self.clock(), self.stock
-        self._do(self.writer.tick(now))
-        if not stock.known:
+        now, acceptor = self.clock(), self.acceptor
+        self._do(self.proposer.tick(now))
+        if not acceptor.known:
             if now >= self.next_enrol:
                 self.next_enrol = now + ENROL_S
-                for member in stock.members:
-                    if member != stock.me:
-                        self.send(member, {"t": "enrol", "disk": stock.disk})
+                for member in acceptor.members:
+                    if member != acceptor.me:
+                        self.send(member, {"t": "enrol", "disk": acceptor.disk})
             return
         if not self.fresh and not self.reading:
             self.reading = True
             self.ask([], self._read)
-        if not stock.unsettled:
+        if not acceptor.unsettled:
             self.unsettled_at = None
-        elif self.unsettled_at is None or self.unsettled_at[0] != stock.accepted:
-            place = stock.members.index(stock.me) if stock.me in stock.members else len(stock.members)
-            self.unsettled_at = stock.accepted, now + SETTLE_S * (1 + 0.4 * place) + 0.1 * self.draw()
+        elif self.unsettled_at is None or self.unsettled_at[0] != acceptor.accepted:
+            place = (
+                acceptor.members.index(acceptor.me)
+                if acceptor.me in acceptor.members
+                else len(acceptor.members)
+            )
+            self.unsettled_at = acceptor.accepted, now + SETTLE_S * (1 + 0.4 * place) + 0.1 * self.draw()
         elif now >= self.unsettled_at[1]:
             self.unsettled_at = None
-            self._do(self.writer.nudge(now))
+            self._do(self.proposer.nudge(now))
 
     def _read(self, outcome: bool | Failure) -> None:
         self.reading = False
         if outcome is True and not self.fresh:
             self.fresh = True
-            say("state_known", upto=self.stock.copy.upto[0], items=len(self.stock.copy.items))
+            say("state_known", upto=self.acceptor.copy.upto[0], items=len(self.acceptor.copy.items))
             self.settled([])
 
     def _answer(self, sender: str, writes: list[Write], reply: Message | None, new: list[Item]) -> None:
@@ -143,7 +151,7 @@
             self.settled(new)
 
     def _pass(self, to: str, message: Message) -> None:
-        if to == self.stock.me:
+        if to == self.acceptor.me:
             self.soon(self.heard, to, message)
         else:
             self.send(to, message)
--- a/foxspread/orchard/sim/agreement.py
+++ b/foxspread/orchard/simulation/agreement.py
@@ -9,16 +9,16 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from foxspread.orchard.graft.items import LIMITS, ROUTE, SERVICE, Item
-from foxspread.orchard.hedge.exchange import Exchange
+from foxspread.orchard.configuration.items import LIMITS, ROUTE, SERVICE, Item
+from foxspread.orchard.membership.exchange import Exchange
 from foxspread.orchard.outcome import Broken, Failure, unsettled
-from foxspread.orchard.rootstock.copy import Copy, row, unrow
-from foxspread.orchard.rootstock.stock import Stock
-from foxspread.orchard.rootstock.tending import Tending
-from foxspread.orchard.rootstock.writer import Writer
-from foxspread.orchard.sim.disks import SYNC_S, SimDisk
-from foxspread.orchard.sim.judge import ANSWERED_S, Break, Call, Judge, shown
-from foxspread.orchard.sim.world import Links, World
+from foxspread.orchard.replication.copy import Copy, row, unrow
+from foxspread.orchard.replication.acceptor import Acceptor
+from foxspread.orchard.replication.replica import Replica
+from foxspread.orchard.replication.proposer import Proposer
+from foxspread.orchard.simulation.disks import SYNC_S, SimDisk
+from foxspread.orchard.simulation.judge import ANSWERED_S, Break, Call, Judge, shown
+from foxspread.orchard.simulation.world import Links, World
 from foxspread.sums import Chance
 
 SETTLED = "="  # the source of the settled set, as in a node
@@ -84,9 +84,9 @@
 class Cores:
     """What is played: the cores as they are, or a broken one among them."""
 
-    stock: type[Stock] = Stock
-    writer: type[Writer] = Writer
-    tending: type[Tending] = Tending
+    acceptor: type[Acceptor] = Acceptor
+    proposer: type[Proposer] = Proposer
+    replica: type[Replica] = Replica
     disk: type[SimDisk] = SimDisk
 
 
@@ -236,7 +236,7 @@
     def __init__(self, fleet: "Fleet", name: str) -> None:
         super().__init__(fleet, name)
         self.disk = fleet.cores.disk(fleet.world, name)
-        self.core: Tending | None = None
+        self.core: Replica | None = None
         self.cut = 0  # faults that cut it off
         self.slow_start = 0.0  # it is away for so much longer, the next time
         self.wiped: list | None = None  # the trouble that is over once it has caught up
@@ -250,21 +250,21 @@
             or self.disk.stalled
             or self.disk.refuses
             or self.disk.sync_s > SYNC_S
-            or not self.core.stock.voting
+            or not self.core.acceptor.voting
         )
 
     def start(self, first: bool = False) -> None:
         super().start()
         fleet, world = self.fleet, self.world
         saved = self.disk.open(tuple(each.name for each in fleet.machines), first)
-        stock = fleet.cores.stock(self.name, saved)
-        self.copy = stock.copy
+        acceptor = fleet.cores.acceptor(self.name, saved)
+        self.copy = acceptor.copy
         draw = Chance(int(world.draw() * 2**32)).draw
-        self.core = fleet.cores.tending(
+        self.core = fleet.cores.replica(
             self.clock, self.named, draw, self._put, self._send, self._hears_itself, self._show
         )
-        self.core.writes_with = fleet.cores.writer
-        self.core.begin(stock)
+        self.core.proposes_with = fleet.cores.proposer
+        self.core.begin(acceptor)
 
     def kill(self) -> None:
         super().kill()
@@ -282,7 +282,7 @@
 
     def _tick(self) -> None:
         self.core.tick()
-        if self.wiped is not None and self.core.stock.voting:
+        if self.wiped is not None and self.core.acceptor.voting:
             self.fleet.say(f"{self.name} has caught up")
             self.fleet.judge.over(self.wiped)
             self.wiped = None
@@ -526,9 +526,7 @@
 
     def _split(self, machine: Machine, seconds: float) -> bool | None:
         at = self.machines.index(machine)
-        side = [
-            self.machines[(at + n) % len(self.machines)] for n in range(self.plan.tolerate)
-        ]
+        side = [self.machines[(at + n) % len(self.machines)] for n in range(self.plan.tolerate)]
         return self._cut_off(side, seconds, "io")
 
     def _cut_off(self, side: list[Machine], seconds: float, ways: str) -> bool | None:
--- a/foxspread/orchard/sim/broken.py
+++ b/foxspread/orchard/simulation/broken.py
@@ -3,17 +3,17 @@
 from collections.abc import Iterable
 from typing import Any
 
-from foxspread.orchard.graft.items import Item, Key
+from foxspread.orchard.configuration.items import Item, Key
 from foxspread.orchard.outcome import Failure
-from foxspread.orchard.rootstock.copy import NONE, Ballot, ballot
-from foxspread.orchard.rootstock.stock import Answer, Message, Saved, Stock, Write
-from foxspread.orchard.rootstock.tending import Tending
-from foxspread.orchard.rootstock.writer import Out, Writer
-from foxspread.orchard.sim.agreement import Cores
-from foxspread.orchard.sim.disks import SimDisk
+from foxspread.orchard.replication.copy import NONE, Ballot, ballot
+from foxspread.orchard.replication.acceptor import Answer, Message, Saved, Acceptor, Write
+from foxspread.orchard.replication.replica import Replica
+from foxspread.orchard.replication.proposer import Out, Proposer
+from foxspread.orchard.simulation.agreement import Cores
+from foxspread.orchard.simulation.disks import SimDisk
 
 
-class VotesAtOnce(Stock):
+class VotesAtOnce(Acceptor):
     """A wiped one votes at once."""
 
     def __init__(self, me: str, saved: Saved) -> None:
@@ -21,11 +21,11 @@
         self.voting = self.known = True
 
 
-class EnrolledByOne(Stock):
+class EnrolledByOne(Acceptor):
     enough_to_enrol = 1
 
 
-class TakesFirst(Stock):
+class TakesFirst(Acceptor):
     """One that has enrolled holds what the first of the others told, not the newest."""
 
     def take_in(self, sender: str, message: Message) -> tuple[list[Write], list[Item]] | None:
@@ -36,7 +36,7 @@
         return super().take_in(sender, message)
 
 
-class PromiseForgotten(Stock):
+class PromiseForgotten(Acceptor):
     """Not on disk before the answer, nor after."""
 
     def _promise(self, asked: Ballot) -> list[Write]:
@@ -44,25 +44,25 @@
         return []
 
 
-class AcceptForgotten(Stock):
+class AcceptForgotten(Acceptor):
     def accept(self, message: Message) -> Answer:
         writes, answer, new = super().accept(message)
         return [each for each in writes if each[1] != "accepted"], answer, new
 
 
-class PromisesAnyBallot(Stock):
+class PromisesAnyBallot(Acceptor):
     def prepare(self, message: Message) -> Answer:
         self.promised = min(self.promised, ballot(message["b"]))
         return super().prepare(message)
 
 
-class AcceptsAnyBallot(Stock):
+class AcceptsAnyBallot(Acceptor):
     def accept(self, message: Message) -> Answer:
         self.promised = min(self.promised, ballot(message["b"]))
         return super().accept(message)
 
 
-class SettlesWhatItHolds(Stock):
+class SettlesWhatItHolds(Acceptor):
     """Another's news of a settled ballot settles whatever was accepted here last."""
 
     def settle(self, at: Ballot) -> tuple[list[Write], list[Item]] | None:
@@ -71,7 +71,7 @@
         return self.learn(at, [(item, at) for item in self.delta.values()])
 
 
-class SilentlyBrought(Stock):
+class SilentlyBrought(Acceptor):
     """What an accept brings along is not shown."""
 
     def accept(self, message: Message) -> Answer:
@@ -79,14 +79,14 @@
         return writes, answer, []
 
 
-class ActsBeforeChosen(Writer):
+class ActsBeforeChosen(Proposer):
     def _propose(self, now: float, out: Out) -> None:
         super()._propose(now, out)
         if self.value:
             out.new += self.value.values()
 
 
-class HighestVersion(Writer):
+class HighestVersion(Proposer):
     """Merges what was accepted by the highest version, not by ballots."""
 
     def _propose(self, now: float, out: Out) -> None:
@@ -102,7 +102,7 @@
         super()._propose(now, out)
 
 
-class OlderDelta(Writer):
+class OlderDelta(Proposer):
     """Of two acceptances the older one is taken over."""
 
     def _propose(self, now: float, out: Out) -> None:
@@ -116,7 +116,7 @@
         super()._propose(now, out)
 
 
-class OpenIsDropped(Writer):
+class OpenIsDropped(Proposer):
     """What may be chosen already is not carried on."""
 
     def _propose(self, now: float, out: Out) -> None:
@@ -125,7 +125,7 @@
         super()._propose(now, out)
 
 
-class RefusesAtOnce(Writer):
+class RefusesAtOnce(Proposer):
     """A refusal is told before what it was judged on is settled."""
 
     def _propose(self, now: float, out: Out) -> None:
@@ -135,7 +135,7 @@
             out.done.append((call.token, call.outcome))
 
 
-class AckAfterOne(Writer):
+class AckAfterOne(Proposer):
     def heard(self, now: float, sender: str, message: Message) -> Out:
         if message["t"] == "accepted" and self.value is not None and ballot(message["b"]) == self.ballot:
             out = Out()
@@ -144,7 +144,7 @@
         return super().heard(now, sender, message)
 
 
-class ReadsItself(Writer):
+class ReadsItself(Proposer):
     """A read is answered from the copy at hand."""
 
     def submit(self, now: float, token: Any, items: Iterable[Item], until: float) -> Out:
@@ -152,7 +152,7 @@
         return super().submit(now, token, items, until) if items else Out(done=[(token, True)])
 
 
-class AnswersFirst(Tending):
+class AnswersFirst(Replica):
     """Answers go out before their writes are on disk."""
 
     def _answer(self, sender: str, writes: list[Write], reply: Message | None, new: list[Item]) -> None:
@@ -161,8 +161,8 @@
         super()._answer(sender, writes, None, new)
 
 
-class NeverTakesUp(Tending):
-    """What a writer that died has left is taken up by nobody; and a copy that lacks news asks for none."""
+class NeverTakesUp(Replica):
+    """What a proposer that died has left is taken up by nobody; and a copy that lacks news asks for none."""
 
     def peer_settled(self, at: Ballot) -> None:
         pass
@@ -180,7 +180,7 @@
         super().power_lost()
 
 
-class NoneIsGone(Writer):
+class NoneIsGone(Proposer):
     """Which disks others know to be gone is not looked at."""
 
     def heard(self, now: float, sender: str, message: Message) -> Out:
@@ -189,12 +189,12 @@
         return super().heard(now, sender, message)
 
 
-class LooksAtNoDisk(Stock):
+class LooksAtNoDisk(Acceptor):
     def accept(self, message: Message) -> Answer:
         return super().accept({**message, "disks": {}})
 
 
-class PromisesForgottenByWipe(Stock):
+class PromisesForgottenByWipe(Acceptor):
     """One that has enrolled has promised nothing."""
 
     def take_in(self, sender: str, message: Message) -> tuple[list[Write], list[Item]] | None:
@@ -202,25 +202,25 @@
 
 
 CORES: dict[str, Cores] = {
-    "a wiped one votes at once": Cores(stock=VotesAtOnce),
-    "enrolled by one other": Cores(stock=EnrolledByOne),
-    "enrolled with the first answer": Cores(stock=TakesFirst),
-    "a promise is not saved": Cores(stock=PromiseForgotten),
-    "an acceptance is not saved": Cores(stock=AcceptForgotten),
-    "any ballot is promised": Cores(stock=PromisesAnyBallot),
-    "any ballot is accepted": Cores(stock=AcceptsAnyBallot),
-    "news settle another ballot": Cores(stock=SettlesWhatItHolds),
-    "what an accept brings is not shown": Cores(stock=SilentlyBrought),
-    "acts before it is chosen": Cores(writer=ActsBeforeChosen),
-    "merges by the highest version": Cores(writer=HighestVersion),
-    "takes the older acceptance over": Cores(writer=OlderDelta),
-    "drops what is open": Cores(writer=OpenIsDropped),
-    "refuses before it is settled": Cores(writer=RefusesAtOnce),
-    "acknowledges after one acceptance": Cores(writer=AckAfterOne),
-    "reads from its own copy": Cores(writer=ReadsItself),
-    "answers before it is written": Cores(tending=AnswersFirst),
-    "pulls no news": Cores(tending=NeverTakesUp),
+    "a wiped one votes at once": Cores(acceptor=VotesAtOnce),
+    "enrolled by one other": Cores(acceptor=EnrolledByOne),
+    "enrolled with the first answer": Cores(acceptor=TakesFirst),
+    "a promise is not saved": Cores(acceptor=PromiseForgotten),
+    "an acceptance is not saved": Cores(acceptor=AcceptForgotten),
+    "any ballot is promised": Cores(acceptor=PromisesAnyBallot),
+    "any ballot is accepted": Cores(acceptor=AcceptsAnyBallot),
+    "news settle another ballot": Cores(acceptor=SettlesWhatItHolds),
+    "what an accept brings is not shown": Cores(acceptor=SilentlyBrought),
+    "acts before it is chosen": Cores(proposer=ActsBeforeChosen),
+    "merges by the highest version": Cores(proposer=HighestVersion),
+    "takes the older acceptance over": Cores(proposer=OlderDelta),
+    "drops what is open": Cores(proposer=OpenIsDropped),
+    "refuses before it is settled": Cores(proposer=RefusesAtOnce),
+    "acknowledges after one acceptance": Cores(proposer=AckAfterOne),
+    "reads from its own copy": Cores(proposer=ReadsItself),
+    "answers before it is written": Cores(replica=AnswersFirst),
+    "pulls no news": Cores(replica=NeverTakesUp),
     "a disk that lies": Cores(disk=ForgetsLast),
-    "identities of disks are not looked at": Cores(stock=LooksAtNoDisk, writer=NoneIsGone),
-    "promises are forgotten by a wipe": Cores(stock=PromisesForgottenByWipe),
+    "identities of disks are not looked at": Cores(acceptor=LooksAtNoDisk, proposer=NoneIsGone),
+    "promises are forgotten by a wipe": Cores(acceptor=PromisesForgottenByWipe),
 }
--- a/foxspread/orchard/sim/disks.py
+++ b/foxspread/orchard/simulation/disks.py
@@ -1,13 +1,13 @@
-"""A disk for a stock's writes: what was synced outlives its machine; of what was not, the batch under way is
-there whole or not at all, and what came later is not. It may be slow, stall or refuse for a while.
+"""A disk for an acceptor's writes: what was synced outlives its machine; of what was not, the batch under
+way is there whole or not at all, and what came later is not. It may be slow, stall or refuse for a while.
 """
 
 from collections.abc import Callable
 
 import orjson
 
-from foxspread.orchard.rootstock.stock import Saved, Write
-from foxspread.orchard.sim.world import World
+from foxspread.orchard.replication.acceptor import Saved, Write
+from foxspread.orchard.simulation.world import World
 
 SYNC_S = 0.005
 AGAIN_S = 0.05  # after a write that it refused
--- a/foxspread/orchard/sim/explore.py
+++ b/foxspread/orchard/simulation/explore.py
@@ -1,6 +1,6 @@
-"""All orders of the messages of small cases, one by one: any message in flight may come next, any writer may
-begin or begin anew, a machine may crash or be wiped while there is one left to spend. States that were seen
-are not gone into again.
+"""All orders of the messages of small cases, one by one: any message in flight may come next, any proposer
+may begin or begin anew, a machine may crash or be wiped while there is one left to spend. States that
+were seen are not gone into again.
 
 A write is on disk before its answer exists. That loses no order: power lost before the write is the message
 that never came, power lost between write and answer is an answer that never comes.
@@ -16,12 +16,12 @@
 
 import orjson
 
-from foxspread.orchard.graft.items import Item, Key, unpacked
+from foxspread.orchard.configuration.items import Item, Key, unpacked
 from foxspread.orchard.outcome import Broken, Failure
-from foxspread.orchard.rootstock.copy import Copy, ballot, unrow
-from foxspread.orchard.rootstock.stock import Message, Saved, Stock
-from foxspread.orchard.rootstock.writer import Out, Writer
-from foxspread.orchard.sim.agreement import Cores
+from foxspread.orchard.replication.copy import Copy, ballot, unrow
+from foxspread.orchard.replication.acceptor import Message, Saved, Acceptor
+from foxspread.orchard.replication.proposer import Out, Proposer
+from foxspread.orchard.simulation.agreement import Cores
 
 NEVER = 1e9
 Action = tuple  # what is done, and with what
@@ -31,7 +31,7 @@
 class Case:
     members: tuple[str, ...] = ("a", "b", "c")
     calls: tuple[tuple[str, Item], ...] = ()  # by whom
-    starts: int = 1  # ballots of each writer
+    starts: int = 1  # ballots of each proposer
     crashes: int = 0
     wipes: int = 0
     may_crash: tuple[str, ...] | None = None  # None: any member
@@ -41,13 +41,13 @@
 
 @dataclass
 class Table:
-    """A state: stocks, writers, what is on disk and what is in flight."""
+    """A state: acceptors, proposers, what is on disk and what is in flight."""
 
     case: Case
     cores: Cores
     disks: dict[str, dict] = field(default_factory=dict)
-    stocks: dict[str, Stock] = field(default_factory=dict)
-    writers: dict[str, Any] = field(default_factory=dict)
+    acceptors: dict[str, Acceptor] = field(default_factory=dict)
+    proposers: dict[str, Any] = field(default_factory=dict)
     lives: dict[str, int] = field(default_factory=dict)
     starts: dict[str, int] = field(default_factory=dict)
     flying: list[tuple[str, str, bytes]] = field(default_factory=list)
@@ -66,9 +66,9 @@
             saved = Saved((0, name), case.members, voting=name in case.members, known=True)
             table._begin(name, saved)
         for name, item in case.calls:
-            writer = table.writers[name]
-            writer.start_at = NEVER
-            writer.submit(0.0, item, [item], NEVER)
+            proposer = table.proposers[name]
+            proposer.start_at = NEVER
+            proposer.submit(0.0, item, [item], NEVER)
         return table
 
     def _begin(self, name: str, saved: Saved | None = None) -> None:
@@ -78,14 +78,14 @@
             there = self.disks[name]
             meta = {k: orjson.loads(v) for k, v in there["meta"].items()}
             saved = Saved.found(meta, [orjson.loads(v) for v in there["items"].values()])
-        stock = self.stocks[name] = self.cores.stock(name, saved)
-        self._write(name, stock.first())
-        self.writers[name] = self.cores.writer(stock, f"{name}.{self.lives[name]}", _middle)
+        acceptor = self.acceptors[name] = self.cores.acceptor(name, saved)
+        self._write(name, acceptor.first())
+        self.proposers[name] = self.cores.proposer(acceptor, f"{name}.{self.lives[name]}", _middle)
 
     def copied(self) -> "Table":
         """One that may go another way; machines are shared until they are touched."""
         new = copy(self)
-        for name in ("disks", "stocks", "writers", "lives", "starts", "shown", "keys"):
+        for name in ("disks", "acceptors", "proposers", "lives", "starts", "shown", "keys"):
             setattr(new, name, dict(getattr(self, name)))
         new.flying, new.told, new.faults = list(self.flying), list(self.told), list(self.faults)
         return new
@@ -94,9 +94,9 @@
         if self.keys.pop(name, None) is not None:
             there = self.disks[name]
             self.disks[name] = {"meta": dict(there["meta"]), "items": dict(there["items"])}
-            self.stocks[name] = _cloned(self.stocks[name])
-            self.writers[name] = _cloned(self.writers[name])
-            self.writers[name].stock = self.stocks[name]
+            self.acceptors[name] = _cloned(self.acceptors[name])
+            self.proposers[name] = _cloned(self.proposers[name])
+            self.proposers[name].acceptor = self.acceptors[name]
 
     # What may come next.
 
@@ -104,16 +104,16 @@
         for number, each in enumerate(self.flying):
             if each not in self.flying[:number]:
                 yield "deliver", number
-        for name, writer in self.writers.items():
-            if self.starts[name] and (writer.waiting or writer.running or writer.ballot):
+        for name, proposer in self.proposers.items():
+            if self.starts[name] and (proposer.waiting or proposer.running or proposer.ballot):
                 yield "start", name
         if self.crashes:
             yield from (("crash", name) for name in self.case.may_crash or self.case.members)
-        if self.wipes and all(self.stocks[name].voting for name in self.case.members):
+        if self.wipes and all(self.acceptors[name].voting for name in self.case.members):
             yield from (("wipe", name) for name in self.case.may_wipe or self.case.members)
         if self.case.news:
-            for one, there in self.stocks.items():
-                for other, here in self.stocks.items():
+            for one, there in self.acceptors.items():
+                for other, here in self.acceptors.items():
                     if there.copy.upto > here.copy.upto and here.serves:
                         yield "news", one, other
 
@@ -140,10 +140,10 @@
     def start(self, name: str) -> None:
         """A ballot, or another in place of one that is under way."""
         self._touch(name)
-        writer = self.writers[name]
-        writer.start_at, writer.round_until = 0.0, 0.0
+        proposer = self.proposers[name]
+        proposer.start_at, proposer.round_until = 0.0, 0.0
         self.starts[name] -= 1
-        self._do(name, writer.tick(0.0))
+        self._do(name, proposer.tick(0.0))
 
     def crash(self, name: str) -> None:
         self.crashes -= 1
@@ -159,11 +159,11 @@
     def enrol(self, name: str) -> None:
         for member in self.case.members:
             if member != name:
-                self._send(name, member, {"t": "enrol", "disk": self.stocks[name].disk})
+                self._send(name, member, {"t": "enrol", "disk": self.acceptors[name].disk})
 
     def news(self, one: str, other: str) -> None:
         self._touch(other)
-        there, here = self.stocks[one].copy, self.stocks[other]
+        there, here = self.acceptors[one].copy, self.acceptors[other]
         found = here.settle(there.upto) or here.learn(there.upto, there.since(here.copy.upto))
         self._write(other, found[0])
         self._show(found[1])
@@ -174,23 +174,23 @@
         self.starts[name] = 0
         self.flying = [each for each in self.flying if each[1] != name]
 
-    # As tending does it.
+    # As replica does it.
 
     def _hear(self, sender: str, to: str, message: Message) -> None:
         self._touch(to)
-        stock, kind = self.stocks[to], message["t"]
+        acceptor, kind = self.acceptors[to], message["t"]
         if kind in ("prepare", "accept"):
-            self._answer(to, sender, *getattr(stock, kind)(message))
+            self._answer(to, sender, *getattr(acceptor, kind)(message))
         elif kind == "enrol":
-            self._answer(to, sender, *stock.enrol(sender, message))
+            self._answer(to, sender, *acceptor.enrol(sender, message))
         elif kind == "enrolled":
-            if (found := stock.take_in(sender, message)) is not None:
+            if (found := acceptor.take_in(sender, message)) is not None:
                 self._write(to, found[0])
                 self._show(found[1])
-                if not stock.known:
+                if not acceptor.known:
                     self.enrol(to)
         else:
-            self._do(to, self.writers[to].heard(0.0, sender, message))
+            self._do(to, self.proposers[to].heard(0.0, sender, message))
 
     def _answer(self, me: str, to: str, writes: list, reply: Message | None, new: list[Item]) -> None:
         self._write(me, writes)
@@ -206,8 +206,8 @@
         for item, outcome in out.done:
             if not isinstance(outcome, Failure) or outcome.status < 500:
                 self.told.append((item, outcome is True))
-        if (writer := self.writers[me]).ballot is None:
-            writer.start_at = NEVER
+        if (proposer := self.proposers[me]).ballot is None:
+            proposer.start_at = NEVER
 
     def _send(self, me: str, to: str, message: Message) -> None:
         if me == to:
@@ -238,9 +238,9 @@
                 self.faults.append(f"{item.name}@r{item.version} was acknowledged and another holds")
             if not taken and is_shown:
                 self.faults.append(f"{item.name}@r{item.version} was refused and is in force")
-        voting = [name for name in self.case.members if self.stocks[name].voting]
+        voting = [name for name in self.case.members if self.acceptors[name].voting]
         for some in combinations(voting, len(self.case.members) // 2 + 1):
-            held = read_from([self.stocks[name] for name in some])
+            held = read_from([self.acceptors[name] for name in some])
             for (key, version), content in self.shown.items():
                 item = held.get(key)
                 if item is None or (item.version, orjson.dumps(item.content)) < (version, b""):
@@ -255,13 +255,13 @@
         kept = []
         for each in self.flying:
             message = loads(each[2])
-            writer, kind = self.writers[each[1]], message["t"]
+            proposer, kind = self.proposers[each[1]], message["t"]
             if kind in ("promise", "accepted", "behind", "nack"):
-                if writer.ballot is None or ballot(message["b"]) != writer.ballot:
+                if proposer.ballot is None or ballot(message["b"]) != proposer.ballot:
                     continue
-                if kind == "promise" and (writer.value is not None or each[0] in writer.promises):
+                if kind == "promise" and (proposer.value is not None or each[0] in proposer.promises):
                     continue
-            elif kind == "enrolled" and self.stocks[each[1]].known:
+            elif kind == "enrolled" and self.acceptors[each[1]].known:
                 continue
             kept.append(each)
         self.flying = sorted(kept)
@@ -269,23 +269,29 @@
     def key(self) -> bytes:
         rows: list[Any] = [self.flying, self.starts, self.crashes, self.wipes, sorted(self.shown.items())]
         rows.append([(item.name, item.version, taken) for item, taken in self.told])
-        for name in sorted(self.stocks):
+        for name in sorted(self.acceptors):
             if name not in self.keys:
-                self.keys[name] = _key(self.stocks[name], self.writers[name])
+                self.keys[name] = _key(self.acceptors[name], self.proposers[name])
             rows.append(self.keys[name])
         return blake2b(repr(rows).encode(), digest_size=16).digest()
 
 
-def _key(stock: Stock, writer: Writer) -> bytes:
-    copy = stock.copy
+def _key(acceptor: Acceptor, proposer: Proposer) -> bytes:
+    copy = acceptor.copy
     rows = (
-        (stock.disk, stock.voting, stock.promised, stock.accepted, sorted(stock.disks.items())),
-        sorted((item.key, item.version, str(item.content)) for item in stock.delta.values()),
+        (
+            acceptor.disk,
+            acceptor.voting,
+            acceptor.promised,
+            acceptor.accepted,
+            sorted(acceptor.disks.items()),
+        ),
+        sorted((item.key, item.version, str(item.content)) for item in acceptor.delta.values()),
         (copy.upto, sorted(copy.at.items()), sorted(map(str, copy.items.values()))),
-        sorted(map(str, stock.enrolled.items())),
-        (writer.life, writer.seen, writer.ballot, len(writer.waiting), len(writer.running)),
-        (sorted(map(str, writer.promises.items())), str(sorted(writer.accepts))),
-        sorted(map(str, (writer.value or {}).values())),
+        sorted(map(str, acceptor.enrolled.items())),
+        (proposer.life, proposer.seen, proposer.ballot, len(proposer.waiting), len(proposer.running)),
+        (sorted(map(str, proposer.promises.items())), str(sorted(proposer.accepts))),
+        sorted(map(str, (proposer.value or {}).values())),
     )
     return repr(rows).encode()
 
@@ -313,10 +319,10 @@
     return 0.5
 
 
-def read_from(stocks: list[Stock]) -> dict[Key, Item]:
-    """What a writer that heard exactly these would take for the value."""
-    newest = max(stocks, key=lambda each: each.copy.upto)
-    last = max(stocks, key=lambda each: each.accepted)
+def read_from(acceptors: list[Acceptor]) -> dict[Key, Item]:
+    """What a proposer that heard exactly these would take for the value."""
+    newest = max(acceptors, key=lambda each: each.copy.upto)
+    last = max(acceptors, key=lambda each: each.accepted)
     held = dict(newest.copy.items)
     if last.accepted > newest.copy.upto:
         held.update(last.delta)
--- a/foxspread/orchard/sim/judge.py
+++ b/foxspread/orchard/simulation/judge.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from foxspread.orchard.graft.items import Item, Key, consistent
+from foxspread.orchard.configuration.items import Item, Key, consistent
 from foxspread.orchard.outcome import Failure
 
 ANSWERED_S = 4.0  # a call at a machine without trouble is answered within this
--- a/foxspread/orchard/sim/runs.py
+++ b/foxspread/orchard/simulation/runs.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass, field
 from multiprocessing import get_context
 
-from foxspread.orchard.sim.agreement import Event, Plan, drawn, minimised, play
-from foxspread.orchard.sim.broken import CORES, Cores
-from foxspread.orchard.sim.judge import Break
+from foxspread.orchard.simulation.agreement import Event, Plan, drawn, minimised, play
+from foxspread.orchard.simulation.broken import CORES, Cores
+from foxspread.orchard.simulation.judge import Break
 
 MOST_SHOWN = 20  # breaks that are kept with their texts
 
--- a/foxspread/orchard/stand_ins/client.py
+++ b/foxspread/orchard/stand_ins/client.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from foxspread.net import http
-from foxspread.orchard.furrow.lanes import Lanes
+from foxspread.orchard.dataplane.lanes import Lanes
 from foxspread.orchard.settings import Address, shown
 from foxspread.orchard.stand_ins.asking import Reply, asked, written
 from foxspread.orchard.stand_ins.ledger import Ledger
--- a/foxspread/orchard/stand_ins/operator.py
+++ b/foxspread/orchard/stand_ins/operator.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from foxspread.orchard.furrow.lanes import Lanes
+from foxspread.orchard.dataplane.lanes import Lanes
 from foxspread.orchard.settings import Address, address, shown
 from foxspread.orchard.stand_ins.asking import Reply, asked, written
 from foxspread.orchard.stand_ins.ledger import Ledger
--- a/foxspread/orchard/stand_ins/server.py
+++ b/foxspread/orchard/stand_ins/server.py
@@ -24,9 +24,9 @@
 
 import orjson
 
-from foxspread.orchard.furrow.lanes import Lanes
-from foxspread.orchard.furrow.serving import Desk, Exchange, Limits, Serving
-from foxspread.orchard.grove.lives import DRAINING, READY
+from foxspread.orchard.dataplane.lanes import Lanes
+from foxspread.orchard.dataplane.serving import Desk, Exchange, Limits, Serving
+from foxspread.orchard.registry.lives import DRAINING, READY
 from foxspread.orchard.settings import Address, address, shown
 from foxspread.orchard.stand_ins.asking import asked, written
 from foxspread.orchard.stand_ins.ledger import Ledger
--- a/tests/orchard/granary/test_budget.py
+++ b/tests/orchard/budget/test_budget.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from foxspread.orchard.granary.budget import STEPS, Budget, Window
+from foxspread.orchard.budget.budget import STEPS, Budget, Window
 
 RATIO, SLACK, SPAN = 0.2, 50, 10.0
 
--- a/tests/orchard/graft/test_reading.py
+++ b/tests/orchard/configuration/test_reading.py
@@ -3,8 +3,8 @@
 import orjson
 import testtools
 
-from foxspread.orchard.graft.items import LIMITS, ROUTE, SERVICE, Item, consistent, laid_out, merged
-from foxspread.orchard.graft.reading import read
+from foxspread.orchard.configuration.items import LIMITS, ROUTE, SERVICE, Item, consistent, laid_out, merged
+from foxspread.orchard.configuration.reading import read
 from foxspread.orchard.outcome import Failure
 from tests.orchard.helpers import rule
 
--- a/tests/orchard/graft/test_routes.py
+++ b/tests/orchard/configuration/test_routes.py
@@ -2,8 +2,8 @@
 
 import testtools
 
-from foxspread.orchard.graft.items import ROUTE, SERVICE, Item
-from foxspread.orchard.graft.routes import RouteTable, route_of
+from foxspread.orchard.configuration.items import ROUTE, SERVICE, Item
+from foxspread.orchard.configuration.routes import RouteTable, route_of
 from foxspread.sums import Chance
 from tests.orchard.helpers import route
 
--- a/tests/orchard/gate/test_desk.py
+++ b/tests/orchard/control/test_desk.py
@@ -4,11 +4,11 @@
 
 import orjson
 
-from foxspread.orchard.furrow.serving import Serving
-from foxspread.orchard.gate.configuration import Configuration
-from foxspread.orchard.gate.desk import ControlDesk, ReadyDesk
-from foxspread.orchard.gate.instances import Instances
-from foxspread.orchard.grove.lives import DRAINING, Lives
+from foxspread.orchard.dataplane.serving import Serving
+from foxspread.orchard.control.configuration import Configuration
+from foxspread.orchard.control.desk import ControlDesk, ReadyDesk
+from foxspread.orchard.control.instances import Instances
+from foxspread.orchard.registry.lives import DRAINING, Lives
 from foxspread.orchard.outcome import conflict, unsettled
 from tests.orchard.helpers import OnLoop, Transport, header, rule, statuses
 
--- a/tests/orchard/furrow/test_caller.py
+++ b/tests/orchard/dataplane/test_caller.py
@@ -3,10 +3,10 @@
 
 from foxspread.model import Outcome
 from foxspread.net.http import Message
-from foxspread.orchard.furrow.caller import judged
-from foxspread.orchard.furrow.errand import MARGIN_S
-from foxspread.orchard.furrow.lasthop import DRAIN_PART
-from foxspread.orchard.graft.items import ROUTE, Item
+from foxspread.orchard.dataplane.caller import judged
+from foxspread.orchard.dataplane.errand import MARGIN_S
+from foxspread.orchard.dataplane.lasthop import DRAIN_PART
+from foxspread.orchard.configuration.items import ROUTE, Item
 from foxspread.orchard.settings import BOUNDS
 from tests.orchard.helpers import (
     Late,
--- a/tests/orchard/furrow/test_errand.py
+++ b/tests/orchard/dataplane/test_errand.py
@@ -5,10 +5,10 @@
 import testtools
 
 from foxspread.model import Outcome
-from foxspread.orchard.furrow.errand import MARGIN_S, PROMISES, Pass, Refuse, Send, Steering
-from foxspread.orchard.graft.routes import route_of
-from foxspread.orchard.grove.records import Record, Records, server
-from foxspread.orchard.ripeness.upstreams import Upstreams
+from foxspread.orchard.dataplane.errand import MARGIN_S, PROMISES, Pass, Refuse, Send, Steering
+from foxspread.orchard.configuration.routes import route_of
+from foxspread.orchard.registry.records import Record, Records, server
+from foxspread.orchard.health.upstreams import Upstreams
 from foxspread.orchard.settings import BOUNDS
 from foxspread.sums import Chance
 from tests.orchard.helpers import route
--- a/tests/orchard/furrow/test_lanes.py
+++ b/tests/orchard/dataplane/test_lanes.py
@@ -1,6 +1,6 @@
 """The side that asks: one answer for each request, in any cut, and connections that are counted."""
 
-from foxspread.orchard.furrow.lanes import STRAYS_MOST, Lane, Lanes
+from foxspread.orchard.dataplane.lanes import STRAYS_MOST, Lane, Lanes
 from tests.orchard.helpers import Loop, OnLoop, Script, Transport, answer
 
 PLACE = ("s", 80)
--- a/tests/orchard/furrow/test_path.py
+++ b/tests/orchard/dataplane/test_path.py
@@ -1,6 +1,6 @@
 """Both hops of a request, from the client's bytes to the servers' and back: what each failure leads to."""
 
-from foxspread.orchard.furrow.serving import Serving
+from foxspread.orchard.dataplane.serving import Serving
 from tests.orchard.helpers import (
     Loop,
     OnLoop,
--- a/tests/orchard/furrow/test_serving.py
+++ b/tests/orchard/dataplane/test_serving.py
@@ -1,6 +1,6 @@
 """The side that is asked: bytes in any cut, answers in order, bounds, and how connections end."""
 
-from foxspread.orchard.furrow.serving import (
+from foxspread.orchard.dataplane.serving import (
     BUFFERED_MOST,
     LINGER_S,
     STALL_S,
--- a/tests/orchard/helpers.py
+++ b/tests/orchard/helpers.py
@@ -7,17 +7,17 @@
 import testtools
 
 from foxspread.model import Outcome
-from foxspread.orchard.furrow.caller import CallerDesk
-from foxspread.orchard.furrow.errand import Steering
-from foxspread.orchard.furrow.hop import Hop, HopDesk
-from foxspread.orchard.furrow.lanes import Lanes
-from foxspread.orchard.furrow.lasthop import LastHop
-from foxspread.orchard.furrow.serving import Serving
-from foxspread.orchard.graft.items import ROUTE, Item
-from foxspread.orchard.graft.routes import RouteTable
-from foxspread.orchard.grove.lives import Lives
-from foxspread.orchard.grove.records import Record, Records, server
-from foxspread.orchard.ripeness.upstreams import Upstreams
+from foxspread.orchard.dataplane.caller import CallerDesk
+from foxspread.orchard.dataplane.errand import Steering
+from foxspread.orchard.dataplane.hop import Hop, HopDesk
+from foxspread.orchard.dataplane.lanes import Lanes
+from foxspread.orchard.dataplane.lasthop import LastHop
+from foxspread.orchard.dataplane.serving import Serving
+from foxspread.orchard.configuration.items import ROUTE, Item
+from foxspread.orchard.configuration.routes import RouteTable
+from foxspread.orchard.registry.lives import Lives
+from foxspread.orchard.registry.records import Record, Records, server
+from foxspread.orchard.health.upstreams import Upstreams
 from foxspread.orchard.settings import BOUNDS
 from foxspread.sums import Chance
 
--- a/tests/orchard/hedge/test_exchange.py
+++ b/tests/orchard/membership/test_exchange.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from foxspread.orchard.hedge.exchange import ASKED_S, Exchange
+from foxspread.orchard.membership.exchange import ASKED_S, Exchange
 
 
 class Pulls(testtools.TestCase):
--- a/tests/orchard/hedge/test_views.py
+++ b/tests/orchard/membership/test_views.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from foxspread.orchard.hedge.views import OLD, SIZE, Neighbour, View
+from foxspread.orchard.membership.views import OLD, SIZE, Neighbour, View
 from foxspread.sums import Chance
 
 
--- a/tests/orchard/post/test_netstrings.py
+++ b/tests/orchard/messaging/test_netstrings.py
@@ -5,7 +5,7 @@
 import testtools
 
 from foxspread.orchard.outcome import Failure
-from foxspread.orchard.post.netstrings import MOST, PACKED_FROM, Decoder, encode
+from foxspread.orchard.messaging.netstrings import MOST, PACKED_FROM, Decoder, encode
 
 MESSAGES = [{"t": "beat"}, {"t": "news", "rows": ["x:,{}1:a,"] * 9}, {"v": "ab" * PACKED_FROM}, {}]
 
--- a/tests/orchard/grove/test_lives.py
+++ b/tests/orchard/registry/test_lives.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from foxspread.orchard.grove.lives import DRAINING, ENDED_KEPT_S, GONE, MISSED, READY, Lives
-from foxspread.orchard.grove.records import Record, Records, record, server
+from foxspread.orchard.registry.lives import DRAINING, ENDED_KEPT_S, GONE, MISSED, READY, Lives
+from foxspread.orchard.registry.records import Record, Records, record, server
 from foxspread.orchard.outcome import Failure
 
 BEAT = {"service": "s1", "address": "a:80", "berths": 4, "state": READY, "sequence": 1}
--- a/tests/orchard/rootstock/orders.py
+++ b/tests/orchard/replication/orders.py
@@ -1,8 +1,8 @@
 """Orders of messages by hand, on the explorer's table: shorthand."""
 
-from foxspread.orchard.graft.items import ROUTE, SERVICE, Item
-from foxspread.orchard.sim.agreement import Cores
-from foxspread.orchard.sim.explore import Case, Table, loads
+from foxspread.orchard.configuration.items import ROUTE, SERVICE, Item
+from foxspread.orchard.simulation.agreement import Cores
+from foxspread.orchard.simulation.explore import Case, Table, loads
 
 THREE, FIVE = ("a", "b", "c"), ("a", "b", "c", "d", "x")
 
@@ -20,16 +20,16 @@
     return Table.laid(Case(members, calls, starts=4, crashes=9, wipes=9), cores)
 
 
-def ask(table: Table, writer: str, others: str, kind: str = "prepare", back: bool = True) -> None:
-    """`others` hear the writer; `back`: and it hears what they answer."""
+def ask(table: Table, proposer: str, others: str, kind: str = "prepare", back: bool = True) -> None:
+    """`others` hear the proposer; `back`: and it hears what they answer."""
     for other in others:
-        table.passed(writer, other, kind, newest=True)
+        table.passed(proposer, other, kind, newest=True)
         if back:
-            answer(table, other, writer)
+            answer(table, other, proposer)
 
 
-def put(table: Table, writer: str, others: str, back: bool = True) -> None:
-    ask(table, writer, others, "accept", back)
+def put(table: Table, proposer: str, others: str, back: bool = True) -> None:
+    ask(table, proposer, others, "accept", back)
 
 
 def answer(table: Table, sender: str, to: str) -> None:
@@ -40,11 +40,11 @@
                 return table.do(("deliver", number))
 
 
-def begin(table: Table, writer: str, above: int | None = None) -> None:
+def begin(table: Table, proposer: str, above: int | None = None) -> None:
     """Its next ballot; `above`: it has heard of that one."""
     if above is not None:
-        table.writers[writer].seen = above
-    table.do(("start", writer))
+        table.proposers[proposer].seen = above
+    table.do(("start", proposer))
 
 
 def enrol(table: Table, name: str, others: str) -> None:
@@ -97,7 +97,7 @@
     wipe(table, "x", "bcd")
     begin(table, "d")
     ask(table, "d", "xc")
-    if table.writers["d"].value:
+    if table.proposers["d"].value:
         put(table, "d", "xc")
     for other in "xb":
         table.passed(other, "a", "promise")
@@ -142,9 +142,9 @@
     ask(table, "a", "c")
     put(table, "a", "c")
     table.do(("wipe", "c"))
-    if not table.stocks["c"].voting:
+    if not table.acceptors["c"].voting:
         enrol(table, "c", "b")
-    if not table.stocks["c"].voting:
+    if not table.acceptors["c"].voting:
         enrol(table, "c", "a")
     return table
 
@@ -160,7 +160,7 @@
             table.do(("crash", name))
     begin(table, "c", above=0)
     ask(table, "c", "b")
-    if table.writers["c"].value:
+    if table.proposers["c"].value:
         put(table, "c", "b")
     return table
 
@@ -173,7 +173,7 @@
     table.do(("crash", "c"))
     begin(table, "b")
     ask(table, "b", "c")
-    if table.writers["b"].value:
+    if table.proposers["b"].value:
         put(table, "b", "c")
     table.passed("c", "a", "promise")
     put(table, "a", "c")
--- a/tests/orchard/rootstock/test_stock.py
+++ b/tests/orchard/replication/test_acceptor.py
@@ -1,10 +1,10 @@
-"""Single messages to a stock, and what it must answer and show."""
+"""Single messages to an acceptor, and what it must answer and show."""
 
 from testtools import TestCase
 
-from foxspread.orchard.graft.items import SERVICE, Item
-from foxspread.orchard.rootstock.copy import row
-from foxspread.orchard.rootstock.stock import Saved, Stock
+from foxspread.orchard.configuration.items import SERVICE, Item
+from foxspread.orchard.replication.copy import row
+from foxspread.orchard.replication.acceptor import Saved, Acceptor
 
 
 def service(name: str, version: int = 1, tag: int = 0) -> Item:
@@ -14,8 +14,8 @@
 class Accepting(TestCase):
     def test_what_an_accept_brings_along_is_shown(self) -> None:
         # Guards the way of items to a machine that was cut off: its copy had them, its routes never did.
-        stock = Stock("a", Saved((0, "a0"), ("a", "b", "c"), voting=True, known=True))
+        acceptor = Acceptor("a", Saved((0, "a0"), ("a", "b", "c"), voting=True, known=True))
         accept = {"t": "accept", "b": (2, "b"), "s": (1, "b"), "since": (0, ""), "disks": {}}
         accept |= {"ahead": [row(service("v"), (1, "b"))], "delta": [service("w").packed()]}
-        _, answer, new = stock.accept(accept)
+        _, answer, new = acceptor.accept(accept)
         self.assertEqual(("accepted", [service("v")]), (answer["t"], new))
--- a/tests/orchard/rootstock/test_disk.py
+++ b/tests/orchard/replication/test_disk.py
@@ -9,10 +9,10 @@
 
 from testtools import TestCase
 
-from foxspread.orchard.graft.items import SERVICE, Item
-from foxspread.orchard.rootstock.copy import row
-from foxspread.orchard.rootstock.disk import FILE, Disk
-from foxspread.orchard.rootstock.stock import Saved, Stock
+from foxspread.orchard.configuration.items import SERVICE, Item
+from foxspread.orchard.replication.copy import row
+from foxspread.orchard.replication.disk import FILE, Disk
+from foxspread.orchard.replication.acceptor import Saved, Acceptor
 
 MEMBERS = ("a", "b", "c")
 
@@ -42,7 +42,7 @@
         disk, told = self.disk(), []
         saved = disk.open(MEMBERS, True)
         disk.start()
-        for number, writes in enumerate([Stock("a", saved).first(), *steps]):
+        for number, writes in enumerate([Acceptor("a", saved).first(), *steps]):
             disk.put(writes, lambda number=number: told.append(number))
         while disk.pending:
             self.later.get(timeout=10)()
@@ -50,17 +50,17 @@
         disk.db.close()
 
     def test_what_was_told_as_written_is_there(self) -> None:
-        # The whole of what a stock writes, read back as a stock would be: nothing forgotten by name.
+        # The whole of what an acceptor writes, read back as an acceptor would be: nothing forgotten by name.
         rows = [row(service("v"), (2, "w"))]
-        stock = Stock("a", Saved((0, "a"), MEMBERS, voting=True, known=True))
+        acceptor = Acceptor("a", Saved((0, "a"), MEMBERS, voting=True, known=True))
         asked = {"b": (3, "w"), "s": (2, "w"), "since": (0, ""), "ahead": rows, "disks": {}}
-        accept = stock.accept({**asked, "delta": [service("w").packed()]})[0]
-        enrol = stock.enrol("b", {"disk": (1, "b")})[0]
+        accept = acceptor.accept({**asked, "delta": [service("w").packed()]})[0]
+        enrol = acceptor.enrol("b", {"disk": (1, "b")})[0]
         self.written(accept, enrol)
-        again = Stock("a", self.opened())
+        again = Acceptor("a", self.opened())
         for name in ("promised", "accepted", "delta", "disks", "voting", "known", "members"):
-            self.assertEqual(getattr(stock, name), getattr(again, name), name)
-        self.assertEqual(vars(stock.copy), vars(again.copy))
+            self.assertEqual(getattr(acceptor, name), getattr(again, name), name)
+        self.assertEqual(vars(acceptor.copy), vars(again.copy))
 
     def test_a_damaged_file_counts_as_wiped(self) -> None:
         # Neither half of a promise nor another program's file is voted with.
--- a/tests/orchard/rootstock/test_orders.py
+++ b/tests/orchard/replication/test_orders.py
@@ -4,13 +4,13 @@
 
 from testtools import TestCase
 
-from foxspread.orchard.graft.items import Item
+from foxspread.orchard.configuration.items import Item
 from foxspread.orchard.outcome import Failure
-from foxspread.orchard.rootstock.stock import Saved, Stock
-from foxspread.orchard.sim.agreement import Cores
-from foxspread.orchard.sim.broken import CORES
-from foxspread.orchard.sim.explore import Case, Table, explore, read_from
-from tests.orchard.rootstock.orders import (
+from foxspread.orchard.replication.acceptor import Saved, Acceptor
+from foxspread.orchard.simulation.agreement import Cores
+from foxspread.orchard.simulation.broken import CORES
+from foxspread.orchard.simulation.explore import Case, Table, explore, read_from
+from tests.orchard.replication.orders import (
     FIVE,
     ORDERS,
     SHOWN_BY,
@@ -34,16 +34,16 @@
     before = len(table.told)
     begin(table, name, above)
     ask(table, name, others)
-    if table.writers[name].value is not None:
+    if table.proposers[name].value is not None:
         put(table, name, others)
     return table.told[-1] if len(table.told) > before else None
 
 
 def submit(table: Table, name: str, item: Item) -> None:
-    writer = table.writers[name]
+    proposer = table.proposers[name]
     table.starts[name] = 9
-    writer.start_at = 1e9
-    writer.submit(0.0, item, [item], 1e9)
+    proposer.start_at = 1e9
+    proposer.submit(0.0, item, [item], 1e9)
 
 
 class Orders(TestCase):
@@ -113,12 +113,13 @@
         ask(table, "a", "bc")
         for name in THREE:
             table.do(("crash", name))
-        self.assertEqual([(1, "a.0")] * 3, [table.stocks[name].promised for name in THREE])
+        self.assertEqual([(1, "a.0")] * 3, [table.acceptors[name].promised for name in THREE])
         submit(table, "b", V2)
         self.assertEqual((V2, True), calls(table, "b", "c"))
 
     def test_all_start_in_any_order_with_one_disk_empty(self) -> None:
-        # An acknowledged call is known to any two that vote, whichever disk was wiped, the writer's as well.
+        # An acknowledged call is known to any two that vote, whichever disk was wiped,
+        # the proposer's as well.
         for wiped in THREE:
             for others in permutations(name for name in THREE if name != wiped):
                 table = laid(THREE, ("a", V1))
@@ -127,9 +128,9 @@
                     table.do(("crash", name))
                 table.do(("wipe", wiped))
                 enrol(table, wiped, others[0])
-                self.assertFalse(table.stocks[wiped].serves)
+                self.assertFalse(table.acceptors[wiped].serves)
                 enrol(table, wiped, others[1])
-                self.assertEqual({V1.key: V1}, read_from([table.stocks[wiped], table.stocks["b"]]))
+                self.assertEqual({V1.key: V1}, read_from([table.acceptors[wiped], table.acceptors["b"]]))
                 self.assertEqual([], table.faults)
 
     def test_one_that_was_wiped_keeps_to_what_it_had_promised(self) -> None:
@@ -140,7 +141,7 @@
         wipe(table, "c", "ab")
         begin(table, "b", above=6)
         ask(table, "b", "c")
-        self.assertEqual((None, 9), (table.writers["b"].ballot, table.stocks["c"].promised[0]))
+        self.assertEqual((None, 9), (table.proposers["b"].ballot, table.acceptors["c"].promised[0]))
 
     def test_an_older_identity_that_comes_late_does_not_shut_out_the_newer(self) -> None:
         # Guards against a machine that is wiped twice and is never heard again by one it asked meanwhile.
@@ -152,24 +153,24 @@
         table.passed("x", "a", "enrol")  # of the disk before
         for other in "abd":
             table.passed(other, "x", "enrolled", newest=other != "a")
-        self.assertTrue(table.stocks["x"].voting)
+        self.assertTrue(table.acceptors["x"].voting)
         self.assertEqual((V1, True), calls(table, "a", "xc"))
 
     def test_a_new_identity_rises_above_all_that_were_noted(self) -> None:
         # Chance alone says nothing of which of two disks is the newer one.
-        stocks = {name: Stock(name, Saved((0, name), FIVE, voting=True, known=True)) for name in "abc"}
-        for each in stocks.values():
+        acceptors = {name: Acceptor(name, Saved((0, name), FIVE, voting=True, known=True)) for name in "abc"}
+        for each in acceptors.values():
             each.enrol("x", {"disk": (1, "z")})
-        stock = Stock("x", Saved((1, "m"), FIVE))
+        acceptor = Acceptor("x", Saved((1, "m"), FIVE))
         for _ in range(2):
-            for name, each in stocks.items():
-                _, told, _ = each.enrol("x", {"disk": stock.disk})
-                stock.take_in(name, told)
-        self.assertEqual(((2, "m"), True), (stock.disk, stock.voting))
-        self.assertEqual({(2, "m")}, {each.disks["x"] for each in stocks.values()})
+            for name, each in acceptors.items():
+                _, told, _ = each.enrol("x", {"disk": acceptor.disk})
+                acceptor.take_in(name, told)
+        self.assertEqual(((2, "m"), True), (acceptor.disk, acceptor.voting))
+        self.assertEqual({(2, "m")}, {each.disks["x"] for each in acceptors.values()})
 
     def test_one_that_is_behind_is_brought_up(self) -> None:
-        # A writer that does not know how far another is asks, and what it sends then is shown there.
+        # A proposer that does not know how far another is asks, and what it sends then is shown there.
         table = laid(THREE, ("a", V1), ("b", service("w")))
         calls(table, "a", "b")
         calls(table, "b", "a")
@@ -179,8 +180,8 @@
         table.passed("b", "c", "accept", newest=True)
         answer(table, "c", "b")  # behind
         put(table, "b", "c")
-        self.assertEqual(table.stocks["b"].copy.items, read_from([table.stocks["c"]]))
-        self.assertEqual(3, len(table.stocks["c"].copy.items) + len(table.stocks["c"].delta))
+        self.assertEqual(table.acceptors["b"].copy.items, read_from([table.acceptors["c"]]))
+        self.assertEqual(3, len(table.acceptors["c"].copy.items) + len(table.acceptors["c"].delta))
 
 
 class Outcomes(TestCase):
@@ -209,19 +210,19 @@
             for each in before:
                 submit(table, "a", each)
                 self.assertEqual((each, True), calls(table, "a", "b"), name)
-            done, stocks, writer = [], table.stocks, table.writers["c"]
-            writer.seen = 50
-            waiting = [("c", *each) for each in writer.submit(0.0, "call", [item], 1e9).sends]
+            done, acceptors, proposer = [], table.acceptors, table.proposers["c"]
+            proposer.seen = 50
+            waiting = [("c", *each) for each in proposer.submit(0.0, "call", [item], 1e9).sends]
             while waiting:
                 sender, to, message = waiting.pop(0)
                 if message["t"] in ("prepare", "accept"):
-                    _, said, _ = getattr(stocks[to], message["t"])(message)
+                    _, said, _ = getattr(acceptors[to], message["t"])(message)
                     waiting += [(to, "c", said)]
                 else:
-                    out = writer.heard(0.0, sender, message)
+                    out = proposer.heard(0.0, sender, message)
                     done += out.done
                     waiting += [("c", *each) for each in out.sends]
-            (_, outcome), held = done[0], stocks["c"].copy.items.get(item.key)
+            (_, outcome), held = done[0], acceptors["c"].copy.items.get(item.key)
             self.assertEqual(status, outcome.status if isinstance(outcome, Failure) else None, name)
             if status is not None:
                 self.assertNotEqual(item, held, name)
--- a/tests/orchard/sim/test_agreement.py
+++ b/tests/orchard/simulation/test_agreement.py
@@ -4,11 +4,11 @@
 
 from testtools import TestCase
 
-from foxspread.orchard.graft.items import SERVICE, Item
-from foxspread.orchard.sim.agreement import FAULTS, Event, Fleet, Plan, Played, drawn, minimised, play
-from foxspread.orchard.sim.broken import CORES
-from foxspread.orchard.sim.runs import several, traced
-from tests.orchard.rootstock.orders import SHOWN_BY, route, service
+from foxspread.orchard.configuration.items import SERVICE, Item
+from foxspread.orchard.simulation.agreement import FAULTS, Event, Fleet, Plan, Played, drawn, minimised, play
+from foxspread.orchard.simulation.broken import CORES
+from foxspread.orchard.simulation.runs import several, traced
+from tests.orchard.replication.orders import SHOWN_BY, route, service
 
 SEEDS = range(1, 90)  # in which a broken core that no order by hand shows is caught, and by which rules
 CAUGHT_BY = {
--- a/tests/orchard/sim/test_judge.py
+++ b/tests/orchard/simulation/test_judge.py
@@ -2,10 +2,10 @@
 
 from testtools import TestCase
 
-from foxspread.orchard.graft.items import Item
+from foxspread.orchard.configuration.items import Item
 from foxspread.orchard.outcome import conflict, unsettled
-from foxspread.orchard.sim.judge import Call, Judge
-from tests.orchard.rootstock.orders import route, service
+from foxspread.orchard.simulation.judge import Call, Judge
+from tests.orchard.replication.orders import route, service
 
 V1, V2, OTHER = service(version=1), service(version=2), service(version=1, tag=1)
 
--- a/tests/orchard/sim/test_world.py
+++ b/tests/orchard/simulation/test_world.py
@@ -2,9 +2,9 @@
 
 from testtools import TestCase
 
-from foxspread.orchard.rootstock.copy import NONE
-from foxspread.orchard.sim.disks import SimDisk
-from foxspread.orchard.sim.world import Links, World
+from foxspread.orchard.replication.copy import NONE
+from foxspread.orchard.simulation.disks import SimDisk
+from foxspread.orchard.simulation.world import Links, World
 
 ROW = ["service", "v", 1, {"name": "v"}, 2, "w"]
 
--- a/tests/orchard/test_stand_ins.py
+++ b/tests/orchard/test_stand_ins.py
@@ -8,8 +8,8 @@
 import orjson
 import testtools
 
-from foxspread.orchard.furrow.lanes import Lanes
-from foxspread.orchard.furrow.serving import Desk, Exchange, Limits, Serving
+from foxspread.orchard.dataplane.lanes import Lanes
+from foxspread.orchard.dataplane.serving import Desk, Exchange, Limits, Serving
 from foxspread.orchard.settings import Address, shown
 from foxspread.orchard.stand_ins.asking import Reply, asked, written
 from foxspread.orchard.stand_ins.client import judged
