--- a/foxspread/orchard/configuration/items.py
+++ b/foxspread/orchard/configuration/items.py
@@ -10,7 +10,12 @@
 from foxspread.orchard.outcome import Failure, conflict, invalid
 
 Key = tuple[str, str]  # kind and name
-ROUTE, SERVICE, LIMITS = "route", "service", "limits"
+ROUTE, SERVICE, LIMITS = "route", "service", "limits"  # the operator's
+MEMBERS, LEASE, REFUSED, KEPT = "members", "lease", "refused", "kept"  # the system's own
+THEIRS = frozenset({ROUTE, SERVICE, LIMITS})
+FOR_ALL = THEIRS | {MEMBERS}  # what sidecars without a disk are told, and of KEPT what was dropped
+Past = tuple[int, tuple[tuple[int, str], ...]]  # a floor; above it, versions that were confirmed, by digest
+NO_PAST: Past = (0, ())
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,18 +23,31 @@
     kind: str
     name: str
     version: int
-    content: dict[str, Any] | None  # as it was sent; of a route with its host; None: dropped
+    content: Any  # as it was sent; of a route with its host; None: dropped
+    past: Past = NO_PAST  # what was confirmed under lower versions; on machines with a disk only
 
     @property
     def key(self) -> Key:
         return self.kind, self.name
 
+    @property
+    def bare(self) -> "Item":
+        """As it is told to those that settle no calls."""
+        return self if self.past == NO_PAST else Item(self.kind, self.name, self.version, self.content)
+
     def packed(self) -> list:
-        return [self.kind, self.name, self.version, self.content]
+        row = [self.kind, self.name, self.version, self.content]
+        return row if self.past == NO_PAST else [*row, self.past]
 
 
 def unpacked(row: list) -> Item:
-    return Item(*row)
+    past = row[4] if len(row) > 4 else NO_PAST
+    return Item(*row[:4], (past[0], tuple((version, digest) for version, digest in past[1])))
+
+
+def for_all(item: Item) -> bool:
+    """Whether machines without a disk are told of it."""
+    return item.kind in FOR_ALL or (item.kind == KEPT and item.name == "dropped")
 
 
 def services_of(content: Mapping[str, Any]) -> list[tuple[str, float]]:
@@ -95,7 +113,7 @@
     out: dict[str, Any] = {}
     fleets = []
     for item in sorted(items, key=lambda each: each.key):
-        if item.content is None:
+        if item.content is None or item.kind not in THEIRS:
             continue
         if item.kind == LIMITS:
             out["limits"] = item.content
--- a/foxspread/orchard/replication/copy.py
+++ b/foxspread/orchard/replication/copy.py
@@ -5,12 +5,12 @@
 
 from collections.abc import Iterable, Iterator
 
-from foxspread.orchard.configuration.items import Item, Key
+from foxspread.orchard.configuration.items import Item, Key, unpacked
 from foxspread.orchard.outcome import Broken
 
 Ballot = tuple[int, str]  # a number, and the life of the process that chose it: no two alike
 NONE: Ballot = (0, "")
-Row = list  # kind, name, version, content, number and life of the ballot
+Row = list  # kind, name, version, content, number and life of the ballot; what is past, where anything is
 
 
 def ballot(told: list | tuple) -> Ballot:
@@ -18,11 +18,12 @@
 
 
 def row(item: Item, at: Ballot) -> Row:
-    return [*item.packed(), *at]
+    packed = item.packed()
+    return [*packed[:4], *at, *packed[4:]]
 
 
 def unrow(told: Row) -> tuple[Item, Ballot]:
-    return Item(*told[:4]), (told[4], told[5])
+    return unpacked([*told[:4], *told[6:]]), (told[4], told[5])
 
 
 class Copy:
