--- a/foxspread/orchard/replication/contact.py
+++ b/foxspread/orchard/replication/contact.py
@@ -1,8 +1,8 @@
 """Whether this machine is in contact with a majority, and how old what it holds may be. Without I/O.
 
 What a majority answers bounds what may have been acknowledged before it was asked: each tells the newest
-ballot that it has accepted or settled. Once all of that is held here, nothing that was acknowledged before the
-asking is missing. An age counts from the asking, on this machine's own steady clock.
+ballot that it has accepted or settled. Once all of that is held here, nothing is missing that was
+acknowledged before the asking. An age counts from the asking, on this machine's own steady clock.
 """
 
 from dataclasses import dataclass
