One content for each number, one answer for each order; members part of the agreed set

Cause: r5 with X, overtaken by r6, and another operator's r5 with Y were both answered 200; a call refused once could come into force by a copy read late; the members were three seeds for good. Ruled out: keeping overtaken contents whole (an item remembers digests of its last 32 versions, below them nothing is confirmed nor refused); a machine's own clock for how long refusals are kept (they carry an agreed time that runs no faster than the slowest steady clock); counting the new set alone for a change of members. Change: configuration/orders.py judges orders; a refusal is a row of the value, agreed before it is told; prepares and accepts name the epoch; majorities of both sets for a change; messages bring at most 256 rows along; a wiped disk votes once it holds what was settled when it enrolled.

--- a/foxspread/orchard/configuration/items.py
+++ b/foxspread/orchard/configuration/items.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from foxspread.orchard.outcome import Failure, conflict, invalid
+from foxspread.orchard.outcome import Failure, invalid
 
 Key = tuple[str, str]  # kind and name
 ROUTE, SERVICE, LIMITS = "route", "service", "limits"  # the operator's
@@ -62,18 +62,6 @@
     return content["destination"].lower(), content["rule"]["sorting"]["postcode"]
 
 
-def merged(held: Mapping[Key, Item], call: Iterable[Item]) -> dict[Key, Item] | Failure:
-    """What of a call is newer than what is held; a failure where the same version holds another content."""
-    newer: dict[Key, Item] = {}
-    for item in call:
-        there = newer.get(item.key) or held.get(item.key)
-        if there is None or item.version > there.version:
-            newer[item.key] = item
-        elif item.version == there.version and item.content != there.content:
-            return conflict(f"{item.kind} {item.name}: r{item.version} holds another content")
-    return newer
-
-
 def consistent(held: Mapping[Key, Item], newer: Mapping[Key, Item]) -> Failure | None:
     """Whether what is held may stand with these changes; None where it may, else what stands against it."""
     if not newer:
--- a/foxspread/orchard/replication/acceptor.py
+++ b/foxspread/orchard/replication/acceptor.py
@@ -11,19 +11,26 @@
 majority it may have been part of is met: what they told while noting holds all that it may have promised and
 accepted. Each answer names the identities that are known where it was given; one that another answer knows to
 be gone counts for nothing, so that no majority is made of what was told before a wipe and after.
+
+Who the members are is part of the value, with an epoch. What names an epoch that is over here is answered
+with what it lacks, and neither promised nor accepted.
 """
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
-from foxspread.orchard.configuration.items import Item, Key, unpacked
+from foxspread.orchard.configuration.items import MEMBERS, Item, Key, unpacked
 from foxspread.orchard.replication.copy import NONE, Ballot, Copy, ballot, row, unrow
+from foxspread.orchard.replication.members import Members, enough_to_enrol, members_of
 
 Message = dict[str, Any]
 Write = tuple  # ("meta", name, value) or ("items", rows)
 Identity = Ballot  # of a disk: a number, 0 on the first start of all, and chance
 Answer = tuple[list[Write], Message | None, list[Item]]  # written, then sent; settled items that are new here
+AHEAD_MOST = 256  # rows that a message brings along; whoever lacks more takes them in pieces
+DISKS_MOST = 64  # identities noted of machines, members first
+MEMBERS_KEY = (MEMBERS, MEMBERS)
 
 
 @dataclass
@@ -31,7 +38,7 @@
     """What was found on a disk."""
 
     disk: Identity
-    members: tuple[str, ...]
+    members: tuple[str, ...]  # those of epoch 0, or seeds
     promised: Ballot = NONE
     settled: Ballot = NONE
     accepted: Ballot = NONE
@@ -70,27 +77,30 @@
 
 class Acceptor:
     def __init__(self, me: str, saved: Saved) -> None:
-        self.me, self.disk, self.members = me, saved.disk, tuple(sorted(saved.members))
+        self.me, self.disk, self.seeds = me, saved.disk, Members(0, tuple(sorted(saved.members)))
         self.promised, self.accepted = saved.promised, saved.accepted
         self.copy = Copy()
         self.copy.fold(saved.settled, map(unrow, saved.rows))
         self.delta: dict[Key, Item] = {item.key: item for item in map(unpacked, saved.delta)}
         self.disks, self.voting, self.known = dict(saved.disks), saved.voting, saved.known
         self.enrolled: dict[str, Message] = {}
+        self.target: Ballot | None = None  # enrolled: it votes once it holds what was settled up to this
 
     @property
-    def majority(self) -> int:
-        return len(self.members) // 2 + 1
+    def members(self) -> Members:
+        """The set that was settled last, as far as known here."""
+        held = self.copy.items.get(MEMBERS_KEY)
+        return members_of(held) if held is not None else self.seeds
 
     @property
-    def enough_to_enrol(self) -> int:
-        """So many others meet each majority that one's forgotten disk was part of."""
-        return len(self.members) - self.majority + 1
+    def epoch(self) -> int:
+        held = self.copy.items.get(MEMBERS_KEY)
+        return held.version if held is not None else 0
 
     @property
     def serves(self) -> bool:
-        """It may speak for the state: it votes, or is a mere copy beside those that do."""
-        return self.known and (self.voting or self.me not in self.members)
+        """It may speak for the state: all that it ever promised is known to it."""
+        return self.known and self.voting
 
     @property
     def disks_known(self) -> dict[str, Identity]:
@@ -104,7 +114,7 @@
         """What a new disk is to hold before anything else."""
         return [
             ("meta", "disk", self.disk),
-            ("meta", "members", list(self.members)),
+            ("meta", "members", list(self.seeds.of)),
             ("meta", "voting", self.voting),
             ("meta", "known", self.known),
         ]
@@ -115,6 +125,8 @@
         if not self.voting:
             return [], None, []
         asked = ballot(message["b"])
+        if message["e"] < self.epoch:
+            return [], self._stale(message), []
         if asked < self.promised:
             return [], self._nack(asked), []
         writes = self._promise(asked)
@@ -127,7 +139,7 @@
                 "s": self.copy.upto,
                 "disks": self.disks_known,
                 "delta": [item.packed() for item in self.delta.values()],
-                "ahead": self._ahead(ballot(message["s"])),
+                "ahead": self.rows(ballot(message["s"])),
             },
             [],
         )
@@ -136,13 +148,15 @@
         if not self.voting:
             return [], None, []
         asked, base = ballot(message["b"]), ballot(message["s"])
+        if message["e"] < self.epoch:
+            return [], self._stale(message), []
         promised_by = {member: ballot(disk) for member, disk in message["disks"].items()}
         if asked < self.promised or any(promised_by.get(m, d) < d for m, d in self.disks_known.items()):
             return [], self._nack(asked), []
         writes: list[Write] = []
         new: list[Item] = []
         if self.copy.upto < base:
-            if ballot(message.get("since", NONE)) > self.copy.upto or "ahead" not in message:
+            if message.get("ahead") is None or ballot(message["since"]) > self.copy.upto:
                 return [], {"t": "behind", "b": asked, "s": self.copy.upto}, []
             writes, new = self.learn(base, map(unrow, message["ahead"]))
         writes += self._promise(asked)
@@ -153,15 +167,13 @@
         return writes, {"t": "accepted", "b": asked, "disks": self.disks_known}, new
 
     def enrol(self, sender: str, message: Message) -> Answer:
-        """Notes the new identity of a disk that came back empty, and tells all that is held, as of after
-        that; a later identity than the one that asks is told as well."""
+        """Notes the new identity of a disk that came back empty, and tells what is promised and accepted, as
+        of after that; a later identity than the one that asks is told as well."""
         if not self.voting:
             return [], None, []
         disk = max(ballot(message["disk"]), self.disks.get(sender, NONE))
-        if sender in self.members:
-            self.disks[sender] = disk
         return (
-            [("meta", "disks", dict(self.disks))],
+            [self._note({sender: disk})],
             {
                 "t": "enrolled",
                 "disk": disk,
@@ -169,13 +181,25 @@
                 "s": self.copy.upto,
                 "acc": self.accepted,
                 "delta": [item.packed() for item in self.delta.values()],
-                "rows": [row(*each) for each in self.copy.since(NONE)],
+                "rows": self.rows(NONE),
                 "disks": self.disks_known,
-                "members": list(self.members),
+                "epoch": self.epoch,
+                "members": list(self.members.of),
             },
             [],
         )
 
+    def _note(self, disks: Mapping[str, Identity]) -> Write:
+        for member, disk in disks.items():
+            if member != self.me:
+                self.disks[member] = max(disk, self.disks.pop(member, NONE))
+        if len(self.disks) > DISKS_MOST:
+            members = self.members
+            others = [member for member in self.disks if member not in members]
+            for member in others[: len(self.disks) - DISKS_MOST]:
+                del self.disks[member]  # noted longest ago; it is agreed anew before it may be a member
+        return ("meta", "disks", dict(self.disks))
+
     def _promise(self, asked: Ballot) -> list[Write]:
         if asked <= self.promised:
             return []
@@ -188,14 +212,25 @@
     def _nack(self, asked: Ballot) -> Message:
         return {"t": "nack", "b": asked, "promised": self.promised}
 
-    def _ahead(self, since: Ballot) -> list:
-        return [row(*each) for each in self.copy.since(since)] if self.copy.upto > since else []
+    def _stale(self, message: Message) -> Message:
+        """To one that names an epoch that is over."""
+        return {
+            "t": "stale",
+            "b": ballot(message["b"]),
+            "s": self.copy.upto,
+            "ahead": self.rows(ballot(message["s"])),
+        }
+
+    def rows(self, since: Ballot) -> list | None:
+        """What has changed since then; None where that is too much for a message."""
+        found = self.copy.since(since) if self.copy.upto > since else []
+        return [row(*each) for each in found] if len(found) <= AHEAD_MOST else None
 
     # As one that learns what is settled.
 
     def learn(self, upto: Ballot, rows: Iterable[tuple[Item, Ballot]]) -> tuple[list[Write], list[Item]]:
         """All that changed in the settled set since this copy, at the least. An older acceptance yields to
-        it."""
+        it. With it, one that has enrolled may hold all that it waits for."""
         if upto <= self.copy.upto:
             return [], []
         rows = list(rows)
@@ -205,7 +240,17 @@
         if self.accepted <= upto:
             self.accepted, self.delta = upto, {}
             writes.append(self._accepted())
-        return writes, new
+        for item in new:
+            if item.key == MEMBERS_KEY:
+                told = item.content.get("disks", {})
+                writes.append(self._note({member: ballot(disk) for member, disk in told.items()}))
+        return [*writes, *self._caught_up()], new
+
+    def _caught_up(self) -> list[Write]:
+        if self.target is None or self.copy.upto < self.target:
+            return []
+        self.target, self.voting, self.known, self.enrolled = None, True, True, {}
+        return self.first()
 
     def settle(self, at: Ballot) -> tuple[list[Write], list[Item]] | None:
         """What was accepted here at that ballot is settled; None where something else was accepted last."""
@@ -216,35 +261,42 @@
     # As one whose disk came back empty.
 
     def take_in(self, sender: str, message: Message) -> tuple[list[Write], list[Item]] | None:
-        """An answer to `enrol`; None until enough have come. Then it is caught up, and votes from then on."""
+        """An answer to `enrol`; None until enough have come. Then what it may have promised and accepted is
+        known again; it votes from when it holds all that was settled by then."""
         noted = ballot(message["disk"])
-        if self.known or noted < self.disk:
+        if self.known or self.target is not None or noted < self.disk:
             return None
         if noted > self.disk:  # of this machine's earlier disk: this one has to stand above it
             self.disk, self.enrolled = (noted[0] + 1, self.disk[1]), {}
             return [("meta", "disk", self.disk)], []
-        self.members = tuple(sorted(message["members"]))
-        if self.me not in self.members:
-            self.known = True
-            writes, new = self.learn(ballot(message["s"]), map(unrow, message["rows"]))
-            return [*self.first(), *writes], new
         self.enrolled[sender] = message
-        others = [
-            each for member, each in self.enrolled.items() if member in self.members and member != self.me
-        ]
-        if len(others) < self.enough_to_enrol:
-            return None
-        best = max(others, key=lambda each: ballot(each["s"]))
-        writes, new = self.learn(ballot(best["s"]), map(unrow, best["rows"]))
-        writes += self._promise(max(ballot(each["promised"]) for each in others))
-        last = max(others, key=lambda each: ballot(each["acc"]))
-        if ballot(last["acc"]) > self.copy.upto:
+        others = {member: each for member, each in self.enrolled.items() if member != self.me}
+        for members in self.to_enrol_with():
+            if sum(member in others for member in members.of) < self.enough(members):
+                return None
+        best = max(others.values(), key=lambda each: ballot(each["s"]))
+        writes = self._promise(max(ballot(each["promised"]) for each in others.values()))
+        last = max(others.values(), key=lambda each: ballot(each["acc"]))
+        if ballot(last["acc"]) > max(self.copy.upto, self.accepted):
             self.accepted = ballot(last["acc"])
             self.delta = {item.key: item for item in map(unpacked, last["delta"])}
             writes.append(self._accepted())
-        for each in others:
-            for member, disk in each["disks"].items():
-                if member != self.me:
-                    self.disks[member] = max(ballot(disk), self.disks.get(member, NONE))
-        self.voting, self.known, self.enrolled = True, True, {}
-        return [*self.first(), *writes, ("meta", "disks", dict(self.disks))], new
+        for each in others.values():
+            writes.append(self._note({member: ballot(disk) for member, disk in each["disks"].items()}))
+        self.target, new = ballot(best["s"]), []
+        if best["rows"] is not None:
+            more, new = self.learn(self.target, map(unrow, best["rows"]))
+            writes += more
+        return [*writes, *self._caught_up()], new
+
+    def enough(self, members: Members) -> int:
+        """So many others that have noted this disk meet each majority that a forgotten one was part of."""
+        return enough_to_enrol(members, self.me)
+
+    def to_enrol_with(self) -> list[Members]:
+        """The newest set of members that was told, and those that it may be changing to."""
+        told = [Members(each["epoch"], tuple(each["members"])) for each in self.enrolled.values()]
+        newest = max([self.members, *told], key=lambda each: each.epoch)
+        rows = [unpacked(each) for message in self.enrolled.values() for each in message["delta"]]
+        nexts = [members_of(each) for each in rows if each.key == MEMBERS_KEY]
+        return [newest, *(each for each in nexts if each.epoch > newest.epoch)]
--- a/foxspread/orchard/replication/copy.py
+++ b/foxspread/orchard/replication/copy.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from foxspread.orchard.configuration.items import Item, Key, unpacked
+from foxspread.orchard.configuration.items import REFUSED, Item, Key, unpacked
 from foxspread.orchard.outcome import Broken
 
 Ballot = tuple[int, str]  # a number, and the life of the process that chose it: no two alike
@@ -31,6 +31,7 @@
         self.upto: Ballot = NONE
         self.items: dict[Key, Item] = {}
         self.at: dict[Key, Ballot] = {}  # what changed last stands last
+        self.clock = 0.0  # the agreed one: the newest time that is settled
 
     def fold(self, upto: Ballot, rows: Iterable[tuple[Item, Ballot]]) -> list[Item]:
         """All that changed since `upto` was last folded, at the least; returns what is new here. A version
@@ -46,6 +47,8 @@
                 new.append(item)
             elif old.content != item.content:
                 raise Broken(f"{item.key}: two contents of r{item.version} were settled")
+            if item.kind == REFUSED:
+                self.clock = max(self.clock, item.content[2])
             self.items[item.key] = item
             self.at.pop(item.key, None)
             self.at[item.key] = at
--- a/foxspread/orchard/replication/proposer.py
+++ b/foxspread/orchard/replication/proposer.py
@@ -3,6 +3,9 @@
 outcome. Any machine with a disk may do this at any time; who loses a ballot waits a moment by chance and
 asks with a higher one.
 
+A majority is one of the members as last settled, and, where a change of the members is proposed or may have
+been accepted, of those that they change to as well.
+
 What is answered is final: a call is acknowledged, or refused for good, only once the value that it was
 judged on is settled. Without a majority it ends as "not known" at its time, which also is right where its
 proposer dies.
@@ -12,14 +15,17 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from foxspread.orchard.configuration.items import Item, Key, consistent, merged, unpacked
-from foxspread.orchard.outcome import Failure, unsettled
-from foxspread.orchard.replication.copy import Ballot, ballot, row, unrow
-from foxspread.orchard.replication.acceptor import Message, Acceptor, Write, sound
+from foxspread.orchard.configuration.items import Item, Key, unpacked
+from foxspread.orchard.configuration.orders import collected, digest_of_order, judged
+from foxspread.orchard.outcome import Failure, conflict, unsettled
+from foxspread.orchard.replication.acceptor import MEMBERS_KEY, Acceptor, Message, Write, sound
+from foxspread.orchard.replication.copy import Ballot, ballot, unrow
+from foxspread.orchard.replication.members import Members, members_of, one_step, quorum
 
 ROUND_S = 0.45  # for a majority to answer one message: two syncs of a slow disk
 PAUSE_S = 0.012  # after a lost ballot, by chance up to that, doubling
 PAUSE_MOST_S = 0.2
+SLOWER = 0.98  # the agreed clock goes no faster than the slowest steady clock by this much
 
 
 @dataclass(slots=True)
@@ -27,6 +33,7 @@
     token: Any
     items: list[Item]
     until: float
+    named: str = ""  # the digest of what it says
     outcome: bool | Failure | None = None
 
 
@@ -47,19 +54,23 @@
         self.waiting: list[Call] = []
         self.running: list[Call] = []
         self.ballot: Ballot | None = None  # of the round that is under way
+        self.asked: set[str] = set()  # whom, in this round
+        self.sets: list[Members] = []  # majorities of all these choose the value proposed
         self.promises: dict[str, Message] = {}
         self.accepts: dict[str, Message] = {}
         self.value: dict[Key, Item] | None = None  # the delta proposed; None while preparing
         self.round_until = self.start_at = 0.0
         self.losses = 0
         self.wanted = False  # a round without a call: what is unsettled is to be settled
+        self.noticed = (0.0, 0.0)  # the newest time of the agreed clock, and when it was seen here
 
     # Inputs.
 
     def submit(self, now: float, token: Any, items: Iterable[Item], until: float) -> Out:
         """`until`: when it ends as not known. No items: a read, done once this copy holds all that is
         settled."""
-        self.waiting.append(Call(token, list(items), until))
+        items = list(items)
+        self.waiting.append(Call(token, items, until, digest_of_order(items) if items else ""))
         return self.tick(now)
 
     def nudge(self, now: float) -> Out:
@@ -68,6 +79,8 @@
 
     def tick(self, now: float) -> Out:
         out = Out()
+        if (clock := self.acceptor.copy.clock) > self.noticed[0]:
+            self.noticed = clock, now
         self._expire(now, out)
         if self.ballot is not None and now >= self.round_until:
             self._lost(now, 0.0)
@@ -78,10 +91,8 @@
     def reached(self, member: str) -> Out:
         """A link to that member has come up: it may have missed what is being asked."""
         out = Out()
-        if self.ballot is not None:
-            promise = self.promises.get(member)
-            since = ballot(promise["s"]) if promise else self.acceptor.copy.upto
-            out.sends.append((member, self._prepare() if self.value is None else self._accept(since)))
+        if self.ballot is not None and member in self.asked:
+            out.sends.append((member, self._prepare() if self.value is None else self._accept_of(member)))
         return out
 
     def wake_at(self) -> float | None:
@@ -94,7 +105,7 @@
 
     def heard(self, now: float, sender: str, message: Message) -> Out:
         out, kind = Out(), message["t"]
-        if sender not in self.acceptor.members:
+        if sender not in self.asked:
             return out
         if kind == "nack":
             self.seen = max(self.seen, message["promised"][0])
@@ -102,16 +113,18 @@
             return out
         if kind == "nack":
             self._lost(now, self.draw())
+        elif kind == "stale":
+            self._learn(message, out)
+            self._lost(now, self.draw())
         elif kind == "promise" and self.value is None:
             self.promises[sender] = message
-            if len(promises := sound(self.promises)) >= self.acceptor.majority:
-                self.promises = promises
-                self._propose(now, out)
+            self._promised(now, out)
         elif kind == "behind" and self.value is not None:
-            out.sends.append((sender, self._accept(ballot(message["s"]))))
+            if (accept := self._accept(ballot(message["s"])))["ahead"] is not None:
+                out.sends.append((sender, accept))  # else it takes what it lacks in pieces
         elif kind == "accepted" and self.value is not None:
             self.accepts[sender] = message
-            if len(sound(self.accepts)) >= self.acceptor.majority:
+            if quorum(self.sets, sound(self.accepts)):
                 self._chosen(now, out)
         return out
 
@@ -128,12 +141,52 @@
         self.ballot, self.value, self.promises, self.accepts = (self.seen, self.life), None, {}, {}
         self.round_until, self.wanted = now + ROUND_S, False
         self.running += self.waiting
-        self.waiting = []
+        self.waiting, self.asked = [], set()
+        self._ask([self.acceptor.members], out)
+
+    def _ask(self, sets: list[Members], out: Out) -> None:
+        """All of these that have not been asked in this round."""
         ask = self._prepare()
-        out.sends += [(member, ask) for member in self.acceptor.members]
+        for member in (member for each in sets for member in each.of):
+            if member not in self.asked:
+                self.asked.add(member)
+                out.sends.append((member, ask))
 
     def _prepare(self) -> Message:
-        return {"t": "prepare", "b": self.ballot, "s": self.acceptor.copy.upto}
+        return {
+            "t": "prepare",
+            "b": self.ballot,
+            "e": self.acceptor.epoch,
+            "s": self.acceptor.copy.upto,
+        }
+
+    def _learn(self, told: Message, out: Out) -> bool:
+        """What another has settled beyond this copy; False where that is too much for its message."""
+        if ballot(told["s"]) <= self.acceptor.copy.upto:
+            return True
+        if told["ahead"] is None:
+            return False
+        writes, new = self.acceptor.learn(ballot(told["s"]), map(unrow, told["ahead"]))
+        out.writes += writes
+        out.new += new
+        return True
+
+    def _promised(self, now: float, out: Out) -> None:
+        """Whether enough have promised: a majority of the members, and of those that they may be changing
+        to."""
+        acceptor, promises = self.acceptor, sound(self.promises)
+        newest = max(promises.values(), key=lambda each: ballot(each["s"]), default=None)
+        if newest is not None and not self._learn(newest, out):
+            return self._lost(now, 1.0)  # what is lacking comes in pieces
+        sets = [acceptor.members]
+        last = max(promises.values(), key=lambda each: ballot(each["acc"]), default=None)
+        if last is not None and ballot(last["acc"]) > acceptor.copy.upto:
+            changes = [item for item in map(unpacked, last["delta"]) if item.key == MEMBERS_KEY]
+            sets += [members_of(item) for item in changes if item.version > acceptor.epoch]
+        self._ask(sets, out)
+        if quorum(sets, promises):
+            self.promises = promises
+            self._propose(now, out)
 
     def _lost(self, now: float, draw: float) -> None:
         self.ballot, self.losses = None, min(self.losses + 1, 6)
@@ -142,46 +195,56 @@
 
     def _propose(self, now: float, out: Out) -> None:
         acceptor = self.acceptor
-        newest = max(self.promises.values(), key=lambda each: ballot(each["s"]))
-        writes, new = acceptor.learn(ballot(newest["s"]), map(unrow, newest["ahead"]))
-        out.writes += writes
-        out.new += new
         last = max(self.promises.values(), key=lambda each: ballot(each["acc"]))
         held, delta = acceptor.copy.items, {}
         open_before = ballot(last["acc"]) > acceptor.copy.upto  # it may be settled, unknown to us: it goes on
         if open_before:
             delta = {item.key: item for item in map(unpacked, last["delta"]) if held.get(item.key) != item}
         for call in self.running:
-            both = {**held, **delta} if delta else held
-            newer = merged(both, call.items)
-            if newer:
-                against = consistent(both, newer)
-                newer = newer if against is None else against
-            if isinstance(newer, Failure):
-                call.outcome = newer
-            else:
-                call.outcome = True
-                delta.update(newer)
+            changes, call.outcome = self._judged({**held, **delta} if delta else held, delta, call, now)
+            delta.update(changes)
+        if delta:
+            delta.update(collected({**held, **delta}, acceptor.copy.at))
         if not delta and not open_before:
             return self._tell(out)
         self.value, self.round_until = delta, now + ROUND_S
-        for member in acceptor.members:
-            promise = self.promises.get(member)
-            out.sends.append((member, self._accept(ballot(promise["s"]) if promise else acceptor.copy.upto)))
+        self.sets = [acceptor.members]
+        if (change := delta.get(MEMBERS_KEY)) is not None:
+            self.sets.append(members_of(change))
+        for member in dict.fromkeys(member for each in self.sets for member in each.of):
+            self.asked.add(member)
+            out.sends.append((member, self._accept_of(member)))
+
+    def _judged(
+        self, both: dict[Key, Item], delta: dict[Key, Item], call: Call, now: float
+    ) -> tuple[dict[Key, Item], bool | Failure]:
+        """`both`: what is settled and what this value adds to it, the latter alone in `delta`."""
+        acceptor, by_key = self.acceptor, {item.key: item for item in call.items}
+        if (change := by_key.get(MEMBERS_KEY)) is not None:
+            if MEMBERS_KEY in delta:
+                return {}, unsettled("another change of members is not settled yet")
+            if not one_step(acceptor.members, members_of(change)):
+                return {}, conflict("members change by one machine at a time")
+        clock, at = self.noticed
+        return judged(both, call.items, call.named, clock + SLOWER * max(0.0, now - at))
+
+    def _accept_of(self, member: str) -> Message:
+        promise = self.promises.get(member)
+        return self._accept(ballot(promise["s"]) if promise else self.acceptor.copy.upto)
 
     def _accept(self, since: Ballot) -> Message:
         """For one whose settled set is as of `since`."""
         copy = self.acceptor.copy  # may know more by now than at the proposal: the delta goes over that too
-        message = {
+        return {
             "t": "accept",
             "b": self.ballot,
+            "e": self.acceptor.epoch,
             "s": copy.upto,
             "delta": [item.packed() for item in self.value.values()],
             "disks": {member: promise["disks"][member] for member, promise in self.promises.items()},
+            "since": since,
+            "ahead": self.acceptor.rows(since),
         }
-        if since < copy.upto:
-            message["since"], message["ahead"] = since, [row(*each) for each in copy.since(since)]
-        return message
 
     def _chosen(self, now: float, out: Out) -> None:
         at = self.ballot
--- a/foxspread/orchard/replication/replica.py
+++ b/foxspread/orchard/replication/replica.py
@@ -3,7 +3,7 @@
 hands writes to a disk and calls back once they, and all that was put before, are there.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from foxspread.orchard.configuration.items import Item
 from foxspread.orchard.log import say
@@ -13,7 +13,7 @@
 from foxspread.orchard.replication.proposer import Out, Proposer
 
 ASKED = ("prepare", "accept")  # of an acceptor
-TOLD = ("promise", "nack", "behind", "accepted")  # to a proposer
+TOLD = ("promise", "nack", "behind", "stale", "accepted")  # to a proposer
 PATIENCE_S = 0.85  # for a call: the caller goes elsewhere after a second
 SETTLE_S = 0.35  # after which what is accepted and not settled is taken up by whoever notices
 ENROL_S = 0.25  # between askings of one whose disk came back empty
@@ -45,20 +45,23 @@
         self.fresh = False  # since its start it has seen all that was settled before
         self.reading = False
         self.next_enrol = 0.0
+        self.caught_up = False
+        self.others: Callable[[], Iterable[str]] = tuple  # machines with a disk that can be reached
 
     def begin(self, acceptor: Acceptor) -> None:
         self.acceptor, self.proposer = acceptor, self.proposes_with(acceptor, self.life, self.draw)
+        self.caught_up = acceptor.known
         self.put(acceptor.first(), lambda: None)
         self.settled(list(acceptor.copy.items.values()))
 
-    def ask(self, items: list[Item], tell: Tell) -> None:
-        """Tells True, or a failure, within `PATIENCE_S`; without items a read: True once this copy is as new
-        as any."""
+    def ask(self, items: list[Item], tell: Tell, patience: float = PATIENCE_S) -> None:
+        """Tells True, or a failure, within `patience` seconds; without items a read: True once this copy is
+        as new as any."""
         if self.acceptor is None or not self.acceptor.serves:
             return tell(unsettled("the state is not known here yet"))
         self.count += 1
         self.calls[self.count] = tell
-        self._do(self.proposer.submit(self.clock(), self.count, items, self.clock() + PATIENCE_S))
+        self._do(self.proposer.submit(self.clock(), self.count, items, self.clock() + patience))
 
     def heard(self, sender: str, message: Message) -> None:
         """From another keeper, or itself; `sender`: who it is among the members."""
@@ -71,21 +74,22 @@
             self._answer(sender, *self.acceptor.enrol(sender, message))
         elif kind == "enrolled":
             if (found := self.acceptor.take_in(sender, message)) is not None:
-                self.put(found[0], lambda: None)
-                if self.acceptor.known:
-                    say("caught_up", members=len(self.acceptor.members), upto=self.acceptor.copy.upto[0])
-                    self.settled(found[1])
-                else:
-                    self.next_enrol = 0.0  # by another identity
+                self._learnt(*found)
+                if not self.acceptor.known:
+                    self.next_enrol = 0.0  # by another identity, or what it lacks comes in pieces
         elif kind in TOLD:
             self._do(self.proposer.heard(self.clock(), sender, message))
 
     def learn(self, upto: Ballot, rows: list) -> None:
         """News of the settled set, from another copy."""
-        if self.acceptor is None or not self.acceptor.serves:
-            return
-        writes, new = self.acceptor.learn(upto, map(unrow, rows))
+        if self.acceptor is not None:
+            self._learnt(*self.acceptor.learn(upto, map(unrow, rows)))
+
+    def _learnt(self, writes: list[Write], new: list[Item]) -> None:
         self.put(writes, lambda: None)
+        if self.acceptor.known and not self.caught_up:
+            self.caught_up = True
+            say("caught_up", members=len(self.acceptor.members.of), upto=self.acceptor.copy.upto[0])
         self.settled(new)
 
     def peer_settled(self, at: Ballot) -> None:
@@ -114,9 +118,9 @@
         if not acceptor.known:
             if now >= self.next_enrol:
                 self.next_enrol = now + ENROL_S
-                for member in acceptor.members:
-                    if member != acceptor.me:
-                        self.send(member, {"t": "enrol", "disk": acceptor.disk})
+                asked = {member for each in acceptor.to_enrol_with() for member in each.of}
+                for member in sorted({*asked, *acceptor.seeds.of, *self.others()} - {acceptor.me}):
+                    self.send(member, {"t": "enrol", "disk": acceptor.disk})
             return
         if not self.fresh and not self.reading:
             self.reading = True
@@ -124,11 +128,8 @@
         if not acceptor.unsettled:
             self.unsettled_at = None
         elif self.unsettled_at is None or self.unsettled_at[0] != acceptor.accepted:
-            place = (
-                acceptor.members.index(acceptor.me)
-                if acceptor.me in acceptor.members
-                else len(acceptor.members)
-            )
+            of = acceptor.members.of
+            place = of.index(acceptor.me) if acceptor.me in of else len(of)
             self.unsettled_at = acceptor.accepted, now + SETTLE_S * (1 + 0.4 * place) + 0.1 * self.draw()
         elif now >= self.unsettled_at[1]:
             self.unsettled_at = None
--- a/foxspread/orchard/simulation/agreement.py
+++ b/foxspread/orchard/simulation/agreement.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from foxspread.orchard.configuration.items import LIMITS, ROUTE, SERVICE, Item
+from foxspread.orchard.configuration.items import LIMITS, ROUTE, SERVICE, THEIRS, Item, Key
 from foxspread.orchard.membership.exchange import Exchange
 from foxspread.orchard.outcome import Broken, Failure, unsettled
 from foxspread.orchard.replication.copy import Copy, row, unrow
@@ -203,7 +203,7 @@
             self._show(self.copy.fold(upto, map(unrow, rows)))
 
     def _show(self, new: list[Item]) -> None:
-        if new:
+        if new := [item.bare for item in new if item.kind in THEIRS]:
             self.fleet.say(f"{self.name} shows {' '.join(map(shown, new))}, upto {self.copy.upto[0]}")
             self.fleet.judge.shows(self.named, new)
         self.exchange.have(SETTLED, self.copy.upto)
@@ -304,7 +304,11 @@
 
     def asked(self, items: tuple[Item, ...], tell: Callable) -> None:
         """By an operator; `tell` gets the outcome, and of a read what is held."""
-        self.core.ask(list(items), lambda outcome: tell(outcome, dict(self.copy.items)))
+        self.core.ask(list(items), lambda outcome: tell(outcome, self.theirs()))
+
+    def theirs(self) -> dict[Key, Item]:
+        """What a read tells."""
+        return {key: item.bare for key, item in self.copy.items.items() if item.kind in THEIRS}
 
 
 class Fleet:
--- a/foxspread/orchard/simulation/broken.py
+++ b/foxspread/orchard/simulation/broken.py
@@ -7,6 +7,7 @@
 from foxspread.orchard.outcome import Failure
 from foxspread.orchard.replication.copy import NONE, Ballot, ballot
 from foxspread.orchard.replication.acceptor import Answer, Message, Saved, Acceptor, Write
+from foxspread.orchard.replication.members import Members
 from foxspread.orchard.replication.replica import Replica
 from foxspread.orchard.replication.proposer import Out, Proposer
 from foxspread.orchard.simulation.agreement import Cores
@@ -22,7 +23,8 @@
 
 
 class EnrolledByOne(Acceptor):
-    enough_to_enrol = 1
+    def enough(self, members: Members) -> int:
+        return 1
 
 
 class TakesFirst(Acceptor):
