--- a/foxspread/orchard/control/configuration.py
+++ b/foxspread/orchard/control/configuration.py
@@ -9,16 +9,26 @@
 from foxspread.orchard.outcome import Failure, unsettled
 from foxspread.orchard.replication.keeper import Keeper
 
+STOOD_STILL = "this process stood still: the call may be an old copy"
+
 
 class Configuration:
-    """On a machine with a disk it settles calls; elsewhere it names one that does."""
+    """On a machine with a disk it settles calls; elsewhere it names one that does. `stale`: whether what is
+    read now may have been sent long ago, by a caller that has gone elsewhere since; nothing comes of it."""
 
-    def __init__(self, keeper: Keeper | None, elsewhere: Callable[[], str | None]) -> None:
-        self.keeper, self.elsewhere = keeper, elsewhere
+    def __init__(
+        self,
+        keeper: Keeper | None,
+        elsewhere: Callable[[], str | None],
+        stale: Callable[[], bool] = lambda: False,
+    ) -> None:
+        self.keeper, self.elsewhere, self.stale = keeper, elsewhere, stale
 
     async def post_patch(self, id: str, body: bytes) -> dict | Failure | Elsewhere:
         if self.keeper is None:
             return self._on("Config.Patch")
+        if self.stale():
+            return unsettled(STOOD_STILL)
         from foxspread.orchard.configuration.reading import (
             read,
         )  # and with it cerberus: not for sidecars without a disk
@@ -32,6 +42,8 @@
                 await asyncio.sleep(0)
             else:
                 items.append(step)
+        if self.stale():
+            return unsettled(STOOD_STILL)
         outcome = await self.keeper.submit(items)
         say(
             "config",
@@ -44,6 +56,8 @@
     async def get_get(self, id: str, body: bytes) -> dict | Failure | Elsewhere:
         if self.keeper is None:
             return self._on("Config.Get")
+        if self.stale():
+            return unsettled(STOOD_STILL)
         outcome = await self.keeper.submit([])
         return laid_out(self.keeper.acceptor.copy.items.values()) if outcome is True else outcome
 
--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -1,5 +1,5 @@
 """One process of the mesh: puts the parts together by what its settings say. It decides nothing about
-requests, state or servers; its own are only the order of start and end, and whom it keeps links to.
+requests, state, servers, links or readiness; its own is only the order of start and end.
 """
 
 import asyncio
@@ -21,10 +21,13 @@
 from foxspread.orchard.control.configuration import Configuration
 from foxspread.orchard.control.desk import ControlDesk, ReadyDesk
 from foxspread.orchard.control.instances import Instances
-from foxspread.orchard.configuration.items import LIMITS, Item
+from foxspread.orchard.control.readiness import Readiness, Standstill
+from foxspread.orchard.configuration.items import LIMITS, MEMBERS, Item, for_all
 from foxspread.orchard.configuration.routes import RouteTable
 from foxspread.orchard.registry.lives import Lives
 from foxspread.orchard.registry.records import LEAVING, UP, Record, Records, record
+from foxspread.orchard.registry.spread import Spread
+from foxspread.orchard.membership.dialling import CALL_S, Dialling, Leaning
 from foxspread.orchard.membership.exchange import Exchange
 from foxspread.orchard.membership.views import Neighbour, View, neighbour
 from foxspread.orchard.log import say
@@ -32,31 +35,27 @@
 from foxspread.orchard.messaging.datagrams import Datagrams
 from foxspread.orchard.messaging.link import Link
 from foxspread.orchard.health.upstreams import Upstreams
+from foxspread.orchard.replication.contact import Contact, Report
 from foxspread.orchard.replication.copy import Copy, row, unrow
 from foxspread.orchard.replication.disk import Disk
-from foxspread.orchard.replication.keeper import Keeper
+from foxspread.orchard.replication.keeper import CUT_OFF_S, Keeper
+from foxspread.orchard.replication.replica import PATIENCE_S
 from foxspread.orchard.replication.acceptor import Acceptor
-from foxspread.orchard.settings import Address, Settings, moved, read, shown
+from foxspread.orchard.settings import Address, Settings, address, moved, read, shown
 from foxspread.sums import Chance
 
 TICK_S = 0.1
-DIAL_S = 0.6  # for a link to come up
-REDIAL_S = 0.12  # after a refusal: whoever refuses is about to be there
-DIALS_MOST = 5  # links to machines with a disk that a sidecar keeps
 QUIET_S = 2.3  # after SIGTERM, by when the platform has missed twice and sends nobody here any more
 BACK_S = 1.5  # after its start, by when the platform sends callers to a sidecar again
 LAST_S = 1.7  # of the time that the platform gives, in which what is under way is answered in any case
-SPREAD_S = 0.7  # for others to learn of a drain, before the server is told to ask again
 SETTLED = "="  # the source of the settled set, among those of records
-SIDES_AFTER_S = 0.8  # without a link to any machine with a disk, neighbours are asked for news
-SIDES_MOST = 2  # of them
 
 
 class Node:
     def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop) -> None:
         self.settings, self.loop = settings, loop
         self.clock = loop.time
-        self.life = f"{int(time.time() * 1000):x}{os.urandom(3).hex()}"
+        self.life = os.urandom(10).hex()  # by chance alone: no clock makes two lives alike
         self.chance = Chance(int.from_bytes(os.urandom(4), "big"))
         self.journal = Journal(self.clock)
         self.member = (
@@ -69,19 +68,22 @@
         self.journal.view("record", self._fold_record)
         self.copy = Copy()
         self.keeper: Keeper | None = None
+        self.contact = Contact(self.member, int.from_bytes(os.urandom(4), "big"))
+        self.in_contact = False  # as others were last told
+        self.readiness, self.still = Readiness(), Standstill(self.clock(), TICK_S)
         self.exchange = Exchange(self._tells)
-        self.number, self.record_life = 0, int(time.time() * 1000)
+        self.number, self.record_life = 0, int(time.time() * 1e6)  # of the record; raised where it is known
         self.state, self.knows_records = UP, False
         # Links.
         self.links: dict[str, Link] = {}
         self.unnamed: set[Link] = set()
-        self.cores: dict[Address, str] = {each: "" for each in settings.seed_addresses()}  # and who is there
-        self.dialling: dict[Address, float] = {}
+        self.keepers: dict[str, str] = {}  # linked: control address -> node
+        draw = random.Random(os.urandom(16)).random
+        self.dialling = Dialling(settings.inner, settings.keeps, settings.seed_addresses(), draw)
+        self.leaning, self.sides_called = Leaning(self.clock()), {}
         self.flushing = False
-        self.members: dict[str, str] = {}  # control address -> node
         me = Neighbour(settings.node, settings.inner, settings.keeps)
         self.view, self.datagrams = View(me, self.chance.draw), Datagrams(self._shuffled)
-        self.alone_since: float | None = self.clock()  # without a link to any machine with a disk
         # The path.
         self.lives = Lives(settings.heartbeat_s, settings.zone)
         self.steering = Steering(settings.zone, self.upstreams, settings.bounds, self.chance, self._sidecars)
@@ -101,7 +103,6 @@
         )
         self.desks: dict[str, Desk] = {}
         self.servers: list[asyncio.Server] = []
-        self.ticked = self.clock()
         self.ending = False
         self.done = asyncio.Event()
 
@@ -127,7 +128,10 @@
             self.keeper = Keeper(
                 self.clock, self.life, self.chance.draw, disk, self._send_member, self._settled
             )
-        control.resources["Config"] = Configuration(self.keeper, self._a_core)
+            self.keeper.patience = lambda: PATIENCE_S if self._current() else CUT_OFF_S
+        control.resources["Config"] = Configuration(
+            self.keeper, self._a_core, lambda: self.still.stale(self.clock())
+        )
         for name, place in settings.counters.items():
             if (desk := self.desks.get(name)) is not None:
                 self.servers.append(
@@ -151,6 +155,7 @@
             self.keeper.disk.start()
             self.copy = (acceptor := Acceptor(self.member, saved)).copy
             self.keeper.begin(acceptor)
+            self._agreed(self.keeper.members.of)
             say(
                 "disk",
                 disk=acceptor.disk,
@@ -210,27 +215,27 @@
         new = moved(self.settings, new)
         if new != self.settings:
             self.settings = new
-            for each in new.seed_addresses():
-                self.cores.setdefault(each, "")
+            self.dialling.seeded(self.clock(), new.seed_addresses())
             self.caller_desk.caller = new.service.encode()
             say("settings", seeds=",".join(new.seeds), service=new.service)
 
     async def _tick(self) -> None:
-        count, self.ticked = 0, self.clock()  # the start, with its disk, was no sleep
+        count, self.still = 0, Standstill(self.clock(), TICK_S)  # the start, with its disk, was no sleep
         while True:
             await asyncio.sleep(TICK_S)
             now = self.clock()
-            slept, self.ticked = max(0.0, now - self.ticked - 4 * TICK_S), now
-            if slept:
+            if slept := self.still.beat(now):
                 say("slept", seconds=slept)
                 self.lives.slept(slept)
             for link in [*self.links.values(), *self.unnamed]:
                 link.beat(slept)
             if self.keeper is not None:
                 self.keeper.tick()
+                self._ask_contact(now)
             self._dial(now)
             if self.keeper is None:
                 self._lean_on_neighbours(now)
+                self._ask_basis(now)
             if (step := self.view.shuffle(now)) is not None:
                 self.datagrams.send(*step)
             if self.lives.sweep(now):
@@ -256,16 +261,59 @@
     def _ready(self) -> bool:
         if self.ending or not self._knows():
             return False
-        return self.keeper.fresh if self.keeper is not None else self.knows_records
+        if self.keeper is not None:
+            return self.keeper.fresh and self._current()
+        return self.readiness.ready(self.knows_records)
+
+    def _current(self) -> bool:
+        """Whether this keeper, now, may miss no more than a moment of what was acknowledged."""
+        if self.keeper is None or self.keeper.acceptor is None:
+            return False
+        self.contact.held(self.keeper.members, self.copy.upto)
+        return self.contact.current(self.clock())
+
+    def _age(self) -> float | None:
+        if self.keeper is None:
+            return self.readiness.age(self.clock())
+        return self.contact.age(self.clock()) if self._current() else None
+
+    def _report(self) -> Report:
+        return self.keeper.own_report(
+            self.settings.zone, self.state == LEAVING, self.contact.hears(self.clock())
+        )
+
+    def _ask_contact(self, now: float) -> None:
+        if self.keeper.acceptor is None:
+            return
+        if (asking := self.contact.ask(now, self._report())) is not None:
+            for name in self.keepers.values():
+                self.links[name].send(asking)
+        self._stand()
+
+    def _stand(self) -> None:
+        """Others are told when this keeper's contact ends and when it is back; then news goes out again."""
+        if (current := self._current()) == self.in_contact:
+            return
+        self.in_contact = current
+        say("contact", majority=current, epoch=self.keeper.members.epoch, upto=self.copy.upto[0])
+        for link in self.links.values():
+            link.send({"t": "standing", "contact": current})
+        if current:
+            self.exchange.dirty.add(SETTLED)
+            self._soon()
 
     def _sidecars(self) -> int:
         return sum(1 for each in self.records.of.values() if each.inbound is not None)
 
     def _tells(self, peer: str, source: str) -> bool:
-        """Machines with a disk hear of each sidecar from itself; neighbours without one hear of all."""
+        """Keepers hear of each sidecar from itself; neighbours without a disk hear of all. Sidecars hear of
+        the settled set from keepers in contact only; keepers always, for what is settled stays so."""
         if self.keeper is None:
-            return source == self.settings.node or peer not in self.cores.values()
-        return source != SETTLED or self.keeper.fresh
+            return source == self.settings.node or not self._keeps(peer)
+        return source != SETTLED or self._keeps(peer) or self._current()
+
+    def _keeps(self, peer: str) -> bool:
+        return peer in self.keepers.values()
 
     def _settled(self, new: list[Item]) -> None:
         """Items in force that are new here, on a machine with a disk."""
@@ -278,11 +326,17 @@
     def _fold_items(self, event: Event) -> None:
         for item in event.body:
             self.table.put(item)
+            if item.kind == MEMBERS and item.content is not None:
+                self._agreed(item.content["of"])
             if item.kind == LIMITS and item.content is not None:
                 self._limit(item.content)
         routes = self.table.places
         self.steering.forget(lambda name: ("route", name) in routes)
 
+    def _agreed(self, members: list[str] | tuple[str, ...]) -> None:
+        port = self.settings.inner_ports[0]
+        self.dialling.agreed(self.clock(), [(address(each)[0], port) for each in members])
+
     def _limit(self, told: dict[str, Any]) -> None:
         limits = self.caller_desk.limits
         limits.head = int(told.get("envelope_bytes", limits.head))
@@ -318,21 +372,23 @@
             self._soon()
 
     async def _spread(self) -> bool:
-        """Whether others know this sidecar's own record by now."""
-        version, until = (self.record_life, self.number), self.clock() + SPREAD_S
+        """Whether a drain that this sidecar's own record tells of is to be acknowledged."""
+        version = self.record_life, self.number
+        wait = Spread(self.clock(), "inbound" in self.settings.counters)
         while True:
-            cores = [name for name in self.cores.values() if name in self.links]
-            known = self.exchange.known_by(self.settings.node, version, cores)
-            if known and known >= min(len(cores), max(1, (len(self.cores) + 1) // 2)):
-                return True
-            if self.clock() >= until:
-                return known > 0
+            linked = self.dialling.in_contact()
+            known = self.exchange.known_by(self.settings.node, version, linked)
+            keepers = len(self.dialling.members or self.dialling.seeds)
+            if (outcome := wait.outcome(self.clock(), known, linked, keepers)) is not None:
+                return outcome
             await asyncio.sleep(0.01)
 
     # Links.
 
-    def _link(self) -> Link:
-        return Link(self.clock, self._opened, self._heard, self._ended)
+    def _link(self, dialled: Address | None = None) -> Link:
+        link = Link(self.clock, self._opened, self._heard, self._ended)
+        link.dialled = dialled
+        return link
 
     def _opened(self, link: Link) -> None:
         self.unnamed.add(link)
@@ -341,51 +397,53 @@
             "node": self.settings.node,
             "member": self.member,
             "inner": list(self.settings.inner),
-            "cores": [list(each) for each, name in self.cores.items() if name],
+            "cores": [list(each) for each in self.dialling.live],
+            "contact": self._current(),
         }
         link.send(hello)
 
     def _ended(self, link: Link) -> None:
         self.unnamed.discard(link)
-        if link.peer is not None and self.links.get(link.peer) is link:
+        if link.peer is None:
+            if link.dialled is not None:
+                self.dialling.vain(self.clock(), link.dialled, False)
+        elif self.links.get(link.peer) is link:
             del self.links[link.peer]
             self.exchange.left(link.peer)
+            self.dialling.down(self.clock(), link.peer)
+            self.keepers = {member: name for member, name in self.keepers.items() if name != link.peer}
             say("link_ended", peer=link.peer, why=link.why)
 
     def _dial(self, now: float) -> None:
-        """Machines with a disk are called by all others; of two of them the lower address calls, but seeds
-        are called by any that is none: they may not know of it."""
-        own, seeds = self.settings.inner, self.settings.seed_addresses()
-        called = set(self.cores)
-        if self.keeper is not None:
-            called = {each for each in called if own < each or own not in seeds and each in seeds}
-        places = [each for each in self.cores if each in called and each != own]
-        held = 0
-        for place in places:
-            if self.cores[place] in self.links or now < self.dialling.get(place, 0.0):
-                held += 1
-                continue
-            if held >= DIALS_MOST:
-                break
-            held += 1
-            self.dialling[place] = now + DIAL_S * (1 + 0.5 * self.chance.draw())
+        for place in self.dialling.calls(now):
             self.loop.create_task(self._call(place))
+        for name in self.dialling.surplus(now):
+            self.links[name].close("others are better")
 
     def _lean_on_neighbours(self, now: float) -> None:
-        """Where no machine with a disk can be reached, a few others are asked for news until one can."""
-        cores = self.cores.values()
-        if any(name in self.links for name in cores):
-            self.alone_since = None
-            for name, link in list(self.links.items()):
-                if link.dialled is not None and name not in cores:
-                    link.close("a machine with a disk is reached")
-        elif self.alone_since is None:
-            self.alone_since = now
-        elif now - self.alone_since > SIDES_AFTER_S and len(self.links) < SIDES_MOST:
-            for each in self.view.some_sides(SIDES_MOST - len(self.links)):
-                if each.node not in self.links and now >= self.dialling.get(each.place, 0.0):
-                    self.dialling[each.place] = now + DIAL_S * (1 + 0.5 * self.chance.draw())
-                    self.loop.create_task(self._call(each.place))
+        sides = [link for name, link in self.links.items() if not self._keeps(name)]
+        in_contact = len(self.dialling.in_contact())
+        if in_contact:
+            self.sides_called.clear()
+            for link in sides:
+                if link.dialled is not None:
+                    link.close("a keeper in contact is reached")
+        for each in self.view.some_sides(self.leaning.wanted(now, in_contact, len(sides))):
+            if each.node not in self.links and now >= self.sides_called.get(each.place, 0.0):
+                self.sides_called[each.place] = now + CALL_S * (1 + 0.5 * self.chance.draw())
+                self.loop.create_task(self._call(each.place))
+
+    def _ask_basis(self, now: float) -> None:
+        """Until it is ready, and while a neighbour leans on it, a sidecar asks for what is current now."""
+        leant_on = any(link.dialled is None and not self._keeps(name) for name, link in self.links.items())
+        if self.links and self.readiness.asks(now, leant_on):
+            several = self.dialling.in_contact() or list(self.links)
+            self.links[random.choice(several)].send(self._pull(now, {SETTLED: self.copy.upto}))
+
+    @staticmethod
+    def _pull(now: float, wanted: dict[str, Any]) -> dict[str, Any]:
+        """`at`: when it was asked, on the asker's clock; it comes back with the news."""
+        return {"t": "pull", "v": wanted, "at": now}
 
     def _shuffled(self, message: dict[str, Any]) -> None:
         answer = self.view.heard(message)
@@ -393,18 +451,18 @@
             self.datagrams.send(neighbour(message["view"][0]).place, answer)
         for each in self.view.of.values():
             if each.keeps:
-                self.cores.setdefault(each.place, "")
+                self.dialling.told(self.clock(), each.place)
 
     async def _call(self, place: Address) -> None:
+        refused = False
         try:
-            async with asyncio.timeout(DIAL_S):
-                _, link = await self.loop.create_connection(self._link, *place)
+            async with asyncio.timeout(CALL_S):
+                return await self.loop.create_connection(lambda: self._link(place), *place)
         except TimeoutError:
-            return
+            pass
         except OSError:
-            self.dialling[place] = self.clock() + REDIAL_S * (1 + self.chance.draw())
-            return
-        link.dialled = place
+            refused = True
+        self.dialling.vain(self.clock(), place, refused)
 
     def _heard(self, link: Link, message: dict[str, Any]) -> None:
         kind = message.get("t")
@@ -417,12 +475,21 @@
             self._noticed(message["v"])
             self._soon()
         elif kind == "pull":
-            link.send(self._news(message["v"]))
+            link.send(self._news(link.peer, message))
         elif kind == "news":
-            self._take_news(message)
-        elif self.keeper is not None and link.peer in self.members.values():
-            sender = next(member for member, node in self.members.items() if node == link.peer)
-            self.keeper.heard(sender, message)
+            self._take_news(link.peer, message)
+        elif kind == "standing":
+            self.dialling.contact(link.peer, bool(message["contact"]))
+        elif self.keeper is not None and self._keeps(link.peer):
+            sender = next(member for member, node in self.keepers.items() if node == link.peer)
+            if kind == "contact":
+                if self.keeper.acceptor is not None:
+                    link.send(Contact.answer(message, self._report()))
+            elif kind == "contacted":
+                self.contact.heard(self.clock(), sender, message)
+                self._stand()
+            else:
+                self.keeper.heard(sender, message)
 
     def _met(self, link: Link, hello: dict[str, Any]) -> None:
         self.unnamed.discard(link)
@@ -431,46 +498,56 @@
             old.close("a newer link")
         self.links[name] = link
         self.view.met(Neighbour(name, tuple(hello["inner"]), bool(hello["member"])))
+        now = self.clock()
         if hello["member"]:
-            self.cores[tuple(hello["inner"])] = name
-            self.members[hello["member"]] = name
+            self.keepers[hello["member"]] = name
+            self.dialling.up(now, tuple(hello["inner"]), name, bool(hello["contact"]))
+        elif link.dialled is not None:
+            self.dialling.vain(now, link.dialled, False)  # no keeper is there any more
         for each in hello["cores"]:
-            self.cores.setdefault(tuple(each), "")
+            self.dialling.told(now, tuple(each))
         self.exchange.met(name)
         link.send({"t": "have", "v": self.exchange.whole(name)})
         say("link", peer=name)
         if hello["member"] and self.keeper is not None:
+            self.contact.next_at = now  # it is asked at the next tick
             self.keeper.reached(hello["member"])
 
     def _noticed(self, versions: dict[str, list]) -> None:
         told = versions.get(self.settings.node)
-        if told is not None and told[0] > self.record_life:  # of an earlier life, with a clock ahead
-            self.record_life = told[0] + 1
+        if told is not None and tuple(told) > (self.record_life, self.number):
+            self.record_life = told[0] + 1  # of an earlier life, by a clock that was ahead
             self._own_record()
         if SETTLED in versions and self.keeper is not None:
             self.keeper.peer_settled(tuple(versions[SETTLED]))
 
-    def _news(self, wanted: dict[str, list]) -> dict[str, Any]:
-        news: dict[str, Any] = {"t": "news"}
-        if SETTLED in wanted:
-            since = tuple(wanted[SETTLED]) or (0, "")
-            news["upto"] = self.copy.upto
-            news["rows"] = [row(*each) for each in self.copy.since(since)]
+    def _news(self, peer: str, message: dict[str, Any]) -> dict[str, Any]:
+        wanted, keeps = message["v"], self._keeps(peer)
+        news: dict[str, Any] = {"t": "news", "at": message["at"]}
+        if SETTLED in wanted and (self.keeper is None or keeps or self._current()):
+            rows = self.copy.since(tuple(wanted[SETTLED]) or (0, ""))
+            if not keeps:
+                rows = [(item.bare, at) for item, at in rows if for_all(item)]
+            news["upto"], news["age"] = self.copy.upto, self._age()
+            news["rows"] = [row(*each) for each in rows]
         found = [self.records.of[source].packed() for source in wanted if source in self.records.of]
         if found:
             news["records"] = found
         return news
 
-    def _take_news(self, news: dict[str, Any]) -> None:
+    def _take_news(self, peer: str, news: dict[str, Any]) -> None:
         if "upto" in news:
             upto = tuple(news["upto"])
             if self.keeper is not None:
-                self.keeper.learn(upto, news["rows"])
-            elif upto >= self.copy.upto:
-                new = self.copy.fold(upto, map(unrow, news["rows"]))
-                if new:
-                    self.journal.append("settled", new)
-                self.exchange.have(SETTLED, self.copy.upto)
+                if self._keeps(peer):  # others have no more than a part of each item
+                    self.keeper.learn(upto, news["rows"])
+            else:
+                if upto >= self.copy.upto:
+                    new = self.copy.fold(upto, map(unrow, news["rows"]))
+                    if new:
+                        self.journal.append("settled", new)
+                    self.exchange.have(SETTLED, self.copy.upto)
+                self.readiness.told(self.clock(), news["at"], news["age"])
         for told in news.get("records", ()):
             self._take_record(record(told))
         self.knows_records = self.knows_records or bool(self.copy.items)
@@ -489,18 +566,19 @@
                 self.links[peer].send({"t": "have", "v": versions})
         for peer, wanted in self.exchange.pulls(self.clock()):
             if peer in self.links:
-                self.links[peer].send({"t": "pull", "v": wanted})
+                self.links[peer].send(self._pull(self.clock(), wanted))
 
     def _send_member(self, member: str, message: dict[str, Any]) -> bool:
-        link = self.links.get(self.members.get(member, ""))
+        link = self.links.get(self.keepers.get(member, ""))
         if link is not None:
             link.send(message)
         return link is not None
 
     def _a_core(self) -> str | None:
-        """The control address of a machine with a disk that this one has a link to."""
-        linked = [member for member, node in self.members.items() if node in self.links]
-        return random.choice(linked) if linked else None
+        """The control address of a linked keeper, of one in contact if there is any."""
+        good = self.dialling.in_contact()
+        some = [member for member, name in self.keepers.items() if name in good] or list(self.keepers)
+        return random.choice(some) if some else None
 
 
 def _where(error: BaseException | None) -> str:
--- a/foxspread/orchard/replication/keeper.py
+++ b/foxspread/orchard/replication/keeper.py
@@ -8,7 +8,11 @@
 from foxspread.orchard.configuration.items import Item
 from foxspread.orchard.replication.disk import Disk
 from foxspread.orchard.replication.acceptor import Message
-from foxspread.orchard.replication.replica import Replica
+from foxspread.orchard.replication.contact import Report
+from foxspread.orchard.replication.members import Members
+from foxspread.orchard.replication.replica import PATIENCE_S, Replica
+
+CUT_OFF_S = 0.3  # for a call on a keeper without contact to a majority: its caller is to go elsewhere soon
 
 
 class Keeper(Replica):
@@ -23,11 +27,34 @@
     ) -> None:
         super().__init__(clock, life, draw, disk.put, send, self._soon, settled)
         self.disk = disk
+        self.patience: Callable[[], float] = lambda: PATIENCE_S  # for a call that comes now, seconds
+
+    @property
+    def members(self) -> Members:
+        """The agreed members, as settled here."""
+        held = self.acceptor.members
+        return held if isinstance(held, Members) else Members(getattr(self.acceptor, "epoch", 0), tuple(held))
+
+    def own_report(self, zone: str, leaving: bool, hears: tuple[str, ...]) -> Report:
+        acceptor = self.acceptor
+        return Report(
+            acceptor.me,
+            acceptor.known and acceptor.voting,
+            self.members.epoch,
+            acceptor.copy.upto,
+            max(acceptor.accepted, acceptor.copy.upto),
+            zone,
+            leaving,
+            hears,
+            acceptor.disk,
+        )
 
     def submit(self, items: list[Item]) -> asyncio.Future:
         """True, or a failure; without items a read."""
         future = asyncio.get_running_loop().create_future()
-        self.ask(items, lambda outcome: None if future.done() else future.set_result(outcome))
+        self.ask(
+            items, lambda outcome: None if future.done() else future.set_result(outcome), self.patience()
+        )
         return future
 
     def _soon(self, call: Callable[..., None], *told: object) -> None:
--- a/tests/orchard/test_node.py
+++ b/tests/orchard/test_node.py
@@ -73,7 +73,7 @@
             node.keeper = object()
             with mock.patch.object(node, "_call", mock.AsyncMock()):
                 node._dial(loop.time())
-            return {place[0] for place in node.dialling}
+            return {place[0] for place, there in node.dialling.of.items() if there.calling}
 
         self.assertEqual({"127.0.0.2", "127.0.0.3"}, asyncio.run(called("127.0.0.1")))
         self.assertEqual(set(), asyncio.run(called("127.0.0.3")))
