--- a/foxspread/orchard/control/readiness.py
+++ b/foxspread/orchard/control/readiness.py
@@ -1,7 +1,7 @@
 """When a process is ready, and how old what it holds may be. Without I/O.
 
 A keeper is ready while its contact with a majority is young. A sidecar becomes ready in a life on a basis
-that was current a short time ago, told by a keeper in contact or by a neighbour that has such a basis itself; then
+that was current a short time ago, told by a keeper in contact or by a neighbour that has such a basis; then
 it stays ready with what it has, whatever becomes of the keepers. Until then, and while neighbours lean on it,
 it asks again. A basis counts from the asking for it, on this process's own steady clock, so that an answer
 that a cut held up, or that a frozen process reads late, is as old as it is.
--- a/foxspread/orchard/membership/dialling.py
+++ b/foxspread/orchard/membership/dialling.py
@@ -40,14 +40,14 @@
 
 class Dialling:
     def __init__(
-        self, own: Address, keeps: bool, seeds: Iterable[Address], draw: Callable[[], float]
+        self, now: float, own: Address, keeps: bool, seeds: Iterable[Address], draw: Callable[[], float]
     ) -> None:
         self.own, self.keeps, self.draw = own, keeps, draw
         self.seeds: frozenset[Address] = frozenset()
         self.members: frozenset[Address] = frozenset()
         self.of: dict[Address, Place] = {}
         self.changed_at = -math.inf
-        self.seeded(0.0, seeds)
+        self.seeded(now, seeds)
 
     # Who is there.
 
--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -79,7 +79,9 @@
         self.unnamed: set[Link] = set()
         self.keepers: dict[str, str] = {}  # linked: control address -> node
         draw = random.Random(os.urandom(16)).random
-        self.dialling = Dialling(settings.inner, settings.keeps, settings.seed_addresses(), draw)
+        self.dialling = Dialling(
+            self.clock(), settings.inner, settings.keeps, settings.seed_addresses(), draw
+        )
         self.leaning, self.sides_called = Leaning(self.clock()), {}
         self.flushing = False
         me = Neighbour(settings.node, settings.inner, settings.keeps)
--- a/tests/orchard/membership/test_dialling.py
+++ b/tests/orchard/membership/test_dialling.py
@@ -28,7 +28,7 @@
 
     def __init__(self, keeps=False, own=at(200), seeds=(), members=(), live=(), refuse=(), seed=1):
         self.now, self.live, self.refuse, self.made = 0.0, set(live), set(refuse), []
-        self.dialling = Dialling(own, keeps, seeds, random.Random(seed).random)
+        self.dialling = Dialling(0.0, own, keeps, seeds, random.Random(seed).random)
         self.dialling.agreed(0.0, members)
 
     def step(self, seconds=0.1, times=1):
--- /dev/null
+++ b/tests/orchard/registry/test_spread.py
@@ -0,0 +1,83 @@
+"""When a drain is acknowledged, and that what was acknowledged holds without any control machine."""
+
+import testtools
+
+from foxspread.orchard.dataplane.lasthop import DRAIN_PART, LastHop, Terms
+from foxspread.orchard.outcome import Failure
+from foxspread.orchard.registry.lives import DRAINING, READY, Lives
+from foxspread.orchard.registry.spread import SPREAD_S, Spread
+
+DRAIN_S = 2.0
+
+
+class Waits(testtools.TestCase):
+    def test_it_waits_for_others_but_not_for_long(self):
+        # Guards: an acknowledgement that hangs on keepers, one that comes before anybody was told.
+        for guards in (True, False):
+            wait = Spread(10.0, guards)
+            self.assertIsNone(wait.outcome(10.0, 0, [], 3))
+            self.assertIsNone(wait.outcome(10.1, 1, ["k1", "k2", "k3"], 3))
+            self.assertTrue(wait.outcome(10.1, 2, ["k1", "k2", "k3"], 3))
+            self.assertTrue(wait.outcome(10.1, 1, ["k1"], 3))
+            self.assertTrue(wait.outcome(10.0 + SPREAD_S, 1, ["k1", "k2", "k3"], 3))
+            self.assertEqual(guards, wait.outcome(10.0 + SPREAD_S, 0, ["k1", "k2"], 3))
+            self.assertEqual(guards, wait.outcome(10.0 + SPREAD_S, 0, [], 3))   # only a cut-off one is linked
+
+
+class Guard(testtools.TestCase):
+    """The last hop beside the server, with no link to anybody."""
+
+    def setUp(self):
+        super().setUp()
+        self.begin()
+
+    def begin(self):
+        self.lives = Lives(1.0, "z")
+        self.hop = LastHop(self.lives, ("127.0.0.1", 8147), DRAIN_S)
+
+    def beat(self, now, state, sequence):
+        told = {"service": "s", "address": "10.0.0.9:8080", "state": state, "sequence": sequence, "berths": 9}
+        return self.lives.beat(now, "i", told)
+
+    def passes(self, now):
+        return not isinstance(self.hop.admit(now, "i", 1.0, Terms()), Failure)
+
+    def test_across_a_cut_of_twenty_seconds(self):
+        self.beat(0.0, READY, 1)
+        self.assertTrue(self.passes(0.5))
+        self.beat(1.0, DRAINING, 2)
+        for tenth in range(1, 250):
+            now = 1.0 + tenth / 10
+            if tenth % 10 == 0:
+                self.beat(now, DRAINING, 2 + tenth)
+            self.assertEqual(now - 1.0 <= DRAIN_PART * DRAIN_S, self.passes(now), now)
+        # Its caller has asked before, connecting took until then: asked again before the first byte.
+        self.assertIsInstance(self.hop.closed(22.0, "i"), Failure)
+
+    def test_a_restart_inside_it_before_and_after_the_next_beat(self):
+        # Guards: the new process knows of no drain; until the server's next beat it knows no server, and that
+        # beat says draining, since there is no way back in one life.
+        self.beat(0.0, READY, 1)
+        self.beat(1.0, DRAINING, 2)
+        self.begin()
+        self.assertFalse(self.passes(1.2))
+        self.beat(2.0, DRAINING, 3)
+        for now in (2.0, 2.1, 3.0, 20.0):
+            self.assertFalse(self.passes(now), now)
+
+    def test_a_late_word_opens_nothing(self):
+        self.beat(0.0, READY, 1)
+        self.beat(1.0, DRAINING, 3)
+        self.beat(4.0, READY, 2)
+        self.assertFalse(self.passes(4.0))
+        self.beat(4.5, READY, 4)
+        self.assertFalse(self.passes(5.0))
+        self.lives.leave(5.0, "i")
+        self.beat(5.5, READY, 5)
+        self.assertFalse(self.passes(6.0))
+
+    def test_a_process_that_stood_still_finds_the_drain_over(self):
+        self.beat(0.0, READY, 1)
+        self.beat(1.0, DRAINING, 2)
+        self.lives.slept(20.0)
+        self.assertFalse(self.passes(21.5))
