--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -130,6 +130,7 @@
             self.keeper = Keeper(
                 self.clock, self.life, self.chance.draw, disk, self._send_member, self._settled
             )
+            self.keeper.others = lambda: self.keepers
             self.keeper.patience = lambda: PATIENCE_S if self._current() else CUT_OFF_S
         control.resources["Config"] = Configuration(
             self.keeper, self._a_core, lambda: self.still.stale(self.clock())
--- a/foxspread/orchard/replication/keeper.py
+++ b/foxspread/orchard/replication/keeper.py
@@ -32,8 +32,7 @@
     @property
     def members(self) -> Members:
         """The agreed members, as settled here."""
-        held = self.acceptor.members
-        return held if isinstance(held, Members) else Members(getattr(self.acceptor, "epoch", 0), tuple(held))
+        return self.acceptor.members
 
     def own_report(self, zone: str, leaving: bool, hears: tuple[str, ...]) -> Report:
         acceptor = self.acceptor
