Calls of the operator: bounded whole, none taken for new by a process that stood still; what a node tells, tested without sockets

Cause: a call of 64 MB was read whole (27 times as much in memory at the worst), and a frozen process that woke took old copies of orders for new ones. Tests drive past each bound.

--- a/foxspread/orchard/control/desk.py
+++ b/foxspread/orchard/control/desk.py
@@ -12,6 +12,9 @@
 from foxspread.orchard.log import say
 from foxspread.orchard.outcome import Failure
 
+# Bytes of a call: 16,000 routes. What JSON of that size may become in memory, 27 times as much at the worst,
+# a process can bear.
+ORDER_MOST = 4 * 1024 * 1024
 JSON = b"Content-Type: application/json\r\n"
 Answer = dict[str, Any] | Failure
 Call = Callable[[str, bytes], Awaitable[Answer]]
@@ -26,7 +29,7 @@
 
 class ControlDesk(Desk):
     def __init__(self, clock: Callable[[], float], resources: dict[str, object]) -> None:
-        super().__init__(clock, Limits(16 * 1024, 64 * 1024 * 1024, 5.0, 30.0))
+        super().__init__(clock, Limits(16 * 1024, ORDER_MOST, 5.0, 30.0))
         self.resources = resources
         self.tasks: set[asyncio.Task] = set()
 
--- a/tests/orchard/control/test_desk.py
+++ b/tests/orchard/control/test_desk.py
@@ -1,12 +1,13 @@
 """Calls of servers and the operator: each gets one answer, whatever happens to it."""
 
 import asyncio
+import json
 
 import orjson
 
 from foxspread.orchard.dataplane.serving import Serving
 from foxspread.orchard.control.configuration import Configuration
-from foxspread.orchard.control.desk import ControlDesk, ReadyDesk
+from foxspread.orchard.control.desk import ORDER_MOST, ControlDesk, ReadyDesk
 from foxspread.orchard.control.instances import Instances
 from foxspread.orchard.registry.lives import DRAINING, Lives
 from foxspread.orchard.outcome import conflict, unsettled
@@ -112,6 +113,60 @@
             self.assertEqual([wanted], self.call(b"/api/Config.Get", method=b"GET"))
             self.assertEqual([wanted], self.call(b"/api/Config.Patch", b"{"))
 
+    def test_orders_that_are_too_much(self):
+        # Guards: each gets a clear refusal, nothing of it is submitted, and none is read whole that is too
+        # large: by its length, and by what comes of one without a length.
+        keeper = Keeper(self.loop, True)
+        self.desk.resources["Config"] = Configuration(keeper, lambda: None)
+        for size in (ORDER_MOST + 1, 64 * 1024 * 1024):
+            head = b"POST /api/Config.Patch HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
+            self.assertEqual([413], self.sent(head + b" " * 1000))
+        chunk = b"%x\r\n%b\r\n" % (1 << 20, b" " * (1 << 20))
+        head = b"POST /api/Config.Patch HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.assertEqual([413], self.sent(head + 5 * chunk))
+        head = b"POST /api/Config.Patch HTTP/1.1\r\nHost: h\r\nContent-Length: 500\r\n\r\n"
+        self.assertEqual([], self.sent(head + orjson.dumps(CALL)[:100]))   # cut off, and the peer is gone
+        for change in (
+            {"name": "n" * 65536},
+            {"edition": "r" + "9" * 16},
+            {"priority": 10**30},
+            {"target_s": 10**300},
+            {"edition": 7},
+        ):
+            call = {"lodge": {"fleets": [{"name": "s1", "edition": "r1"}],
+                              "gates": [{"destination": "h", "regulations": [rule() | change]}]}}  # fmt: skip
+            body = json.dumps(call).encode()
+            self.assertEqual([400], self.call(b"/api/Config.Patch", body), change)
+        endless = b'{"lodge":{"limits":{"edition":"r1","idle_s":1e999}}}'
+        for body in (b"[" * 100_000, b'{"lodge":' * 5000, endless):
+            self.assertEqual([400], self.call(b"/api/Config.Patch", body), body[:20])
+        self.assertEqual([], keeper.got)
+
+    def sent(self, data):
+        line = Serving(self.desk)
+        transport = Transport(self.loop, line)
+        line.connection_made(transport)
+        transport.receive(data)
+        self.loop.advance(0.1)
+        return statuses(transport.written)
+
+    def test_a_process_that_stood_still_takes_no_order_for_new(self):
+        # Guards: an order read on waking may be a copy that its operator has long sent elsewhere; also one
+        # that was being read in slices meanwhile. Each is asked at the act, twice.
+        keeper = Keeper(self.loop, True)
+        for answers, wanted, got in (
+            ([True], 503, 0),
+            ([False, True], 503, 0),
+            ([False, False], 200, 1),
+        ):
+            told = iter(answers)
+            self.desk.resources["Config"] = Configuration(keeper, lambda: None, lambda told=told: next(told))
+            self.assertEqual([wanted], self.call(b"/api/Config.Patch", CALL))
+            self.assertEqual(got, len(keeper.got))
+        self.desk.resources["Config"] = Configuration(keeper, lambda: None, lambda: True)
+        self.assertEqual([503], self.call(b"/api/Config.Get", method=b"GET"))
+        self.assertEqual(1, len(keeper.got))
+
     def test_a_call_that_fails(self):
         # Guards: an error of ours must not leave the caller without an answer; it is told to go elsewhere.
         self.desk.resources["Config"] = Configuration(Keeper(self.loop, ValueError("ours")), lambda: None)
--- a/tests/orchard/test_node.py
+++ b/tests/orchard/test_node.py
@@ -8,12 +8,17 @@
 import os
 import pathlib
 import tempfile
+from types import SimpleNamespace
 from unittest import mock
 
 import testtools
 
 from foxspread.orchard import log
-from foxspread.orchard.node import Node
+from foxspread.orchard.configuration.items import LEASE, MEMBERS, SERVICE, Item
+from foxspread.orchard.node import SETTLED, Node
+from foxspread.orchard.replication.contact import TELL_S, Contact, Report
+from foxspread.orchard.replication.copy import row
+from foxspread.orchard.replication.members import Members
 from foxspread.orchard.settings import FILE_VARIABLE, read, taken
 
 FILE = {
@@ -78,3 +83,89 @@
         self.assertEqual({"127.0.0.2", "127.0.0.3"}, asyncio.run(called("127.0.0.1")))
         self.assertEqual(set(), asyncio.run(called("127.0.0.3")))
         self.assertEqual({"127.0.0.1", "127.0.0.2", "127.0.0.3"}, asyncio.run(called("127.0.0.4")))
+
+
+class Told(testtools.TestCase):
+    """What a process tells of the settled set, and by what it becomes ready."""
+
+    def node(self, loop: asyncio.AbstractEventLoop, ip: str, **changes: object) -> Node:
+        told = {"node": f"n-{ip}", "ip": ip, "counters": {"control": f"{ip}:8146"}}
+        node = Node(taken({**FILE, **told, **changes}), loop)
+        node.now = 1000.0
+        node.clock = lambda: node.now
+        return node
+
+    def test_a_keeper_out_of_contact_tells_sidecars_nothing_of_the_settled_set(self) -> None:
+        """At each answer, also right after a freeze; other keepers are told always."""
+
+        async def play() -> None:
+            loop = asyncio.get_running_loop()
+            node = self.node(loop, "127.0.0.1", data_dir="x", serves=["control"])
+            members = Members(0, ("127.0.0.1:8146", "m2", "m3"))
+            node.keeper = SimpleNamespace(acceptor=object(), members=members, fresh=True)
+            node.keepers = {"m2": "k2"}
+            past = (0, ((1, "d"),))
+            rows = [Item(SERVICE, "s", 2, {"name": "s"}, past), Item(LEASE, MEMBERS, 1, {"holder": "m2"})]
+            node.copy.fold((4, "l"), [(each, (4, "l")) for each in rows])
+            pull = {"t": "pull", "v": {SETTLED: []}, "at": 7.0}
+
+            def told(peer: str) -> tuple[bool, bool, int]:
+                news = node._news(peer, pull)
+                return node._tells(peer, SETTLED), node._ready(), len(news.get("rows", ()))
+
+            self.assertEqual((False, False, 0), told("side"))
+            self.assertEqual((True, False, 2), told("k2"))
+            asking = node.contact.ask(node.now, Report(members.of[0], True, 0, (4, "l"), (4, "l")))
+            node.contact.heard(
+                node.now, "m2", Contact.answer(asking, Report("m2", True, 0, (4, "l"), (4, "l")))
+            )
+            node.now += 1.0
+            self.assertEqual((True, True, 1), told("side"))
+            news = node._news("side", pull)
+            self.assertEqual((7.0, 1.0), (news["at"], news["age"]))
+            self.assertEqual([row(rows[0].bare, (4, "l"))], news["rows"])
+            node.now += TELL_S   # it stood still: nothing has told it so yet
+            self.assertEqual((False, False, 0), told("side"))
+            self.assertEqual((True, False, 2), told("k2"))
+
+        asyncio.run(play())
+
+    def test_a_sidecar_takes_old_rows_and_is_not_ready_by_them(self) -> None:
+        """Nor by what a cut held up; a keeper takes no rows from one that holds but a part of each item."""
+
+        async def play() -> None:
+            node = self.node(asyncio.get_running_loop(), "127.0.0.9")
+            item = Item(SERVICE, "s", 2, {"name": "s"})
+            news = {"t": "news", "at": 1000.0, "upto": [4, "l"], "rows": [row(item, (4, "l"))]}
+            for at, age, ready in ((1000.0, None, False), (1000.0, 9.0, False), (980.0, 0.1, False),
+                                   (999.9, 0.2, True), (980.0, 20.0, True)):  # fmt: skip
+                node._take_news("x", {**news, "at": at, "age": age})
+                self.assertEqual(ready, node._ready(), (at, age))
+                self.assertEqual({item.key: item}, node.copy.items)
+            learnt = []
+            node.keeper = SimpleNamespace(learn=lambda *told: learnt.append(told))
+            node.keepers = {"m2": "k2"}
+            node._take_news("side", {**news, "age": 0.1})
+            self.assertEqual([], learnt)
+            node._take_news("k2", {**news, "age": None})
+            self.assertEqual(1, len(learnt))
+
+        asyncio.run(play())
+
+    def test_a_record_outlives_a_clock_that_was_set_back(self) -> None:
+        """What others hold of an earlier life is overtaken, also where both began at the same moment."""
+
+        async def play() -> None:
+            node = self.node(asyncio.get_running_loop(), "127.0.0.9")
+            node._own_record()
+            for told in ([node.record_life + 10**12, 3], [node.record_life + 10**12, 9]):
+                node._noticed({node.settings.node: told})
+                self.assertTrue((node.record_life, node.number) > tuple(told))
+                self.assertEqual((node.record_life, node.number), node.records.of["n-127.0.0.9"].version)
+            node._noticed({node.settings.node: [node.record_life, node.number + 4]})
+            self.assertTrue(node.records.of["n-127.0.0.9"].version[0] > 10**12)
+            before = node.records.of["n-127.0.0.9"].version
+            node._noticed({node.settings.node: list(before)})
+            self.assertEqual(before, node.records.of["n-127.0.0.9"].version)
+
+        asyncio.run(play())
