--- a/foxspread/orchard/membership/dialling.py
+++ b/foxspread/orchard/membership/dialling.py
@@ -16,8 +16,10 @@
 LINKS_MOST = 5  # to keepers, that a sidecar keeps
 CALLS_MOST = 5  # under way at once
 CALL_S = 0.6  # for a link to come up
-REFUSED_S, SILENT_S = 0.12, 0.6  # first pause, by chance up to half more; it doubles with each call in vain
-PAUSE_MOST_S = 1.2  # for seeds and agreed members: whoever comes back is reached within about 2 s
+REFUSED_S, SILENT_S = 0.12, 0.3  # first pause, by chance up to half more
+VAIN = 3  # calls, after which the pause doubles: whoever refuses is often about to be there
+PAUSE_MOST_KEEPERS_S = 0.6  # of keepers to seeds and agreed members: a majority hangs on it
+PAUSE_MOST_S = 1.2  # of sidecars to these: whoever comes back is reached within about 2 s
 PAUSE_MOST_REST_S = 6.0
 HIGHER_S = 1.5  # after which the higher of two keepers calls too: the lower may not know of it
 FORGET_S = 30.0  # after which one that does not answer is forgotten
@@ -103,8 +105,10 @@
             return
         there.calling = False
         first = REFUSED_S if refused else SILENT_S
-        most = PAUSE_MOST_S if place in self.lasting else PAUSE_MOST_REST_S
-        pause = min(most, first * 2 ** min(there.vain, 10))
+        most = PAUSE_MOST_KEEPERS_S if self.keeps else PAUSE_MOST_S
+        if place not in self.lasting:
+            most = PAUSE_MOST_REST_S
+        pause = min(most, first * 2 ** min(there.vain // VAIN, 10))
         there.vain += 1
         there.next_at = now + pause * (1 + 0.5 * self.draw())
 
