--- a/foxspread/orchard/replication/replacement.py
+++ b/foxspread/orchard/replication/replacement.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass
 
 from foxspread.orchard.configuration.items import LEASE, MEMBERS, Item
+from foxspread.orchard.log import say
 from foxspread.orchard.outcome import Failure
 from foxspread.orchard.replication.contact import Report
 from foxspread.orchard.replication.copy import Ballot
@@ -166,6 +167,7 @@
         if self.epoch != view.members.epoch:
             if self.epoch is not None:
                 self.epochs.append(now)
+                say("members", epoch=view.members.epoch, of=",".join(view.members.of))
             self.epoch, self.need = view.members.epoch, None
         while self.epochs and now - self.epochs[0] >= CHANGES_S:
             self.epochs.popleft()
@@ -309,6 +311,7 @@
 
     def _ask(self, now: float, version: int, items: list[Item]) -> list[Item]:
         self.asked = Asked(now, version)
+        say("members_duty", lease=version, asks="a change" if items else "the lease", failures=self.failures)
         return [Item(LEASE, MEMBERS, version, self._name()), *items]
 
 
