Hollow sidecars: what each role spends, by the number of sidecars

Several hundred sidecars now share a process, each a node as in service on a loopback address of its own, without listeners for requests, beside real keepers: bytes, messages, processor time and memory by role while nothing changes, at a rate of changes, of servers' news, of restarts, and when a zone comes back; how long until a change is in force everywhere; and by which power each grows. Counted at the event loop, so that little of the node is leaned on.

--- a/foxspread/orchard/__main__.py
+++ b/foxspread/orchard/__main__.py
@@ -6,7 +6,7 @@
 import signal
 import sys
 import tempfile
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import click
 
@@ -14,6 +14,8 @@
     from foxspread.orchard.nursery.plot import Plot
     from foxspread.orchard.nursery.trial import Figures
 
+HOLLOW_MOST = 3000  # sidecars: more do not fit one machine
+
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 def main() -> None:
@@ -23,6 +25,7 @@
     python -m foxspread.orchard node            one process, by its settings file
     python -m foxspread.orchard up --folder DIR the whole of it on this machine
     python -m foxspread.orchard try DIR         what it does, by figures
+    python -m foxspread.orchard hollow          what each role spends, by the number of sidecars
     """
 
 
@@ -166,5 +169,54 @@
     sys.exit(1 if summary.broken else 0)
 
 
+def _sizes(context: click.Context, option: click.Option, text: str) -> list[int]:
+    try:
+        sizes = [int(each) for each in text.split(",")]
+    except ValueError as error:
+        raise click.BadParameter(f"{text}: wants A,B,...") from error
+    if not all(1 <= each <= HOLLOW_MOST for each in sizes):
+        raise click.BadParameter(f"{text}: from 1 to {HOLLOW_MOST}")
+    return sizes
+
+
+@main.command()
+@click.option("--sizes", default="50,100,200,400", show_default=True, callback=_sizes, metavar="A,B,...")
+@click.option("--keepers", default=3, show_default=True, type=click.IntRange(1, 22), help="Real processes.")
+@click.option("--services", default=50, show_default=True, type=click.IntRange(1, 1500))
+@click.option("--routes", default=100, show_default=True, type=click.IntRange(1, 5000))
+@click.option("--a-process", default=200, show_default=True, type=click.IntRange(1, 800), help="Sidecars.")
+@click.option(
+    "--seconds", default=10.0, show_default=True, type=click.FloatRange(2.0, 300.0), help="A phase."
+)
+@click.option("--changes", default=2.0, show_default=True, type=click.FloatRange(0.1, 50.0), help="A second.")
+@click.option("--news", default=4.0, show_default=True, type=click.FloatRange(0.1, 200.0), help="A second.")
+@click.option(
+    "--restarts", default=1.0, show_default=True, type=click.FloatRange(0.1, 20.0), help="A second."
+)
+@click.option("--net", default="127.77", show_default=True, help="The first two numbers of all addresses.")
+@click.option("--target", default=15_000, show_default=True, help="Sidecars, to which slopes are carried.")
+@click.option("--minutes", default=10.0, show_default=True, help="After these no further size begins.")
+@click.option("--out", default="hollow.json", show_default=True, help="For the figures.")
+@click.option("--folder", metavar="DIR", help="For settings, data and logs; else a new one.")
+def hollow(
+    sizes: list[int], target: int, minutes: float, out: str, folder: str | None, seconds: float, **told: Any
+) -> None:
+    """Hollow sidecars beside real keepers: what each role spends by size.
+
+    Exit code 1 where a size failed or a change did not arrive everywhere.
+    """
+    import pathlib
+
+    import uvloop
+
+    from foxspread.orchard.hollow.run import Shape, lines, several
+
+    shape = Shape(phase_s=seconds, **told)
+    place = pathlib.Path(folder or tempfile.mkdtemp(prefix="orchard-hollow-")).absolute()
+    found = uvloop.run(several(shape, sizes, place, pathlib.Path(out), 60 * minutes, click.echo))
+    click.echo("\n".join(lines(found, target)))
+    sys.exit(0 if len(found) == len(sizes) and not any(each.faults for each in found) else 1)
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/foxspread/orchard/hollow/slopes.py
@@ -0,0 +1,59 @@
+"""What figures by size tell: by which power each grows, and where that leads. Pure."""
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """`at one` x size ** `power`, by least squares of the logarithms."""
+
+    at_one: float
+    power: float
+
+    def at(self, size: float) -> float:
+        return self.at_one * size**self.power
+
+
+def slope(figures: Mapping[int, float]) -> Slope | None:
+    """By size; None where fewer than two sizes have a figure above nought: nothing can be carried on."""
+    points = [(math.log(size), math.log(value)) for size, value in figures.items() if value > 0]
+    if len(points) < 2:
+        return None
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    power = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return Slope(math.exp(mean_y - power * mean_x), power)
+
+
+def share(values: Sequence[float], part: float) -> float:
+    """The value that `part` of them do not exceed; nan of none."""
+    if not values:
+        return math.nan
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, max(0, math.ceil(part * len(ordered)) - 1))]
+
+
+def table(figures: Mapping[str, Mapping[int, float]], target: int) -> list[str]:
+    """A line a figure: at each size, its power, and carried to `target` on paper."""
+    sizes = sorted({size for each in figures.values() for size in each})
+    rows = [["", *map(str, sizes), "power", f"on paper {target}"]]
+    for name, each in figures.items():
+        found = slope(each)
+        carried = ["-", "-"] if found is None else [f"{found.power:.2f}", shown(found.at(target))]
+        rows.append([name, *(shown(each[size]) if size in each else "-" for size in sizes), *carried])
+    widths = [max(len(row[n]) for row in rows) for n in range(len(rows[0]))]
+    return [
+        "  ".join([row[0].ljust(widths[0]), *(t.rjust(w) for t, w in zip(row[1:], widths[1:]))]).rstrip()
+        for row in rows
+    ]
+
+
+def shown(value: float) -> str:
+    """Three figures that count."""
+    if math.isnan(value) or value == 0:
+        return "-" if math.isnan(value) else "0"
+    digits = 2 - math.floor(math.log10(abs(value)))
+    return f"{round(value, digits):,.{max(0, digits)}f}"
--- a/foxspread/orchard/nursery/growing.py
+++ b/foxspread/orchard/nursery/growing.py
@@ -42,20 +42,19 @@
     def __init__(
         self, name: str, folder: pathlib.Path, arguments: list[str], variables: dict[str, str]
     ) -> None:
-        self.name, self.folder, self.arguments = name, folder, arguments
+        self.name, self.folder = name, folder
         self.variables = {**os.environ, **variables}
         self.pid_file = folder / f"{name}.pid"
         self.log = folder / f"{name}.log"
+        self.command, self.root = [sys.executable, "-m", *arguments], ROOT
         self.process: asyncio.subprocess.Process | None = None
         self.ends: list[float] = []
 
     async def start(self) -> None:
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                *self.arguments,
-                cwd=ROOT,
+                *self.command,
+                cwd=self.root,
                 env=self.variables,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
