What neighbours lack is kept as it changes, not found by walking all that they have

A machine with a disk has a neighbour and a source for each sidecar. At each turn of its loop it walked all that every neighbour had told, and it held for each neighbour the version of each source that it had been told: at N sidecars, N x N entries. Kept now: sources that some neighbour has newer, and per neighbour one number up to which it was told all changes, and the few sources held back.

--- a/foxspread/orchard/membership/exchange.py
+++ b/foxspread/orchard/membership/exchange.py
@@ -1,6 +1,11 @@
 """Who lacks what. Each source of news (the settled set, each sidecar's own record) has a version that only
 grows. A sidecar tells its neighbours versions, and pulls what it lacks from one of them: what is large goes
 over one link once, what goes over all of them is a few bytes.
+
+What a step costs and holds goes by what has changed, and by the neighbours that are told, never by the
+sources of all neighbours: a machine with a disk has as many neighbours as there are sidecars, and each
+sidecar is a source. What a neighbour was told is therefore kept as a number, up to which it was told all
+changes, and the few sources that were held back.
 """
 
 from collections.abc import Callable, Hashable, Iterable
@@ -14,8 +19,10 @@
 class Peer:
     """What a neighbour has told of itself, and what it was told."""
 
+    number: int  # in the order in which they came: of two with the same version the earlier one is asked
+    told: int  # changes here up to this one, but for those of `held`
+    held: set[str]
     has: dict[str, Version] = field(default_factory=dict)
-    told: dict[str, Version] = field(default_factory=dict)
 
 
 @dataclass
@@ -30,41 +37,65 @@
         """`tells`: of which sources versions are told to that neighbour unasked."""
         self.tells = tells
         self.mine: dict[str, Version] = {}
+        self.changed: dict[str, int] = {}  # by source: the number of its last change here
+        self.changes = 0
         self.peers: dict[Hashable, Peer] = {}
+        self.came = 0  # neighbours, counted
+        self.newer: dict[str, dict[Hashable, Version]] = {}  # by source: neighbours that have it newer
         self.asked: dict[str, Asked] = {}  # by source: what is under way
         self.dirty: set[str] = set()
 
     def met(self, peer: Hashable) -> None:
-        self.peers[peer] = Peer()
+        old = self.peers.get(peer)
+        if old is not None:
+            self._less(peer)
+        self.came += 1
+        number = self.came if old is None else old.number
+        self.peers[peer] = Peer(number, told=self.changes, held=set(self.mine))
 
     def left(self, peer: Hashable) -> None:
-        self.peers.pop(peer, None)
+        if self.peers.pop(peer, None) is not None:
+            self._less(peer)
         self.asked.clear()  # what it was asked for may never come; asking twice costs little
 
     def have(self, source: str, version: Version) -> None:
         """This copy now has that version."""
         if version > self.mine.get(source, ()):
             self.mine[source] = version
+            self.changes += 1
+            self.changed[source] = self.changes
             self.dirty.add(source)
             if source in self.asked and version >= self.asked[source].version:
                 del self.asked[source]
+            if (newer := self.newer.get(source)) is not None:
+                self._keep(source, {peer: there for peer, there in newer.items() if there > version})
 
     def forget(self, source: str) -> None:
+        """Nothing is had of it here any more; a neighbour that has it is asked for it again."""
         self.mine.pop(source, None)
+        self.changed.pop(source, None)
         self.dirty.discard(source)
+        self._keep(
+            source, {name: peer.has[source] for name, peer in self.peers.items() if source in peer.has}
+        )
 
     def notices(self) -> list[tuple[Hashable, dict[str, Version]]]:
         """What neighbours are to be told since the last time: versions that are new to them as far as
         known."""
         rows = []
-        for name, peer in self.peers.items():
-            news = {
-                s: self.mine[s]
-                for s in self.dirty
-                if s in self.mine and self.tells(name, s) and peer.told.get(s, ()) < self.mine[s]
-            }
+        dirty = [source for source in self.dirty if source in self.mine]
+        for name, peer in self.peers.items() if dirty else ():
+            news = {}
+            for source in dirty:
+                if self.changed[source] <= peer.told and source not in peer.held:
+                    continue
+                if self.tells(name, source):
+                    news[source] = self.mine[source]
+                    peer.held.discard(source)
+                else:
+                    peer.held.add(source)
+            peer.told = self.changes
             if news:
-                peer.told.update(news)
                 rows.append((name, news))
         self.dirty.clear()
         return rows
@@ -72,23 +103,25 @@
     def whole(self, peer: Hashable) -> dict[str, Version]:
         """All versions that a new neighbour is told."""
         news = {s: v for s, v in self.mine.items() if self.tells(peer, s)}
-        self.peers[peer].told.update(news)
+        there = self.peers[peer]
+        there.told, there.held = self.changes, self.mine.keys() - news.keys()
         return news
 
     def told(self, peer: Hashable, versions: dict[str, Version]) -> None:
-        if (there := self.peers.get(peer)) is not None:
-            there.has.update(versions)
+        if (there := self.peers.get(peer)) is None:
+            return
+        there.has.update(versions)
+        for source, version in versions.items():
+            if version > self.mine.get(source, ()):
+                self.newer.setdefault(source, {})[peer] = version
+            elif (newer := self.newer.get(source)) is not None and newer.pop(peer, None) is not None:
+                self._keep(source, newer)
 
     def pulls(self, now: float) -> list[tuple[Hashable, dict[str, Version]]]:
         """What to ask of whom: each source that some neighbour has newer, of the one that has it newest, with
         what is had here; where it did not come, of the others in turn."""
-        having: dict[str, dict[Hashable, Version]] = {}
-        for name, peer in self.peers.items():
-            for source, version in peer.has.items():
-                if version > self.mine.get(source, ()):
-                    having.setdefault(source, {})[name] = version
         rows: dict[Hashable, dict[str, Version]] = {}
-        for source, versions in having.items():
+        for source, versions in self.newer.items():
             newest, under_way = max(versions.values()), self.asked.get(source)
             if under_way is None or under_way.version < newest:
                 under_way = Asked(newest, 0.0, set())
@@ -96,7 +129,10 @@
                 continue
             if under_way.of >= versions.keys():
                 under_way.of.clear()
-            name = max((each for each in versions if each not in under_way.of), key=versions.__getitem__)
+            name = max(
+                (each for each in versions if each not in under_way.of),
+                key=lambda each: (versions[each], -self.peers[each].number),
+            )
             self.asked[source] = Asked(newest, now + ASKED_S, under_way.of | {name})
             rows.setdefault(name, {})[source] = self.mine.get(source, ())
         return list(rows.items())
@@ -104,3 +140,15 @@
     def known_by(self, source: str, version: Version, peers: Iterable[Hashable]) -> int:
         """How many of these neighbours have told that they have it."""
         return sum(self.peers[p].has.get(source, ()) >= version for p in peers if p in self.peers)
+
+    def _less(self, peer: Hashable) -> None:
+        """What that neighbour has newer counts no more."""
+        for source in [source for source, newer in self.newer.items() if peer in newer]:
+            del self.newer[source][peer]
+            self._keep(source, self.newer[source])
+
+    def _keep(self, source: str, newer: dict[Hashable, Version]) -> None:
+        if newer:
+            self.newer[source] = newer
+        else:
+            self.newer.pop(source, None)
