Sidecars are counted as their records come

They were counted by a walk over all records for each further try of a request, and a zone's for each look of one that leaves. The count and each zone's are kept; held against the walk in every order of five records.

--- a/foxspread/orchard/registry/records.py
+++ b/foxspread/orchard/registry/records.py
@@ -44,11 +44,14 @@
 
 
 class Records:
-    """A view: the newest record of each sidecar, and since when it says so."""
+    """A view: the newest record of each sidecar, and since when it says so. How many there are is asked for
+    each further try of a request, so it is counted as they come."""
 
     def __init__(self) -> None:
         self.of: dict[str, Record] = {}
         self.since: dict[str, float] = {}  # in that state, in that life
+        self.sidecars = 0  # that have a last hop
+        self.of_zone: dict[str, set[str]] = {}  # those
 
     def take(self, now: float, new: Record) -> bool:
         old = self.of.get(new.node)
@@ -56,12 +59,18 @@
             return False
         if old is None or (old.state, old.version[0]) != (new.state, new.version[0]):
             self.since[new.node] = now
+        if old is not None and old.inbound is not None:
+            self.sidecars -= 1
+            self.of_zone[old.zone].discard(old.node)
+        if new.inbound is not None:
+            self.sidecars += 1
+            self.of_zone.setdefault(new.zone, set()).add(new.node)
         self.of[new.node] = new
         return True
 
     def spares(self, now: float, node: str, zone: str, settled: float) -> bool:
         """Whether callers of that sidecar have others to go to: at least half of the zone's have been up for
         `settled` seconds. With fewer in, a platform sends callers to whatever there is."""
-        here = [each for each in self.of.values() if each.zone == zone and each.inbound is not None]
+        here = [self.of[each] for each in self.of_zone.get(zone, ())]
         up = [each for each in here if each.node != node and each.state == UP]
         return len(here) < 2 or 2 * sum(now - self.since[each.node] >= settled for each in up) >= len(here)
--- a/tests/orchard/registry/test_lives.py
+++ b/tests/orchard/registry/test_lives.py
@@ -125,3 +125,21 @@
         spares += [records.spares(now, "a", "z", 1.5) for now in (5.0, 5.6)]
         self.assertEqual([False, True, False, False, True], spares)
         self.assertTrue(records.spares(9.0, "far", "y", 1.5))   # the only one of its zone waits for nobody
+
+    def test_how_many_sidecars_are_known(self):
+        # Guards: counted as records come, whatever their order: the same as counting all of them.
+        rows = [
+            ["n", [1, 1], "z", "up", "a:1", []],
+            ["n", [1, 2], "y", "leaving", "a:1", []],
+            ["n", [2, 1], "z", "up", "", []],
+            ["m", [1, 1], "y", "up", "b:1", []],
+            ["keeper", [1, 1], "z", "up", "", []],
+        ]
+        for order in permutations(rows):
+            records = Records()
+            for number, row in enumerate(order):
+                records.take(float(number), record(row))
+                sides = [each for each in records.of.values() if each.inbound is not None]
+                self.assertEqual(len(sides), records.sidecars, order)
+                zones = {zone: {each.node for each in sides if each.zone == zone} for zone in "zy"}
+                self.assertEqual(zones, {zone: records.of_zone.get(zone, set()) for zone in "zy"}, order)
