--- a/foxspread/orchard/__main__.py
+++ b/foxspread/orchard/__main__.py
@@ -209,11 +209,22 @@
 
     import uvloop
 
-    from foxspread.orchard.hollow.run import Shape, lines, several
+    from foxspread.orchard.hollow.run import Shape, Size, lines, several
 
     shape = Shape(phase_s=seconds, **told)
     place = pathlib.Path(folder or tempfile.mkdtemp(prefix="orchard-hollow-")).absolute()
-    found = uvloop.run(several(shape, sizes, place, pathlib.Path(out), 60 * minutes, click.echo))
+
+    async def run() -> list[Size]:
+        """A signal ends it, and its processes with it."""
+        running = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGINT, running.cancel)
+        return await several(shape, sizes, place, pathlib.Path(out), 60 * minutes, click.echo)
+
+    try:
+        found = uvloop.run(run())
+    except asyncio.CancelledError:
+        raise click.ClickException("ended by a signal") from None
     click.echo("\n".join(lines(found, target)))
     sys.exit(0 if len(found) == len(sizes) and not any(each.faults for each in found) else 1)
 
