--- a/foxspread/orchard/hollow/process.py
+++ b/foxspread/orchard/hollow/process.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from collections import defaultdict
+from functools import partial
 from typing import Any
 
 import orjson
@@ -17,7 +18,7 @@
 from foxspread.orchard.log import start
 from foxspread.orchard.settings import taken
 
-MARKS_MOST = 2_000_000  # times that are kept until they are asked for; more are counted alone
+MARKS_MOST = 2_000_000  # times that are kept until they are asked for; more are left out, and missed
 PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -32,17 +33,19 @@
         """`told`: `sidecars`, settings of each, by node."""
         self.loop = loop
         self.marking = False
-        self.marks: dict[str, list[float]] = defaultdict(list)
+        self.marks: dict[str, dict[str, float]] = defaultdict(dict)  # what, by who knew it when first
         self.count = 0
         self.bare = resident()
         self.hollows = {
-            name: Hollow(loop, taken(settings), self._mark) for name, settings in told["sidecars"].items()
+            name: Hollow(loop, taken(settings), partial(self._mark, name))
+            for name, settings in told["sidecars"].items()
         }
 
-    def _mark(self, what: str, at: float) -> None:
-        if self.marking and self.count < MARKS_MOST:
+    def _mark(self, who: str, what: str, at: float) -> None:
+        """Of a sidecar that is started again only the first time counts: it learns all anew."""
+        if self.marking and self.count < MARKS_MOST and who not in (known := self.marks[what]):
             self.count += 1
-            self.marks[what].append(round(at, 4))
+            known[who] = round(at, 4)
 
     async def do(self, told: dict[str, Any]) -> dict[str, Any]:
         return await getattr(self, f"_{told['do']}")(told)
@@ -91,7 +94,7 @@
         return {}
 
     async def _marks(self, told: dict[str, Any]) -> dict[str, Any]:
-        return {"marks": {what: self.marks[what] for what in told["of"] if what in self.marks}}
+        return {"marks": {what: list(self.marks[what].values()) for what in told["of"] if what in self.marks}}
 
 
 async def run(path: str) -> None:
