--- a/foxspread/orchard/replication/replacement.py
+++ b/foxspread/orchard/replication/replacement.py
@@ -20,7 +20,7 @@
 from foxspread.orchard.log import say
 from foxspread.orchard.outcome import Failure
 from foxspread.orchard.replication.contact import Report
-from foxspread.orchard.replication.copy import Ballot
+from foxspread.orchard.replication.copy import Ballot, Copy
 from foxspread.orchard.replication.members import Members, changed, quorum
 
 LEAST = 3  # members, where there are so many machines: fewer bear nothing
@@ -56,6 +56,24 @@
     zones: int = 0
     age: float | None = None  # seconds since the last contact with a majority; None: none yet
 
+    @classmethod
+    def of(
+        cls,
+        now: float,
+        own: Report,
+        members: Members,
+        copy: Copy,
+        heard: Mapping[str, tuple[Report, float]],
+        age: float | None,
+        machines: int,
+        zones: int,
+    ) -> "View":
+        """`heard`: the newest report of each other keeper, and when it came, as `Contact` has them."""
+        reports = {name: (at, report) for name, (report, at) in heard.items()}
+        reports[own.member] = now, own
+        lease = copy.items.get((LEASE, MEMBERS))
+        return cls(own.member, members, lease, reports, copy.upto, machines, zones, age)
+
 
 @dataclass(slots=True)
 class Asked:
@@ -97,6 +115,16 @@
         self.lost: dict[str, float] = {}  # keepers that were missed, when last; kept for `LATELY_S`
         self.leaving_since: float | None = None
 
+    def tend(
+        self,
+        clock: Callable[[], float],
+        view: View,
+        ask: Callable[[list[Item], Callable[[bool | Failure], None]], object],
+    ) -> None:
+        """One step, its call put to the register by `ask`, and the outcome told."""
+        if (items := self.step(clock(), view)) is not None:
+            ask(items, lambda outcome: self.told(clock(), outcome))
+
     # Inputs.
 
     def step(self, now: float, view: View) -> list[Item] | None:
@@ -120,14 +148,13 @@
         return None
 
     def told(self, now: float, outcome: bool | Failure) -> None:
-        """How the call came out; not known counts as not held, and the version shows in the next view."""
+        """How the call came out; where that is not known, the next view shows which version holds."""
         asked, self.asked = self.asked, None
         if asked is None:
             return
         if outcome is True:
             self.held, self.failures = (asked.lease, asked.at + LEASE_S), 0
             return
-        self.held = None
         pause = min(PAUSE_MOST_S, PAUSE_S * 2**self.failures)
         self.failures = min(self.failures + 1, 8)
         self.pause_until = now + pause * (0.5 + 0.5 * self.draw())
@@ -210,6 +237,7 @@
         own = self._fresh(now, view, self.me)
         return (
             self.me in view.members
+            and self.me not in self.missed
             and view.age is not None
             and view.age <= CONTACT_S
             and own is not None
--- a/foxspread/orchard/settings.py
+++ b/foxspread/orchard/settings.py
@@ -77,6 +77,7 @@
     "contracts": LIST,
     "tolerate": OBJECT,
     "tolerate.machines": COUNT,
+    "tolerate.zones": COUNT,
     "bounds": Want(lambda each: isinstance(each, (list, str)), "a list of name=value, or one text of them"),
     "app": Want(place, "host:port"),
     "service": TEXT,
@@ -104,6 +105,7 @@
     app: Address | None = None
     service: str = ""
     machine_class: str = ""
+    tolerate_zones: int = 0
 
     @property
     def inner(self) -> Address:
@@ -171,6 +173,7 @@
         address(data["app"]) if data.get("app") else None,
         data.get("service", ""),
         data.get("machine_class", ""),
+        data.get("tolerate", {}).get("zones", 0),
     )
 
 
--- a/tests/orchard/replication/test_replacement.py
+++ b/tests/orchard/replication/test_replacement.py
@@ -26,6 +26,8 @@
         self.members, self.lease = Members(0, tuple(sorted(self.names[:3]))), None
         self.up, self.leaving, self.mute = set(self.names), set(), set()
         self.behind: dict[str, int] = {}  # keepers whose copy stays at an epoch
+        self.lags: set[str] = set()  # keepers that lack what was settled after it
+        self.deaf: set[str] = set()  # "ab": a does not hear b
         self.heard = {name: self.now for name in self.names}
         self.reports: dict[str, tuple[float, Report]] = {}
         self.cores = {name: r.Replacement(name, f"{name}+1", lambda: 0.5) for name in self.names}
@@ -35,7 +37,7 @@
         self.least = 3
 
     def view(self, name: str, age: float | None = 0.1) -> r.View:
-        upto = (self.members.epoch, "")
+        upto = (self.members.epoch, "+")
         return r.View(
             name, self.members, self.lease, dict(self.reports), upto, self.machines, self.zones, age
         )
@@ -48,8 +50,10 @@
         hears = tuple(sorted(n for n, at in self.heard.items() if self.now - at <= 1.0))
         for name in sorted(self.up):
             epoch = self.behind.get(name, self.members.epoch)
-            told = Report(name, name not in self.mute, epoch, (epoch, ""), (epoch, ""), name[1:])
-            self.reports[name] = self.now, replace(told, leaving=name in self.leaving, hears=hears)
+            upto = (epoch, "" if name in self.lags else "+")
+            heard = tuple(each for each in hears if name[0] + each[0] not in self.deaf)
+            told = Report(name, name not in self.mute, epoch, upto, upto, name[1:], hears=heard)
+            self.reports[name] = self.now, replace(told, leaving=name in self.leaving)
         for name in sorted(self.up - set(stay.split())):
             if (items := self.cores[name].step(self.now, self.view(name))) is not None:
                 self.calls.append((name, items))
@@ -129,14 +133,25 @@
         self.assertEqual("a1 b2 c3 d1 e2", field.run(2).of())
 
     def test_only_whoever_holds_all_and_votes_and_stays_is_named(self) -> None:
-        for flaw in ("behind", "mute", "leaving", "away"):
+        for flaw in ("behind", "lags", "mute", "leaving", "away", "unheard"):
             field = Field("a1 b2 c3 d1", machines=1)
             field.behind = {"d1": -1} if flaw == "behind" else {}
+            field.lags = {"d1"} if flaw == "lags" else set()
+            field.deaf = {"cd"} if flaw == "unheard" else set()  # one member hears it: no majority
             field.mute = {"d1"} if flaw == "mute" else set()
             field.leaving = {"d1"} if flaw == "leaving" else set()
             field.down("b2", *(["d1"] if flaw == "away" else []))
             self.assertEqual((flaw, "a1 b2 c3", 0), (flaw, field.run(20).of(), field.asked))
 
+    def test_a_standby_that_comes_and_goes_is_not_named_before_it_stays(self) -> None:
+        field = Field("a1 b2 c3 d1").down("d1").run(3).down("b2").run(4)
+        for _ in range(9):
+            field.up.add("d1")
+            field.run(r.JOIN_S - 0.2).down("d1").run(1.5)
+        field.up.add("d1")
+        self.assertEqual([], field.run(r.BACK_S - 0.2).log)
+        self.assertEqual("a1 c3 d1", field.run(1).of())
+
     def test_sizes(self) -> None:
         found = {case: r.wanted(*case[:2], {n: n for n in "abcdefg"[: case[2]]}) for case in SIZES}
         self.assertEqual(SIZES, found)
@@ -197,6 +212,19 @@
         field = Field("a1 b2 c3 d1 e2", machines=2).run(5).down("b2", "d1")
         self.assertEqual(5, len(field.run(60).members.of))
 
+    def test_whom_a_majority_hears_is_not_gone(self) -> None:
+        field = Field("a1 b2 c3 d1").run(3)
+        field.deaf = {"ab"}
+        self.assertEqual("a1 b2 c3", field.run(20).of())
+        field.deaf = {"ab", "cb"}
+        self.assertEqual("a1 c3 d1", field.run(5).of())
+
+    def test_nothing_is_asked_that_no_majority_could_choose(self) -> None:
+        field = Field("a1 b2 c3 d1 e2").run(3)
+        field.mute = {"c3"}
+        field.down("b2").run(20)
+        self.assertEqual(0, field.asked)
+
     def test_a_second_loss_at_each_step(self) -> None:
         # The day that broke: two are lost, then two more once those are replaced.
         spares = "a1 b2 c3 d1 e2 f3 g1 h2 i3"
