Whom half of an even set does not hear stays gone beside a newcomer that hears it

Cause: a member that two of three did not hear was gone; the standby that came in heard it, so that it was none any more, and the newcomer went out as surplus, again and again. Test: whom a majority hears is not gone, whom it does not is replaced.

--- a/foxspread/orchard/replication/replacement.py
+++ b/foxspread/orchard/replication/replacement.py
@@ -199,7 +199,9 @@
         while self.epochs and now - self.epochs[0] >= CHANGES_S:
             self.epochs.popleft()
         fresh = {m: r for m in view.members.of if (r := self._fresh(now, view, m)) is not None}
-        self._since(now, self.missed, lambda m: self._unheard(view, fresh, m) >= view.members.majority, view)
+        half = (len(view.members.of) + 1) // 2  # of an odd set the majority; of an even one, so that whoever
+        # was gone for the odd set before it stays so beside a newcomer that hears it
+        self._since(now, self.missed, lambda m: self._unheard(view, fresh, m) >= half, view)
         self._since(now, self.dumb, lambda m: m in fresh and not _well(fresh[m], view), view)
         for name in [*self.missed, *(n for n in self.well if self._fresh(now, view, n) is None)]:
             self.lost[name] = now
