Answers between sidecars are known by a mark of the sending; stale requests, memory and repeats of calls

Cause: a sidecar took whatever came on a connection to another one for the answer that was due; a server's failure without an id was believed, X-Not-Run included, and an answer with an id to a request without one; requests that lay unread while the process stood still got all of their time anew; bodies and connections were bounded one by one only; calls of repeated runs were charged to nobody. Change: X-Orchard carries a number of each sending there and back, and what has not the number ends the connection; the id is compared once more at the caller. A connection that is answered before its request is written is not used again. Connection can't take id, stamp or promise away. Time counts from when a request began to come, or from before the process stood still. One share of memory for all bodies, bounds on all connections of a desk and to all places; a body past the share gets 503, unread, at both hops. The last hop is told which arrival is a repeat, and the calls of that run (ids that begin with the run's) are spent. All sidecars are counted twice a second at the most.

--- a/foxspread/orchard/budget/budget.py
+++ b/foxspread/orchard/budget/budget.py
@@ -18,7 +18,7 @@
         self.kept = STEPS - 1 if short else STEPS
         self.steps: deque[list] = deque()  # [number of the step, count]
 
-    def add(self, now: float, amount: int = 1) -> None:
+    def add(self, now: float, amount: float = 1) -> None:
         number = int(now / self.step)
         if self.steps and self.steps[-1][0] == number:
             self.steps[-1][1] += amount
@@ -26,7 +26,7 @@
             self.steps.append([number, amount])
         self.count += amount
 
-    def read(self, now: float) -> int:
+    def read(self, now: float) -> float:
         oldest = int(now / self.step) - self.kept
         while self.steps and self.steps[0][0] < oldest:
             self.count -= self.steps.popleft()[1]
@@ -47,5 +47,7 @@
         own = OWN_PART * self.ratio * self.asked.read(now)
         return self.spent.read(now) + 1 <= own + SLACK_PART * self.slack / (sidecars + 2)
 
-    def spend(self, now: float) -> None:
-        self.spent.add(now)
+    def spend(self, now: float, amount: float = 1) -> None:
+        """Also what nobody was asked for: a call of a repeated run, which as a whole or as likely as that it
+        is one counts as a repeat."""
+        self.spent.add(now, amount)
--- a/foxspread/orchard/dataplane/caller.py
+++ b/foxspread/orchard/dataplane/caller.py
@@ -16,6 +16,7 @@
 from foxspread.orchard.configuration.routes import RouteTable
 from foxspread.orchard.log import say
 
+CALLER_LINES_MOST = 1200  # connections of clients
 REFUSED_BY_SERVER = ("refused", "silent", "gone")  # why nothing was handed over: the server's own doing
 
 
@@ -68,18 +69,20 @@
             def told(word: bytes, why: str, answer: http.Message | None, busy: int) -> None:
                 self.ended(number, *judged(word, why, answer), answer, busy)
 
+            terms = self.terms._replace(again=send.again)
             self.legs[number] = desk.hop.hand(
-                message, self.lines, upstream.id, desk.caller, left, self.terms, told
+                message, self.lines, upstream.id, desk.caller, left, terms, told
             )
             return None
         lane = desk.lanes.reuse(upstream.place)
         if lane is not None:
-            self._ask(number, lane)
+            self._ask(send, lane)
         else:
-            self.legs[number] = asyncio.get_running_loop().create_task(self._connect(number, upstream.place))
+            self.legs[number] = asyncio.get_running_loop().create_task(self._connect(send, upstream.place))
         return None
 
-    async def _connect(self, number: int, place: tuple) -> None:
+    async def _connect(self, send: Send, place: tuple) -> None:
+        number = send.number
         patience = min(CONNECT_S, max(0.05, self.errand.until - self.desk.clock()))
         lane = await self.desk.lanes.connect(place, patience)
         if isinstance(lane, str):   # one that had little time to come up says nothing of the server
@@ -87,13 +90,16 @@
             return self.ended(number, Outcome.UNCONNECTED if refused else Outcome.UNSENT, False, None, None)
         if self.errand.tries[number].outcome is not None:
             return self.desk.lanes.keep(lane)
-        self._ask(number, lane)
-
-    def _ask(self, number: int, lane: Lane) -> None:
-        desk, errand, message = self.desk, self.errand, self.exchange.message
-        this = errand.tries[number]
+        if self.desk.clock() >= self.errand.until:  # this process may have stood still meanwhile
+            self.desk.lanes.keep(lane)
+            return self.ended(number, Outcome.UNSENT, False, None, None)
+        self._ask(send, lane)
+
+    def _ask(self, send: Send, lane: Lane) -> None:
+        desk, errand, message, number = self.desk, self.errand, self.exchange.message, send.number
+        this, mark = errand.tries[number], desk.lanes.number()
         self.legs[number] = lane
-        hint = heads.hint(self.terms)
+        hint = heads.hint(self.terms._replace(again=send.again), mark)
         parts = heads.request(
             message, self.lines, errand.until - desk.clock(), desk.caller, this.upstream.id.encode(), hint
         )
@@ -103,9 +109,11 @@
                 outcome = Outcome.RESET if end.written else Outcome.UNCONNECTED
                 return self.ended(number, outcome, end.written, None, None)
             word, busy, why = told_word(end.message)
+            if word == heads.SENT and not heads.answers(end.message, message):
+                return self.ended(number, Outcome.RESET, True, None, busy)
             self.ended(number, *judged(word, why, end.message), end.message, busy)
 
-        lane.ask(parts, b"", ended)
+        lane.ask(parts, mark, ended)
 
     def ended(
         self, number: int, outcome: Outcome, arrived: bool, answer: http.Message | None, busy: int | None
@@ -160,9 +168,9 @@
 
 def told_word(message: http.Message) -> tuple[bytes, int | None, str]:
     """What the last hop says of it; without its word it is no answer of a sidecar of ours."""
-    told = (message.header(heads.WORD.lower()) or b"").split(b" ", 2)
+    told = (message.header(heads.WORD.lower()) or b"").split(b" ", 3)
     busy = int(told[1]) if len(told) > 1 and told[1].isdigit() else None
-    return told[0], busy, told[2].decode("latin-1") if len(told) > 2 else ""
+    return told[0], busy, told[3].decode("latin-1") if len(told) > 3 else ""
 
 
 def judged(word: bytes, why: str, answer: http.Message | None) -> tuple[Outcome, bool]:
@@ -196,7 +204,7 @@
         lanes: Lanes,
         hop: Hop,
     ) -> None:
-        super().__init__(clock, Limits())
+        super().__init__(clock, Limits(), lanes.share, CALLER_LINES_MOST)
         self.node, self.caller, self.steering, self.table, self.knows = node, caller, steering, table, knows
         self.lanes, self.hop = lanes, hop
         self.counts: Counter[tuple[str, int, str]] = Counter()  # of answers that were not a server's
@@ -224,7 +232,8 @@
                 return exchange.answer(404, b"no route\n")
             return exchange.answer(503, b"no configuration yet\n", [b"Retry-After: 0.3\r\n"])
         now = self.clock()
-        errand = self.steering.begin(now, route, heads.deadline(message))
+        again = self.hop.core.runs.part(message.header(b"x-request-id") or b"")
+        errand = self.steering.begin(now, route, heads.deadline(message), self.waited(message), again)
         job = Job(self, exchange, errand)
         exchange.left = job.left
         job.carry(self.steering.next(now, errand))
--- a/foxspread/orchard/dataplane/errand.py
+++ b/foxspread/orchard/dataplane/errand.py
@@ -5,6 +5,7 @@
 promises that it has not run, unless each of its tries is known not to have run.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -21,6 +22,7 @@
 QUEUE_REST = 0.25  # and of any lower one
 PROMISES = (408, 421, 429, 503)  # statuses that tell a client that its request has not run and never will
 LAST_PART = 0.25  # of the time left, after which a client is asked to come back at the latest
+COUNT_S = 0.5  # for which a count of all sidecars is believed: it walks all records
 
 
 @dataclass(slots=True)
@@ -43,6 +45,7 @@
     tries: list[Try] = field(default_factory=list)
     over: bool = False
     done: int | None = None  # the try whose answer goes to the client
+    again: bool = False  # made by a run that was itself a repeat: each of its arrivals is one too
 
     def out(self) -> list[int]:
         return [n for n, each in enumerate(self.tries) if each.outcome is None]
@@ -55,6 +58,7 @@
 class Send:
     number: int
     upstream: Upstream
+    again: bool = False  # if it arrives, it is no first arrival
 
 
 @dataclass(slots=True)
@@ -94,6 +98,7 @@
         )
         self.healths: dict[tuple[str, str], Health] = {}
         self.budgets: dict[str, Budget] = {}
+        self.counted, self.counted_at = 0, -math.inf
 
     def budget(self, service: str) -> Budget:
         found = self.budgets.get(service)
@@ -104,8 +109,17 @@
             )
         return found
 
-    def begin(self, now: float, route: Route, left: float | None) -> Errand:
-        """`left`: seconds that the client still waits."""
+    def count(self, now: float) -> int:
+        """All sidecars, as counted not long ago."""
+        if now - self.counted_at > COUNT_S:
+            self.counted, self.counted_at = self.sidecars(), now
+        return self.counted
+
+    def begin(
+        self, now: float, route: Route, left: float | None, waited: float = 0.0, again: float = 0.0
+    ) -> Errand:
+        """`left`: seconds that the client still waited when it sent. `waited`: seconds that have gone since,
+        as far as known. `again`: how likely it is the call of a run that was itself a repeat, 0 to 1."""
         draw = self.chance.draw()
         service = route.service(draw)
         key = route.name, service
@@ -114,9 +128,12 @@
             health = self.healths[key] = Health(
                 now, self.upstreams.service(service), self.zone, self.chance, route.aim, route.deadline
             )
-        self.budget(service).request(now)
-        wait = route.deadline if left is None else min(left, route.deadline)
-        return Errand(route, service, health, now, now + max(0.0, wait - MARGIN_S), draw)
+        if again < 1.0:
+            self.budget(service).request(now)
+        if again > 0.0:  # it will arrive, and beyond the first of what its parent's client asked for
+            self.budget(service).spend(now, again)
+        wait = (route.deadline if left is None else min(left, route.deadline)) - waited
+        return Errand(route, service, health, now, now + max(0.0, wait - MARGIN_S), draw, again=again >= 1.0)
 
     def forget(self, keep: Callable[[str], bool]) -> None:
         """Routes that are dropped leave nothing behind."""
@@ -182,7 +199,7 @@
             return None
         usual = errand.health.usual(now)
         if arrived and (
-            now + 0.7 * usual > errand.until or not self.budget(errand.service).allows(now, self.sidecars())
+            now + 0.7 * usual > errand.until or not self.budget(errand.service).allows(now, self.count(now))
         ):
             return None
         queue = (
@@ -194,7 +211,7 @@
         if arrived:
             self.budget(errand.service).spend(now)
         tries.append(Try(upstream, errand.health.sent(now, upstream)))
-        return Send(len(tries) - 1, upstream)
+        return Send(len(tries) - 1, upstream, errand.again or arrived > 0)
 
     def _passed(self, errand: Errand, number: int) -> Pass | Refuse:
         """Without X-Not-Run such a status is no promise of the server's: passed on, it would be ours."""
--- a/foxspread/orchard/dataplane/heads.py
+++ b/foxspread/orchard/dataplane/heads.py
@@ -21,8 +21,11 @@
         b"x-orchard",
     }
 )
-# Of the system's own, on the way between its sidecars. On a request: aim in milliseconds, rank, safe or not;
-# on an answer: a word and how many requests the last hop holds there.
+# For all who read a message: a `Connection` that names one of them takes nothing away (RFC 9110, 7.6.1).
+END_TO_END = frozenset({b"host", b"x-request-id", b"x-stamp", b"x-not-run", b"x-instance", b"retry-after"})
+# Of the system's own, on the way between its sidecars. On a request: aim in milliseconds, rank, safe or not,
+# first run or again, mark of this sending; on an answer: a word, how many requests the last hop holds there,
+# the mark of the sending that it answers, why. Others' headers of that name never get past a sidecar.
 WORD = b"X-Orchard"
 LONGEST_S = 3600.0  # that a client may say it waits
 SENT, UNSENT, LOST, LATE = b"sent", b"unsent", b"lost", b"late"
@@ -36,6 +39,7 @@
     for name, value in headers:
         if len(name) == 10 and name.lower() == b"connection":
             named.update(each.strip().lower() for each in value.split(b","))
+    named -= END_TO_END
     for name, value in headers:
         low = name.lower()
         if low not in OWN and low not in named:
@@ -62,21 +66,47 @@
     ]
 
 
-def hint(terms: Terms) -> bytes:
-    return b"%b: %d %d %b\r\n" % (
+def hint(terms: Terms, mark: bytes) -> bytes:
+    """`mark`: of this sending; its answer carries it back."""
+    return b"%b: %d %d %b %b %b\r\n" % (
         WORD,
         int(terms.aim * 1000),
         terms.rank,
         b"safe" if terms.safe else b"unsafe",
+        b"again" if terms.again else b"first",
+        mark,
     )
 
 
-def terms(told: bytes | None) -> Terms:
-    """What is not plain counts as unsafe and of the lowest rank."""
+def terms(told: bytes | None) -> tuple[Terms, bytes]:
+    """And the mark of the sending. What is not plain counts as unsafe, of the lowest rank, and a repeat."""
     parts = (told or b"").split(b" ")
-    if len(parts) != 3 or not parts[0].isdigit() or not parts[1].isdigit():
-        return Terms()
-    return Terms(int(parts[0]) / 1000, int(parts[1]), parts[2] == b"safe")
+    if len(parts) != 5 or not parts[0].isdigit() or not parts[1].isdigit():
+        return Terms(again=True), b"-"
+    terms = Terms(int(parts[0]) / 1000, int(parts[1]), parts[2] == b"safe", parts[3] != b"first")
+    return terms, parts[4] if parts[4].isalnum() else b"-"
+
+
+def word(told: bytes, busy: int, mark: bytes, why: str) -> bytes:
+    """The last hop's line on an answer."""
+    why = "".join(each if " " <= each <= "~" else " " for each in why[:60])
+    return b"%b: %b %d %b %b\r\n" % (WORD, told, busy, mark, why.encode())
+
+
+def mark(message: http.Message) -> bytes | None:
+    """Of the sending that an answer of a last hop belongs to; None where it tells none."""
+    told = (message.header(b"x-orchard") or b"").split(b" ", 3)
+    return told[2] if len(told) > 2 else None
+
+
+def answers(message: http.Message, request: http.Message) -> bool:
+    """Whether a server's answer tells the id of that request; one without an id can't tell another's."""
+    told = request_id(message)
+    return told is None or told == (request_id(request) or b"")
+
+
+def request_id(message: http.Message) -> bytes | None:
+    return message.header(b"x-request-id")
 
 
 def deadline(message: http.Message) -> float | None:
--- a/foxspread/orchard/dataplane/lanes.py
+++ b/foxspread/orchard/dataplane/lanes.py
@@ -1,9 +1,11 @@
 """The side of a connection that asks: kept connections to other sidecars and to the server beside this one,
-one request at a time on each. An answer is known by its id; a connection that has shown bytes which belong
-to nobody is not used again.
+one request at a time on each. An answer is known by its mark: a server's by the id of the request, another
+sidecar's by the number of the sending. A connection that has shown bytes which belong to nobody, or that was
+answered before its request was written, is not used again.
 """
 
 import asyncio
+import itertools
 import re
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -11,10 +13,14 @@
 import httptools
 
 from foxspread.net import http
+from foxspread.orchard.dataplane import heads
+from foxspread.orchard.dataplane.memory import Share
 from foxspread.orchard.settings import Address
 
 CONNECT_S = 0.5
-STRAYS_MOST = 2  # surplus answers passed over while the one that is due is waited for
+STRAYS_MOST = 2  # surplus answers of a server passed over while the one that is due is waited for
+PLACE_MOST = 400  # connections to one place
+ALL_MOST = 800  # and to all of them
 ANSWER_MOST = 32 * 1024 * 1024
 IDLE = re.compile(rb"\btimeout\s*=\s*\"?([0-9]{1,9})", re.IGNORECASE)  # in Keep-Alive: seconds
 
@@ -24,6 +30,22 @@
     head_most = 64 * 1024
     bare = False  # the answer to come has no body, whatever its head tells
 
+    def __init__(self, share: Share) -> None:
+        super().__init__()
+        self.share, self.held = share, 0
+
+    def on_body(self, part: bytes) -> None:
+        if not self.share.take(len(part)):
+            raise http.BadMessage(502, "no memory for its body")
+        self.held += len(part)
+        super().on_body(part)
+
+    def give(self, size: int | None = None) -> None:
+        """So much of what is held, or all."""
+        size = self.held if size is None else size
+        self.held -= size
+        self.share.move(-size)
+
     def on_headers_complete(self) -> None:
         super().on_headers_complete()
         if self.bare and self.message.status >= 200 and self.message.length != 0:
@@ -45,18 +67,19 @@
 
     def __init__(self, pool: "Lanes", place: Address) -> None:
         self.pool, self.place = pool, place
-        self.reader = AnswerReader()
+        self.reader = AnswerReader(pool.share)
         self.transport: asyncio.Transport | None = None
         self.then: Callable[[End], None] | None = None
-        self.id = b""
+        self.id: bytes | None = b""
         self.spoilt, self.strays, self.counted = False, 0, True
         self.idle_since, self.idle_most = 0.0, pool.idle_most
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
 
-    def ask(self, parts: Sequence[bytes], id: bytes, then: Callable[[End], None]) -> None:
-        """`then` is called once, unless `drop` comes first. `id`: what the answer has to carry."""
+    def ask(self, parts: Sequence[bytes], id: bytes | None, then: Callable[[End], None]) -> None:
+        """`then` is called once, unless `drop` comes first. `id`: the mark that the answer has to carry, b""
+        where it must have none; None: whatever comes is the answer."""
         self.then, self.id, self.strays = then, id, 0
         self.reader.bare = parts[0].startswith(b"HEAD ")
         if self.transport is None or self.transport.is_closing():
@@ -81,22 +104,16 @@
         ready = self.reader.ready
         while ready and self.then is not None:
             message = ready.popleft()
-            told = message.header(b"x-request-id")
-            if (
-                self.id
-                and told is not None
-                and told != self.id
-                or self.id
-                and told is None
-                and message.status < 300
-            ):
+            if not self._due(message):
+                self.reader.give(len(message.body))
                 self.spoilt, self.strays = True, self.strays + 1
-                if self.strays > STRAYS_MOST:
+                if self.strays > self.pool.strays_most:
                     self._end(End(None, True, "answers of others"))
                     self.close()
                 continue
-            if ready or self.reader.busy or not message.keep:
-                self.spoilt = True
+            if ready or self.reader.busy or not message.keep or self.transport.get_write_buffer_size():
+                self.spoilt = True  # answered before all was written: the rest could be taken for a request
+            self.reader.give(len(message.body))
             self._end(End(message, True))
             if self.spoilt or self.reader.busy:
                 self.close()
@@ -105,6 +122,11 @@
             return True
         return False
 
+    def _due(self, message: http.Message) -> bool:
+        """Whether it is the answer to what was asked: one without a mark belongs to a request that had none,
+        at most; were it believed, another's X-Not-Run would send this one out again."""
+        return self.id is None or (self.pool.mark(message) or b"") == self.id
+
     def _idle(self, message: http.Message) -> None:
         told = message.header(b"keep-alive")
         if told is not None and (seconds := IDLE.search(told)) is not None:
@@ -116,6 +138,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.transport = None
+        self.reader.give()
         self.pool.gone(self)
         if self.then is not None:  # the end of a connection proves no answer whole
             self._end(End(None, True, f"broke: {error or 'closed'}"))
@@ -131,6 +154,7 @@
         self.close()
 
     def close(self) -> None:
+        self.reader.give()
         self.pool.gone(self)
         if self.transport is not None:
             transport, self.transport = self.transport, None
@@ -138,11 +162,24 @@
 
 
 class Lanes:
-    """`fresh_for`: seconds since its last use for which a connection is taken to be sound; others may have
-    been closed by the other side, and what is written to such a one may or may not have been read."""
-
-    def __init__(self, clock: Callable[[], float], idle_most: float, most: int = 400) -> None:
-        self.clock, self.idle_most, self.most = clock, idle_most, most
+    """Those of one kind: to servers, which are asked by the ids of requests, or, where `numbered`, to other
+    sidecars, which give back the number of a sending. `idle_most`: seconds for which one may rest. `most`,
+    `all_most`: connections to one place, and to all."""
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        idle_most: float,
+        most: int = PLACE_MOST,
+        share: Share | None = None,
+        numbered: bool = False,
+        all_most: int = ALL_MOST,
+    ) -> None:
+        self.clock, self.idle_most, self.most, self.all_most = clock, idle_most, most, all_most
+        self.share = share if share is not None else Share(4 * ANSWER_MOST)
+        self.mark = heads.mark if numbered else heads.request_id
+        self.strays_most = 0 if numbered else STRAYS_MOST
+        self.numbers = itertools.count(int(clock() * 1000))  # another process of this machine had lower ones
         self.idle: dict[Address, list[Lane]] = {}
         self.opened = 0
         self.open_now: dict[Address, int] = {}
@@ -166,7 +203,7 @@
 
     async def connect(self, place: Address, patience: float = CONNECT_S) -> Lane | str:
         """A new one, or why there is none: nothing has been sent then."""
-        if self.open_now.get(place, 0) >= self.most:
+        if self.open_now.get(place, 0) >= self.most or not self._room():
             return "too many connections"
         self.open_now[place] = self.open_now.get(place, 0) + 1
         self.opened += 1
@@ -182,6 +219,19 @@
             raise
         return lane
 
+    def _room(self) -> bool:
+        """For one more; the one that has rested longest makes way."""
+        if sum(self.open_now.values()) >= self.all_most:
+            rested = [lanes[0] for lanes in self.idle.values() if lanes]
+            if not rested:
+                return False
+            min(rested, key=lambda lane: lane.idle_since).close()
+        return True
+
+    def number(self) -> bytes:
+        """Of a sending: no other of this process has it."""
+        return b"%x" % next(self.numbers)
+
     def keep(self, lane: Lane) -> None:
         lane.idle_since = self.clock()
         self.idle.setdefault(lane.place, []).append(lane)
--- a/foxspread/orchard/dataplane/lasthop.py
+++ b/foxspread/orchard/dataplane/lasthop.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from foxspread.orchard.budget.runs import Runs
 from foxspread.orchard.registry.lives import DRAINING, GONE, Lives
 from foxspread.orchard.outcome import Failure
 from foxspread.orchard.settings import Address, address
@@ -28,6 +29,7 @@
     aim: float = 1.0  # seconds
     rank: int = 2  # 0 is the highest
     safe: bool = False
+    again: bool = False  # this arrival is beyond the first of its request, or its parent's was
 
 
 @dataclass(slots=True)
@@ -43,6 +45,7 @@
     def __init__(self, lives: Lives, app: Address | None, drain_s: float) -> None:
         self.lives, self.app, self.drain_s = lives, app, drain_s
         self.holding: dict[str, Holding] = {}
+        self.runs = Runs()
 
     def of(self, id: str) -> Holding:
         found = self.holding.get(id)
--- a/foxspread/orchard/dataplane/serving.py
+++ b/foxspread/orchard/dataplane/serving.py
@@ -8,11 +8,18 @@
 from collections.abc import Callable, Sequence
 
 from foxspread.net import http
+from foxspread.orchard.dataplane.memory import Share
 
 WAITING_MOST = 32  # requests of one connection that are read and not answered
 BUFFERED_MOST = 256 * 1024  # bytes of answers that wait to be taken, from which on nothing more is read
 STALL_S = 8.0  # for which a peer may take nothing
-LINGER_S = 1.0  # after our last byte, for the peer to end
+LINGER_S = 1.0  # after our last byte, for the peer to end, or to send on what it had begun
+LINGER_MOST_S = 8.0  # in all
+LINES_MOST = 200  # connections to one desk
+SHARE_MOST = 64 * 1024 * 1024  # bytes of bodies, where nobody says what the machine has
+STILL_S = 1.5  # without a sweep: this process has stood still
+WAKING_S = 0.05  # after that, in which what had come meanwhile is read
+BACK_S = 0.2  # after which memory may be free again
 PHRASES = {
     **http.PHRASES,
     202: b"Accepted",
@@ -40,9 +47,10 @@
 class RequestReader(http.RequestReader):
     """As the sidecar in service reads requests, with bounds of the operator's and bodies kept whole."""
 
-    def __init__(self, limits: Limits) -> None:
+    def __init__(self, limits: Limits, share: Share) -> None:
         super().__init__()
-        self.limits = limits
+        self.limits, self.share = limits, share
+        self.held = 0  # bytes of bodies that are read and not answered
         self._bound()
 
     def _bound(self) -> None:
@@ -53,6 +61,22 @@
         super().on_message_begin()
         self._bound()
 
+    def on_body(self, part: bytes) -> None:
+        if not self.share.take(len(part)):
+            raise http.BadMessage(503, "no memory for this body now")
+        self.held += len(part)
+        super().on_body(part)
+
+    def give(self, size: int) -> None:
+        self.held -= size
+        self.share.move(-size)
+
+    def drop(self) -> None:
+        """What was read of a body that is refused."""
+        if self.busy:
+            self.give(min(self.size, self.held))
+            self.message, self.busy, self.size = http.Message(), False, 0
+
     def on_message_complete(self) -> None:
         if self.parser.should_upgrade():  # what follows would be in another protocol
             raise http.BadMessage(400, "no upgrade is offered")
@@ -62,10 +86,11 @@
 class Exchange:
     """One request and its answer to come."""
 
-    __slots__ = ("line", "message", "parts", "close", "left", "at")
+    __slots__ = ("line", "message", "parts", "close", "left", "size")
 
-    def __init__(self, line: "Serving", message: http.Message, at: float) -> None:
-        self.line, self.message, self.at = line, message, at
+    def __init__(self, line: "Serving", message: http.Message) -> None:
+        self.line, self.message = line, message
+        self.size = 0  # of the answer's body, until it is written
         self.parts: list[bytes] | None = None
         self.close = not message.keep
         self.left: Callable[[], None] | None = None  # called if the peer goes away before the answer
@@ -97,22 +122,61 @@
             b"\r\n",
             b"" if self.message.method == b"HEAD" else body,
         ]
-        self.left = None
+        self.left, self.size = None, len(body)
+        self.line.desk.share.move(self.size)
         self.line.flush()
 
 
 class Desk:
     """Who answers. `lines` are all its connections."""
 
-    def __init__(self, clock: Callable[[], float], limits: Limits) -> None:
-        self.clock, self.limits = clock, limits
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        limits: Limits,
+        share: Share | None = None,
+        lines_most: int = LINES_MOST,
+    ) -> None:
+        self.clock, self.limits, self.lines_most = clock, limits, lines_most
+        self.share = share if share is not None else Share(SHARE_MOST)
         self.lines: set[Serving] = set()
         self.retired = False
+        self.swept_at: float | None = None  # at first, and after having stood still: None
+        self.slept_from: float | None = None  # bytes that are read now may have come since then
 
     def take(self, exchange: Exchange) -> None:
         raise NotImplementedError
 
+    def refusal(self, message: http.Message, why: str) -> list[bytes]:
+        """Lines of an answer to a request that could not be read whole."""
+        return []
+
+    def waited(self, message: http.Message) -> float:
+        """Seconds since a request began to come, as far as can't be ruled out."""
+        now = self.clock()
+        if self.slept_from is None and self.swept_at is not None and now - self.swept_at > STILL_S:
+            self.slept_from, self.swept_at = self.swept_at, None
+            asyncio.get_running_loop().call_later(WAKING_S, self._woke)
+        since = message.began or now
+        return now - (since if self.slept_from is None else min(since, self.slept_from))
+
+    def _woke(self) -> None:
+        self.slept_from = None
+
+    def make_room(self) -> bool:
+        """For one more connection; the one that has been idle longest makes way."""
+        if len(self.lines) < self.lines_most:
+            return True
+        idle = [line for line in self.lines if line.idle]
+        if not idle:
+            return False
+        min(idle, key=lambda line: line.since).transport.close()
+        return True
+
     def sweep(self, now: float) -> None:
+        if self.slept_from is None:
+            self.waited(http.Message())
+            self.swept_at = now
         for line in list(self.lines):
             line.sweep(now)
 
@@ -124,14 +188,14 @@
 
     def end_idle(self) -> None:
         for line in list(self.lines):
-            if not line.waiting and not line.reader.busy and line.transport is not None and not line.refused:
+            if line.idle:
                 line.transport.close()
 
 
 class Serving(asyncio.Protocol):
     def __init__(self, desk: Desk) -> None:
         self.desk = desk
-        self.reader = RequestReader(desk.limits)
+        self.reader = RequestReader(desk.limits, desk.share)
         self.waiting: deque[Exchange] = deque()
         self.transport: asyncio.Transport | None = None
         self.retiring, self.refused, self.held_up = desk.retired, False, False
@@ -139,7 +203,13 @@
         self.stalled = self.taking = False
         self.unsent, self.took_at = 0, self.since  # bytes that wait to be taken; when that last moved
         self.told_to_send: http.Message | None = None  # the body of this one
-        self.ended_at: float | None = None  # when the last answer was written
+        self.ended_at: float | None = None  # when the last answer was written, or bytes came after that
+        self.linger_until = 0.0
+        self.untaken = 0  # bytes of `unsent` that count in the share
+
+    @property
+    def idle(self) -> bool:
+        return not self.waiting and not self.reader.busy and self.transport is not None and not self.refused
 
     @property
     def owes(self) -> bool:
@@ -149,12 +219,19 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
         transport.set_write_buffer_limits(high=BUFFERED_MOST)
+        if not self.desk.make_room():
+            self.refused = True
+            return transport.abort()  # nothing of it is read: whatever is sent may be sent again
         self.desk.lines.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
         self.transport = None
         self.desk.lines.discard(self)
+        self.reader.give(self.reader.held)
+        self._count_untaken()
         waiting, self.waiting = self.waiting, deque()
+        for exchange in waiting:
+            self.desk.share.move(-exchange.size)
         for exchange in waiting:
             if exchange.left is not None:
                 exchange.left()
@@ -164,6 +241,8 @@
 
     def data_received(self, data: bytes) -> None:
         if self.refused or self.transport is None:
+            if self.ended_at is not None:  # a close while it sends would reset, and the answer be lost
+                self.ended_at = max(self.ended_at, min(self.desk.clock(), self.linger_until))
             return
         now, reader = self.desk.clock(), self.reader
         if not reader.busy:
@@ -193,7 +272,7 @@
             while ready and not self.refused and self.transport is not None:
                 if len(self.waiting) >= WAITING_MOST:
                     break
-                exchange = Exchange(self, ready.popleft(), now)
+                exchange = Exchange(self, ready.popleft())
                 self.waiting.append(exchange)
                 self.since = now
                 self.desk.take(exchange)
@@ -207,9 +286,18 @@
         if self.ended_at is not None:
             return
         self.refused = True
-        exchange = Exchange(self, http.Message(), self.desk.clock())
+        exchange = Exchange(self, http.Message())
         self.waiting.append(exchange)
-        exchange.answer(status, text.encode() + b"\n", close=True)
+        lines = self.desk.refusal(self.reader.message, text)
+        self.reader.drop()
+        if status == 503:
+            lines.append(b"Retry-After: %.3f\r\n" % BACK_S)
+        exchange.answer(status, text.encode() + b"\n", lines, close=True)
+
+    def _count_untaken(self) -> None:
+        left = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        self.desk.share.move(left - self.untaken)
+        self.untaken = left
 
     def flush(self) -> None:
         """Answers that are due, in the order of their requests, in one write."""
@@ -218,12 +306,15 @@
             exchange = waiting.popleft()
             parts += exchange.parts
             close = exchange.close
+            self._written(exchange)
         if not parts or self.transport is None:
             return
         self.transport.write(b"".join(parts))
+        self._count_untaken()
         self.since = self.desk.clock()
         if close:
             for exchange in waiting:  # sent behind the last answer: not read, as far as the peer is concerned
+                self._written(exchange)
                 if exchange.left is not None:
                     exchange.left()
             waiting.clear()
@@ -232,6 +323,12 @@
             self._take_ready(self.since)
             self._leave_to_send()
 
+    def _written(self, exchange: Exchange) -> None:
+        """Its bodies are held no more, but for what the transport still has."""
+        self.reader.give(len(exchange.message.body))
+        self.desk.share.move(-exchange.size)
+        exchange.size = 0
+
     def retire(self) -> None:
         self.retiring = True
         if self.waiting and self.waiting[-1].parts is None:
@@ -241,6 +338,7 @@
         """Of our side only: a close with bytes unread resets the connection, and the answer may be lost. What
         still comes is passed over."""
         self.refused, self.ended_at = True, self.desk.clock()
+        self.linger_until = self.ended_at + LINGER_MOST_S - LINGER_S
         if not self.transport.is_closing():
             self.transport.write_eof()
         if self.held_up:
@@ -261,6 +359,7 @@
 
     def resume_writing(self) -> None:
         self.stalled = False
+        self._count_untaken()
         self._throttle()
 
     def sweep(self, now: float) -> None:
@@ -268,6 +367,7 @@
         if self.transport is None:
             return
         limits, reader = self.desk.limits, self.reader
+        self._count_untaken()
         unsent = self.transport.get_write_buffer_size()
         if not unsent or unsent != self.unsent:
             self.unsent, self.took_at = unsent, now
--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -17,6 +17,7 @@
 from foxspread.orchard.dataplane.hop import Hop, HopDesk
 from foxspread.orchard.dataplane.lanes import Lanes
 from foxspread.orchard.dataplane.lasthop import LastHop
+from foxspread.orchard.dataplane.memory import share
 from foxspread.orchard.dataplane.serving import Desk, Serving
 from foxspread.orchard.control.configuration import Configuration
 from foxspread.orchard.control.desk import ControlDesk, ReadyDesk
@@ -85,7 +86,9 @@
         # The path.
         self.lives = Lives(settings.heartbeat_s, settings.zone)
         self.steering = Steering(settings.zone, self.upstreams, settings.bounds, self.chance, self._sidecars)
-        self.app_lanes, self.lanes = Lanes(self.clock, 6.0), Lanes(self.clock, 60.0)
+        bodies = share(settings.memory_mb)
+        self.app_lanes = Lanes(self.clock, 6.0, share=bodies)
+        self.lanes = Lanes(self.clock, 60.0, share=bodies, numbered=True)
         self.hop = Hop(
             self.clock, LastHop(self.lives, settings.app, settings.bounds["drain_s"]), self.app_lanes
         )
--- a/foxspread/orchard/stand_ins/asking.py
+++ b/foxspread/orchard/stand_ins/asking.py
@@ -41,7 +41,7 @@
     if isinstance(lane, str):
         return Reply(why=lane)
     answer: asyncio.Future[End] = asyncio.get_running_loop().create_future()
-    lane.ask(parts, b"", lambda end: None if answer.done() else answer.set_result(end))
+    lane.ask(parts, None, lambda end: None if answer.done() else answer.set_result(end))
     try:
         async with asyncio.timeout(max(0.0, until - lanes.clock())):
             end = await answer
--- a/tests/orchard/dataplane/test_path.py
+++ b/tests/orchard/dataplane/test_path.py
@@ -136,15 +136,55 @@
     "an answer without its word": (lambda seen: Script([answer()], seen), (200, 2), (502, 1)),
     "refused without its word": (lambda seen: Script([not_run(503)], seen), (200, 2), (502, 1)),
     "not handed over": (
-        lambda seen: Script([answer(503, more=b"X-Orchard: unsent 9 full\r\n")], seen),
+        lambda seen: Script([answer(503, more=b"X-Orchard: unsent 9 MARK full\r\n")], seen),
         (200, 2),
         (200, 2),
     ),
     "lost at the last hop": (
-        lambda seen: Script([answer(502, more=b"X-Orchard: lost 1 broke\r\n")], seen),
+        lambda seen: Script([answer(502, more=b"X-Orchard: lost 1 MARK broke\r\n")], seen),
         (200, 2),
         (502, 1),
     ),
+    # Words of other sendings: believed, they would run an unsafe one twice, or answer with another's.
+    "not handed over, without a mark": (
+        lambda seen: Script([answer(503, more=b"X-Orchard: unsent 9\r\n")], seen),
+        (200, 2),
+        (502, 1),
+    ),
+    "another was not handed over": (
+        lambda seen: Script([answer(503, more=b"X-Orchard: unsent 9 0 full\r\n")], seen),
+        (200, 2),
+        (502, 1),
+    ),
+    "another sending's answer": (
+        lambda seen: Script([answer(more=b"X-Orchard: sent 9 0 \r\n")], seen),
+        (200, 2),
+        (502, 1),
+    ),
+    "another sending's X-Not-Run": (
+        lambda seen: Script([not_run(503, b"X-Orchard: sent 9 0 \r\n")], seen),
+        (200, 2),
+        (502, 1),
+    ),
+    "another request's answer under this mark": (
+        lambda seen: Script([answer(id=b"q0", more=b"X-Orchard: sent 9 MARK \r\n")], seen),
+        (200, 2),
+        (502, 1),
+    ),
+    "another's answer, then its own": (
+        lambda seen: Script(
+            [answer(more=b"X-Orchard: sent 9 0 \r\n") + answer(more=b"X-Orchard: sent 9 MARK \r\n")], seen
+        ),
+        (200, 2),
+        (502, 1),
+    ),
+    "its own, then another's": (
+        lambda seen: Script(
+            [answer(more=b"X-Orchard: sent 9 MARK \r\n") + answer(more=b"X-Orchard: sent 9 0 \r\n")], seen
+        ),
+        (200, 1),
+        (200, 1),
+    ),
 }
 
 
--- a/tests/orchard/helpers.py
+++ b/tests/orchard/helpers.py
@@ -252,7 +252,7 @@
             self.seen.append(request)
             if self.acts:
                 act = self.acts.pop(0)
-                act(self) if callable(act) else self.transport.write(act.replace(b"ID", id_of(request)))
+                act(self) if callable(act) else self.transport.write(filled(act, request))
 
     def connection_lost(self, error):
         self.lost = True
@@ -274,6 +274,12 @@
     return header(request, b"x-request-id") or b""
 
 
+def filled(act, request):
+    """Those bytes with the id of that request, and the mark of its sending by a sidecar."""
+    mark = (header(request, b"x-orchard") or b"").split(b" ")[-1]
+    return act.replace(b"ID", id_of(request)).replace(b"MARK", mark)
+
+
 def header(message, name):
     for line in message.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]:
         key, _, value = line.partition(b":")
@@ -363,7 +369,7 @@
                 self.desks[name] = HopDesk(clock, self.hops[name])
                 loop.places[name, 70] = self.a_sidecar(name)
         self.steering = Steering("z", self.upstreams, BOUNDS, self.chance, lambda: len(others) + 1)
-        self.lanes = Lanes(clock, 60.0)
+        self.lanes = Lanes(clock, 60.0, numbered=True)
         self.desk = CallerDesk(
             clock, "me", b"s0", self.steering, self.table, lambda: self.knows, self.lanes, self.hops["me"]
         )
