--- a/foxspread/orchard/budget/runs.py
+++ b/foxspread/orchard/budget/runs.py
@@ -30,7 +30,7 @@
         self.out.pop(id, None)
 
     def part(self, id: bytes) -> float:
-        """Of a call with that id: 1 where a repeat has made it, 0 where none has, else as likely as that is."""
+        """Of a call with that id: 1 where a repeat has made it, 0 where none has, else how likely that is."""
         run = id
         while run:
             run = run.rpartition(b".")[0]
--- a/tests/orchard/budget/test_budget.py
+++ b/tests/orchard/budget/test_budget.py
@@ -6,6 +6,7 @@
 import testtools
 
 from foxspread.orchard.budget.budget import STEPS, Budget, Window
+from foxspread.orchard.budget.runs import AFTER_S, SWEEP_S, Runs
 
 RATIO, SLACK, SPAN = 0.2, 50, 10.0
 
@@ -101,3 +102,59 @@
             self.assertEqual(sorted(found), list(found))
         self.assertEqual(0, window.read(now + 2 * SPAN))
         self.assertLessEqual(len(window.steps), STEPS + 2)
+
+    def test_what_nobody_was_asked_for_is_spent_too(self):
+        # Guards: calls of repeated runs arrive whatever the budget says: they leave less for further tries,
+        # in every window that they lie in, also where they are more than the budget has.
+        for calls in (0, 3, 30):
+            budget = Budget(RATIO, SLACK, SPAN)
+            for _ in range(100):
+                budget.request(0.0)
+            for _ in range(calls):
+                budget.spend(0.0, 0.5)
+            tries = 0
+            while budget.allows(1.0, 0):
+                budget.spend(1.0)
+                tries += 1
+            most = int(0.5 * RATIO * 100 + 0.4 * SLACK / 2)
+            self.assertEqual(max(0, int(most - 0.5 * calls)), tries, calls)
+            self.assertEqual(0, budget.spent.read(2 * SPAN))
+
+
+class CallsOfRuns(testtools.TestCase):
+    def test_a_call_counts_as_the_run_that_makes_it(self):
+        # Guards: only calls of repeats are charged, of runs that are answered or given up as well: a server
+        # may work on until its deadline.
+        runs = Runs()
+        runs.begun(0.0, b"q1", True, 1.0)
+        runs.begun(0.0, b"q2", False, 1.0)
+        runs.begun(0.0, b"a.b", True, 1.0)
+        for id, part in ((b"q1.x", 1), (b"q1.x.y", 1), (b"q2.x", 0), (b"a.b.c", 1), (b"a.c", 0), (b"q1", 0),
+                         (b"q12.x", 0), (b"", 0), (b".", 0), (b"q3.x", 0)):  # fmt: skip
+            self.assertEqual(part, runs.part(id), id)
+        runs.ended(b"q1")
+        self.assertEqual([1, 0], [runs.part(b"q1.x"), runs.part(b"q2.x")])
+
+    def test_where_calls_name_no_run(self):
+        # Guards: charged as likely as a call here is one of a repeat; what is answered makes none.
+        runs = Runs()
+        self.assertEqual(0.0, runs.part(b"x"))
+        for number in range(4):
+            runs.begun(0.0, b"q%d" % number, number == 0, 1.0)
+        self.assertEqual([0.25, 0.25], [runs.part(b"x"), runs.part(b"x.y")])
+        runs.ended(b"q1")
+        self.assertEqual(1 / 3, runs.part(b"x"))
+        runs.ended(b"q0")
+        self.assertEqual(0.0, runs.part(b"x"))
+
+    def test_what_is_kept_ends(self):
+        # Guards: ids of runs go once they can make no more calls; one that is sent again is kept for longer.
+        runs = Runs()
+        for number in range(1000):
+            now = 100.0 + number / 10
+            runs.begun(now, b"q%d" % number, False, now + 1.0)
+            runs.ended(b"q%d" % number)
+            self.assertLessEqual(len(runs.of), 10 * (SWEEP_S + AFTER_S + 1.0) + 2)
+        runs.begun(now, b"q999", True, now)
+        self.assertEqual((True, now + 1.0), runs.of[b"q999"])
+        self.assertEqual({b"q999": True}, runs.out)
--- a/tests/orchard/dataplane/test_caller.py
+++ b/tests/orchard/dataplane/test_caller.py
@@ -6,6 +6,7 @@
 from foxspread.orchard.dataplane.caller import judged
 from foxspread.orchard.dataplane.errand import MARGIN_S
 from foxspread.orchard.dataplane.lasthop import DRAIN_PART
+from foxspread.orchard.dataplane.memory import Share
 from foxspread.orchard.configuration.items import ROUTE, Item
 from foxspread.orchard.settings import BOUNDS
 from tests.orchard.helpers import (
@@ -278,6 +279,164 @@
             self.assertEqual([200], statuses(transport.written))
             self.assertEqual({}, site.idle())
 
+    def test_this_machine_stood_still(self):
+        # Guards: what lay unread in its buffers has no time left: it is refused with a promise, and no server
+        # sees it, neither from this machine's clients nor from other sidecars.
+        for beside in (False, True):
+            for mail_class in ("safe", "unsafe"):
+                site = Site(self.loop, beside=beside, mail_class=mail_class)
+                _, transport = site.client()
+                site.desk.sweep(self.loop.now)
+                self.loop.now += 5.0
+                transport.receive(PAY)
+                self.loop.settle()
+                self.assertEqual([[503], []], [statuses(transport.written), site.seen])
+                self.loop.advance(0.1)
+                transport.receive(request(id=b"q2"))
+                self.loop.settle()
+                self.assertEqual([[503, 200], 1], [statuses(transport.written), len(site.seen)])
+        for mail_class in ("safe", "unsafe"):
+            site = Site(self.loop, others=("b",), mail_class=mail_class)
+            site.desks["b"].sweep(self.loop.now)
+            self.loop.now += 5.0  # `b` alone
+            site.desk.swept_at = None
+            transport = site.ask(PAY)
+            self.assertEqual([[503], []], [statuses(transport.written), site.seen])
+            self.loop.advance(0.1)
+            self.assertEqual({}, site.idle())
+            self.assertEqual([[200], {}], [statuses(site.ask(PAY).written), site.idle()])
+
+    def test_it_stands_still_while_a_connection_comes_up(self):
+        # Guards: the check of the time stands at the act, at both hops: nothing is written after it.
+        for place in (("me", 80), ("b", 80), ("b", 70)):
+            site = Site(self.loop, others=("b",), beside=place[0] == "me", mail_class="unsafe")
+            inner = self.loop.places[place]
+
+            def factory(inner=inner):
+                self.loop.now += 9.0  # and no timer has run
+                return inner()
+
+            self.loop.places[place] = factory
+            transport = site.ask(PAY)
+            self.loop.advance(0.1)
+            self.assertEqual([[503], []], [statuses(transport.written), site.seen], place)
+            self.assertEqual(b"", self.loop.lines[-1][1].written, place)
+            self.assertEqual({}, site.idle(), place)
+
+    def test_answers_that_came_while_it_stood_still(self):
+        # Guards: an answer that lay unread goes to its own client if it is read before the timers that are
+        # due, and to nobody after; in both cases the next on that connection gets its own.
+        for beside in (False, True):
+            for answer_first in (True, False):
+                for mail_class in ("safe", "unsafe"):
+                    site, later = Site(self.loop, others=("b",), beside=beside, mail_class=mail_class), []
+                    site.acts = [later.append]
+                    transport = site.ask(PAY)
+                    if answer_first:
+                        self.loop.now += 9.0
+                        later[0].transport.write(answer(id=b"q1"))
+                        self.loop.settle()
+                    self.loop.advance(9.0)
+                    if not answer_first:
+                        later[0].transport.write(answer(id=b"q1"))  # the server wakes, or this machine
+                        self.loop.settle()
+                    wanted = 200 if answer_first else 504
+                    self.assertEqual([wanted], statuses(transport.written))
+                    transport.receive(request(id=b"q2"))
+                    self.loop.settle()
+                    self.assertEqual([wanted, 200], statuses(transport.written))
+                    self.assertTrue(transport.written.rpartition(b"HTTP/1.1 ")[2].count(b"q2"))
+                    self.assertEqual([2, {}], [len(site.seen), site.idle()])
+
+    def test_a_drain_that_was_over_while_it_stood_still(self):
+        # Guards: the last hop counts the drain from when it was heard, asleep or not; an unsafe request that
+        # lay there goes to no server of it, and comes back as one that has not run.
+        site = Site(self.loop, others=("b",), mail_class="unsafe")
+        told = {"service": "s1", "address": "b:80", "berths": 4, "state": "draining", "sequence": 2}
+        site.lives["b"].beat(self.loop.now, "i-b", told)
+        site.lives["b"].slept(5.0)
+        self.loop.now += 5.0
+        transport = site.ask(PAY)
+        self.assertEqual([[503], []], [statuses(transport.written), site.seen])
+
+    def test_the_calls_of_a_repeated_run(self):
+        # Guards: the server beside `b` works on a repeat: its calls through `b` are charged there, those of
+        # a first run are not; a call's own repeat says so too.
+        for failing, beside, spent in ((False, False, 0), (True, False, 1), (True, True, 1)):
+            site, later = Site(self.loop, others=("b",) if beside else ("b", "c")), []
+            if beside:  # the repeat runs at the server beside the client's sidecar, as there is no other
+                self.loop.call_soon(site.beat, "me")
+            site.acts = [answer(500), later.append] if failing else [later.append]
+            transport = site.ask(request(id=b"q1"))
+            (line,) = later
+            where = header(site.seen[-1], b"x-expect-instance")[2:].decode()
+            self.assertEqual(beside, where == "me")
+            hop = site.hops[where]
+            desk = type(site.desk)(
+                self.loop.time, where, b"s1", type(site.steering)(
+                    "z", site.upstreams, BOUNDS, site.chance, lambda: 3
+                ), site.table, lambda: True, site.lanes, hop,
+            )  # fmt: skip
+            site.desk, callers = desk, site.desk
+            call = site.ask(request(id=b"q1.1"))
+            other = site.ask(request(id=b"q7"))
+            self.assertEqual([[200], [200]], [statuses(each.written) for each in (call, other)])
+            budget = desk.steering.budget("s1")
+            now = self.loop.now
+            self.assertEqual([spent, 2 - spent], [budget.spent.read(now), budget.asked.read(now)])
+            line.transport.write(answer(id=b"q1"))
+            self.loop.settle()
+            self.assertEqual([200], statuses(transport.written))
+            site.desk = callers
+            self.assertEqual({}, site.idle())
+
+    def test_a_body_that_finds_no_memory_at_the_last_hop(self):
+        # Guards: it is refused there unread, which is a word that it was never handed over: another server
+        # gets it, an unsafe one too; the client waits for no more than that.
+        for mail_class in ("safe", "unsafe"):
+            site = Site(self.loop, others=("b", "c"), mail_class=mail_class)
+            for name in ("b", "c"):
+                site.desks[name].share = Share(10)
+            transport = site.ask(request(method=b"POST", body=b"x" * 11))
+            self.assertEqual([[503], []], [statuses(transport.written), site.seen])
+            self.assertEqual([{}, 0, 0], [site.idle(), site.lanes.share.held, site.desks["b"].share.held])
+            site.desks["c"].share = Share(11)
+            transport = site.ask(request(method=b"POST", body=b"x" * 11))
+            self.assertEqual([[200], 1], [statuses(transport.written), len(site.seen)])
+
+    def test_an_answer_that_finds_no_memory(self):
+        # Guards: the server may have run it: no promise; a safe one is tried elsewhere.
+        for beside in (False, True):
+            for mail_class, wanted in (("safe", 200), ("unsafe", 502)):
+                site = Site(self.loop, beside=beside, mail_class=mail_class)
+                self.loop.call_soon(site.beat, "b") if beside else None
+                for lanes in site.app_lanes:
+                    lanes.share = Share(10)
+                site.acts = [answer(body=b"x" * 11)]
+                transport = site.ask(PAY)
+                self.assertEqual([wanted], statuses(transport.written), (beside, mail_class))
+                self.assertEqual([{}, 0], [site.idle(), sum(each.share.held for each in site.app_lanes)])
+
+    def test_a_connection_between_sidecars_that_died_unseen(self):
+        # Guards: nobody knows whether the request on it was read: an unsafe one is not sent again.
+        for beside in (False, True):
+            for mail_class, wanted in (("safe", (200, 3)), ("unsafe", (502, 2))):
+                site = Site(self.loop, beside=beside, mail_class=mail_class)
+                self.assertEqual([200], statuses(site.ask(PAY).written))
+                self.loop.call_soon(site.beat, "b") if beside else None
+                self.loop.settle()
+                tried = header(site.seen[0], b"x-expect-instance")[2:].decode()
+                for id, upstream in site.upstreams.service("s1").by_id.items():
+                    if id != f"i-{tried}":  # the same one is asked again
+                        upstream.told(self.loop.now, 3)
+                place = tried, 80 if beside else 70
+                (near,) = [each for there, each in self.loop.lines if there == place and not each.ended]
+                near.other.receive = lambda data, near=near: near.other.abort()
+                transport = site.ask(PAY)
+                self.loop.advance(0.4)
+                self.assertEqual(wanted[0], statuses(transport.written)[0], (beside, mail_class))
+                self.assertEqual(wanted[1] - 1, len(site.seen))
+
     def test_a_head_without_a_body(self):
         site = Site(self.loop)
         site.acts = [lambda line: line.transport.write(answer(id=b"q1")[:-4])]
@@ -293,6 +452,14 @@
         self.assertEqual([400], statuses(site.ask(request(id=b"")).written))
         self.assertEqual(1, len(site.seen))
 
+    def test_a_request_without_an_id_takes_no_connection_that_was_used(self):
+        # Guards: an answer without an id that is still due to another could not be told from its own.
+        site = Site(self.loop, beside=True)
+        site.acts = [answer(), not_run(400).replace(b"X-Request-Id: ID\r\n", b"")]
+        self.assertEqual([200], statuses(site.ask(request()).written))
+        self.assertEqual([400], statuses(site.ask(request(id=b"")).written))
+        self.assertEqual(2, site.hops["me"].lanes.opened)
+
     def test_our_own_bound_on_connections(self):
         # Guards: that this sidecar may open no more is no failure of any server.
         site = Site(self.loop)
--- a/tests/orchard/dataplane/test_errand.py
+++ b/tests/orchard/dataplane/test_errand.py
@@ -5,7 +5,7 @@
 import testtools
 
 from foxspread.model import Outcome
-from foxspread.orchard.dataplane.errand import MARGIN_S, PROMISES, Pass, Refuse, Send, Steering
+from foxspread.orchard.dataplane.errand import COUNT_S, MARGIN_S, PROMISES, Pass, Refuse, Send, Steering
 from foxspread.orchard.configuration.routes import route_of
 from foxspread.orchard.registry.records import Record, Records, server
 from foxspread.orchard.health.upstreams import Upstreams
@@ -29,7 +29,7 @@
 class World:
     """One request, with the adapter's part played by hand; holds the invariants after each event."""
 
-    def __init__(self, test, safe, attempts=2, left=2.0, servers=2, **bounds):
+    def __init__(self, test, safe, attempts=2, left=2.0, servers=2, waited=0.0, again=0.0, **bounds):
         self.test, self.now = test, 100.0
         records = Records()
         self.upstreams = Upstreams(records)
@@ -39,7 +39,7 @@
         self.steering = Steering("z", self.upstreams, BOUNDS | bounds, Chance(2), lambda: 1)
         told = route(mail_class="safe" if safe else "unsafe", attempts=attempts)
         self.safe, self.answers, self.sent, self.gone = safe, [], [], False
-        self.errand = self.steering.begin(self.now, route_of(told), left)
+        self.errand = self.steering.begin(self.now, route_of(told), left, waited, again)
         self.step(self.steering.next(self.now, self.errand))
 
     def step(self, step):
@@ -203,3 +203,45 @@
         world.end(0, ENDS["done"])
         self.assertEqual([0, 0], [there.flying, upstreams.service("s1").by_id[there.id].flying])
         self.assertIsInstance(world.steering.next(world.now, world.errand), Pass)
+
+    def test_which_arrivals_are_repeats(self):
+        # Guards: the last hop is told of each arrival beyond the first of a request; what has not left is
+        # none; all arrivals of a call that a repeat has made are.
+        for events, again, wanted in (
+            ((("ended", 0, "reset"),), 0.0, [False, True]),
+            ((("ended", 0, "unsent"), ("ended", 1, "full")), 0.0, [False, False, True]),
+            ((("overdue", 0, ""),), 0.0, [False, True]),
+            ((("ended", 0, "reset"),), 1.0, [True, True]),
+            ((("ended", 0, "reset"),), 0.5, [False, True]),
+        ):
+            world = World(self, True, servers=3, again=again)
+            for event in events:
+                world.happen(event)
+            self.assertEqual(wanted, [each.again for each in world.sent], (events, again))
+
+    def test_calls_of_a_repeat_are_charged(self):
+        # Guards: such a call spends, and brings nothing that could be spent; one that may be one, a part.
+        for again, asked, spent in ((0.0, 1, 0), (0.25, 1, 0.25), (1.0, 0, 1)):
+            world = World(self, True, again=again)
+            budget = world.steering.budget("s1")
+            self.assertEqual([asked, spent], [budget.asked.read(world.now), budget.spent.read(world.now)])
+
+    def test_all_sidecars_are_counted_now_and_then(self):
+        # Guards: a count walks all records; it is not made each time a further try is weighed.
+        counts = []
+        world = World(self, True)
+        world.steering.sidecars = lambda: counts.append(world.now) or 3
+        began = world.now
+        for number in range(1000):
+            self.assertEqual(3, world.steering.count(began + number / 100))
+        self.assertLessEqual(len(counts), 10 / COUNT_S + 1)
+
+    def test_time_that_a_request_has_waited(self):
+        # Guards: its client's time, and the route's, count from when it came, not from when it was read.
+        for waited, sent in ((0.0, 1), (1.0, 1), (2.0, 0), (9.0, 0)):
+            for left in (2.0, 60.0):  # the route has 2 s
+                world = World(self, False, left=left, waited=waited)
+                self.assertEqual(sent, len(world.sent))
+                self.assertAlmostEqual(max(0.0, 2.0 - waited - MARGIN_S), world.errand.until - world.now, 6)
+                if not sent:
+                    self.assertEqual(503, world.answers[0].status)
--- a/tests/orchard/dataplane/test_lanes.py
+++ b/tests/orchard/dataplane/test_lanes.py
@@ -1,6 +1,7 @@
 """The side that asks: one answer for each request, in any cut, and connections that are counted."""
 
 from foxspread.orchard.dataplane.lanes import STRAYS_MOST, Lane, Lanes
+from foxspread.orchard.dataplane.memory import Share
 from tests.orchard.helpers import Loop, OnLoop, Script, Transport, answer
 
 PLACE = ("s", 80)
@@ -31,11 +32,12 @@
 
 
 class Asks(OnLoop):
-    def lane(self, id=b"q1", method=b"GET"):
-        pool = Lanes(self.loop.time, 6.0)
+    def lane(self, id=b"q1", method=b"GET", stuck=False, **told):
+        pool = Lanes(self.loop.time, 6.0, **told)
         pool.open_now[PLACE] = 1
         lane, ends = Lane(pool, PLACE), []
         lane.connection_made(Transport(self.loop, lane))
+        lane.transport.stuck = stuck
         lane.ask([method + b" / HTTP/1.1\r\n\r\n"], id, ends.append)
         return pool, lane, ends
 
@@ -103,9 +105,75 @@
                 wanted = b"done" if others <= STRAYS_MOST else None
                 self.assertEqual([wanted], [end.message and bytes(end.message.body) for end in ends])
                 self.assertEqual(others == 0, pool.reuse(PLACE) is lane)
-        pool, lane, ends = self.lane()
-        lane.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")  # whose is it?
+        for status in (b"200 OK", b"500 E", b"421 M", b"503 S\r\nX-Not-Run: 1"):  # whose is it?
+            pool, lane, ends = self.lane()
+            lane.data_received(b"HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n" % status)
+            self.assertEqual([], ends, status)
+            lane.data_received(answer(id=b"q1"))
+            self.assertEqual([[200], None], [[end.message.status for end in ends], pool.reuse(PLACE)])
+
+    def test_a_request_without_an_id(self):
+        # Guards: an answer that tells an id is another's; the one that tells none is taken.
+        pool, lane, ends = self.lane(id=b"")
+        lane.data_received(answer(id=b"q0"))
         self.assertEqual([], ends)
+        lane.data_received(b"HTTP/1.1 400 B\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+        self.assertEqual([[400], None], [[end.message.status for end in ends], pool.reuse(PLACE)])
+
+    def test_an_answer_of_another_sidecar_is_known_by_its_number(self):
+        # Guards: no id of a request is the same for two tries, but an older sending's answer, or one without
+        # a number, ends the asking and the connection: nothing is concluded from it.
+        word = b"X-Orchard: sent 0 %b \r\n"
+        for number, whole in ((b"5", True), (b"4", False), (b"", False), (b"5 6", True)):
+            for size in (1, 999):
+                pool, lane, ends = self.lane(id=b"5", numbered=True)
+                self.feed(lane, answer(id=b"q1", more=word % number if number else b""), size)
+                self.assertEqual([whole], [end.message is not None for end in ends], number)
+                self.assertEqual([whole, 0], [pool.reuse(PLACE) is lane, pool.share.held], number)
+        first, again = Lanes(self.loop.time, 6.0), None
+        numbers = [first.number() for _ in range(999)]
+        self.loop.now += 1.0
+        again = Lanes(self.loop.time, 6.0)  # the next process of this machine
+        self.assertEqual(999, len({*numbers} - {again.number() for _ in range(999)}))
+
+    def test_an_answer_before_the_request_is_written(self):
+        # Guards: what a server has not read of a body could be read as a request: such a connection is not
+        # used again, though its answer is whole.
+        pool, lane, ends = self.lane(method=b"POST", stuck=True)
+        lane.data_received(answer(413, id=b"q1"))
+        self.assertEqual([[413], None], [[end.message.status for end in ends], pool.reuse(PLACE)])
+        self.assertEqual({}, pool.open_now)
+        pool, lane, ends = self.lane(method=b"POST", stuck=True)
+        lane.transport.take(999)
+        lane.data_received(answer(413, id=b"q1"))
+        self.assertIs(lane, pool.reuse(PLACE))
+
+    def test_what_is_read_counts_until_it_is_handed_on(self):
+        # Guards: answers of all connections share one bound; what does not fit ends its asking; whatever the
+        # end, all is given back.
+        for size in (1, 30, 999):
+            share = Share(6)
+            pool, lane, ends = self.lane(share=share)
+            other, another, others = self.lane(share=share)
+            self.feed(lane, answer(id=b"q1")[:-1], size)
+            self.assertEqual(3, share.held)
+            self.feed(another, answer(id=b"q1"), size)
+            self.assertEqual([None], [end.message for end in others])
+            self.assertEqual([3, {}], [share.held, other.open_now])
+            self.feed(lane, b"e", size)
+            self.assertEqual([b"done"], [bytes(end.message.body) for end in ends])
+            self.assertEqual(0, share.held)
+        for end in ("connection_lost", "drop", "close", "stray", "garbage"):
+            share = Share(99)
+            _, lane, ends = self.lane(share=share)
+            lane.data_received(answer(id=b"q0") if end == "stray" else answer(id=b"q1")[:-1])
+            if end == "connection_lost":
+                lane.connection_lost(None)
+            elif end == "garbage":
+                lane.connection_lost(ConnectionResetError())
+            elif end != "stray":
+                getattr(lane, end)()
+            self.assertEqual(0, share.held, end)
 
     def test_an_answer_to_head_has_no_body(self):
         # Guards: the length that it tells is not waited for.
@@ -188,6 +256,27 @@
                 self.loop.advance(1.0)
                 self.assertEqual([told, {}], [task.result(), pool.open_now])
 
+    def test_not_more_than_so_many_to_all_places(self):
+        # Guards: descriptors are shared by all places: one that rests makes way, the longest first; where
+        # none rests there is no more.
+        places = [("s", n) for n in range(4)]
+        self.loop.places.update(dict.fromkeys(places, Script))
+        pool = Lanes(self.loop.time, 60.0, all_most=3)
+
+        def connect(place):
+            task = self.loop.create_task(pool.connect(place))
+            self.loop.settle()
+            return task.result()
+
+        lanes = [connect(place) for place in places[:3]]
+        self.assertEqual("too many connections", connect(places[3]))
+        for lane in (lanes[1], lanes[0]):
+            pool.keep(lane)
+            self.loop.now += 1.0
+        self.assertIsInstance(connect(places[3]), Lane)
+        self.assertEqual({places[0]: 1, places[2]: 1, places[3]: 1}, pool.open_now)
+        self.assertIs(lanes[0], pool.reuse(places[0]))
+
     def test_not_more_than_so_many(self):
         self.loop.places[PLACE] = Script
         pool = Lanes(self.loop.time, 6.0, most=2)
--- a/tests/orchard/dataplane/test_serving.py
+++ b/tests/orchard/dataplane/test_serving.py
@@ -1,10 +1,14 @@
 """The side that is asked: bytes in any cut, answers in order, bounds, and how connections end."""
 
+from foxspread.orchard.dataplane.memory import Share
 from foxspread.orchard.dataplane.serving import (
     BUFFERED_MOST,
+    LINGER_MOST_S,
     LINGER_S,
     STALL_S,
+    STILL_S,
     WAITING_MOST,
+    WAKING_S,
     Desk,
     Limits,
     Serving,
@@ -46,8 +50,8 @@
 class Held(Desk):
     """Keeps what it takes until the test answers; what is `at_once` is answered as it comes."""
 
-    def __init__(self, loop, limits=None):
-        super().__init__(loop.time, limits or Limits())
+    def __init__(self, loop, limits=None, share=None, lines_most=200):
+        super().__init__(loop.time, limits or Limits(), share, lines_most)
         self.taken, self.at_once, self.gone = [], False, []
 
     def take(self, exchange):
@@ -285,6 +289,151 @@
             each.answer(200)
         self.assertEqual([False, True], [transport.paused, transport.eof])
 
+    def test_one_that_goes_on_sending_behind_a_refusal(self):
+        # Guards: whoever sends a long body reads its refusal late; a close while bytes still come would reset
+        # the connection. It is read to its end, but not for ever.
+        for sends, closed in ((2, LINGER_S), (99, LINGER_MOST_S)):
+            desk = self.desk(body=10)
+            _, transport = self.line(desk)
+            transport.receive(request(method=b"POST", body=b"x" * 11))
+            began = self.loop.now
+            while not transport.closing:
+                if sends > 0:
+                    transport.receive(b"x" * 1000)
+                    sends -= 1
+                    last = self.loop.now
+                self.loop.advance(0.5)
+                desk.sweep(self.loop.now)
+            self.assertEqual([413], statuses(transport.written))
+            self.assertLess(abs(self.loop.now - (last if closed == LINGER_S else began) - closed), 1.1)
+
+    def test_bodies_of_all_connections_together(self):
+        # Guards: each body is within its limit, all together are not: what does not fit is refused unread
+        # with a promise and a time, in its order; what there was goes on.
+        desk, chunks = Held(self.loop, Limits(), Share(100)), b"Transfer-Encoding: chunked\r\n\r\n"
+        _, first = self.line(desk)
+        first.receive(request(method=b"POST", body=b"x" * 60) + request(b"/two"))
+        _, part = self.line(desk)
+        part.receive(request(method=b"POST", body=b"x" * 30)[:-1])
+        chunked = b"POST / HTTP/1.1\r\n" + chunks + b"c\r\n" + b"x" * 12
+        for data in (request(method=b"POST", body=b"x" * 50), chunked):
+            for size in (None, 1):
+                _, transport = self.line(desk)
+                self.feed(transport, request(b"/before") + data, size)
+                self.assertEqual(b"", transport.written)
+                desk.taken.pop().answer(200)
+                self.assertEqual([[200, 503], 89], [statuses(transport.written), desk.share.held])
+                self.assertTrue(transport.eof)
+                self.assertIn(b"Retry-After: 0.", transport.written)
+        desk.taken[0].answer(200, b"y" * 20)
+        self.assertEqual([200], statuses(first.written))
+        part.receive(b"x")
+        self.assertEqual([30, b"x" * 30], [desk.share.held, bytes(desk.taken[-1].message.body)])
+        desk.taken[-1].answer(200)
+        desk.taken[1].answer(200)
+        self.assertEqual([0, 200], [desk.share.held, statuses(part.written)[0]])
+
+    def test_all_that_is_held_is_given_back(self):
+        # Guards: whichever way a connection ends, nothing of it counts on; answers do until they are taken.
+        body = request(b"/one", b"POST", body=b"x" * 10)
+        for name, data, answers, held in (
+            ("nothing answered", body, (), 10),
+            ("a part", body + body[:-3], (), 17),
+            ("many behind", body * 99, (), 990),
+            ("the second is answered", body * 2, ((1, 200, 50),), 70),
+            ("an answer is not taken", body, ((0, 200, 50),), None),
+            ("refused", body + b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nxxx\0", (), 13),
+            ("not in the protocol", body + b"\0", (), 10),
+            ("closes", body.replace(b"Host", b"Connection: close\r\nHost") + body, ((0, 200, 5),), None),
+        ):
+            for end in ("reset", "receive_eof", "abort", "sweep"):
+                desk = Held(self.loop, Limits(), Share(2000))
+                _, transport = self.line(desk)
+                transport.stuck = True
+                transport.receive(data)
+                for number, status, size in answers:
+                    desk.taken[number].answer(status, b"y" * size)
+                if held is None:
+                    self.assertEqual(len(transport.held), desk.share.held, name)
+                elif name not in ("refused", "not in the protocol"):
+                    self.assertEqual(held, desk.share.held, name)
+                if end == "sweep":
+                    if held is None:
+                        transport.take(9999)
+                        desk.sweep(self.loop.now)
+                        self.assertEqual(0, desk.share.held, name)
+                    transport.reset()
+                else:
+                    getattr(transport, end)()
+                transport.abort()
+                self.loop.settle()
+                self.assertEqual([0, set()], [desk.share.held, desk.lines], (name, end))
+
+    def test_the_number_of_connections(self):
+        # Guards: descriptors: the one that has been idle longest makes way; where none is idle the newcomer
+        # ends before anything is read, so that whatever it sends may be sent again.
+        desk = Held(self.loop, Limits(), None, 3)
+        desk.at_once = True
+        made = []
+        for _ in range(3):
+            made.append(self.line(desk)[1])
+            self.loop.advance(1.0)
+        made[0].receive(request())
+        desk.at_once = False
+        self.line(desk)[1].receive(request())
+        self.loop.settle()
+        self.assertEqual([False, True, False], [each.closing for each in made])
+        for each in (made[0], made[2]):
+            each.receive(request())
+        _, late = self.line(desk)
+        late.receive(request())
+        self.loop.settle()
+        self.assertEqual([True, b"", 3, 4], [late.aborted, late.written, len(desk.lines), len(desk.taken)])
+
+    def test_how_long_a_request_may_have_waited(self):
+        # Guards: what lay unread while this process stood still is that old, and what is read after that is
+        # not; what waits behind others on its connection is as old as its first byte.
+        desk = self.desk()
+        _, transport = self.line(desk)
+        desk.sweep(self.loop.now)
+        self.loop.now += 1.0
+        transport.receive(request())
+        self.assertEqual(0.0, desk.waited(desk.taken[-1].message))
+        desk.sweep(self.loop.now)
+        self.loop.now += STILL_S + 5.0
+        for _ in range(2):  # all that came meanwhile, on whichever connection
+            transport.receive(request())
+            self.assertEqual(STILL_S + 5.0, desk.waited(desk.taken[-1].message))
+            _, transport = self.line(desk)
+        desk.sweep(self.loop.now)
+        self.loop.advance(2 * WAKING_S)
+        transport.receive(request())
+        self.assertEqual(0.0, desk.waited(desk.taken[-1].message))
+        self.loop.advance(1.0)
+        self.assertLess(abs(1.0 - desk.waited(desk.taken[-1].message)), 0.001)
+        desk.sweep(self.loop.now)
+        self.loop.now += 9.0
+        desk.sweep(self.loop.now)  # the sweep may be the first to run
+        transport.receive(request())
+        self.assertEqual(9.0, desk.waited(desk.taken[-1].message))
+
+    def test_connections_that_have_rested(self):
+        # Guards: clients take up what has rested for four fifths of `idle_s`.
+        desk = self.desk(idle_s=10.0)
+        desk.at_once = True
+        _, transport = self.line(desk)
+        for number in range(3):
+            transport.receive(request())
+            self.assertEqual([200] * (number + 1), statuses(transport.written))
+            for _ in range(16):
+                self.loop.advance(0.5)
+                desk.sweep(self.loop.now)
+            self.assertFalse(transport.closing)
+        for _ in range(5):
+            self.loop.advance(0.5)
+            desk.sweep(self.loop.now)
+        self.assertTrue(transport.closing)
+
     def test_leave_to_send_a_body(self):
         # Guards: `100 Continue` is written once, and not before the answers that come first.
         head = b"POST /b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/orchard/helpers.py
+++ b/tests/orchard/helpers.py
@@ -416,6 +416,7 @@
         }
         for name, hop in self.hops.items():
             left |= {f"busy {name} {id}": held.busy for id, held in hop.core.holding.items()}
+            left[f"runs {name}"] = len(hop.core.runs.out)
         for lanes in (self.lanes, *self.app_lanes):
             kept = {place: len(lines) for place, lines in lanes.idle.items() if lines}
             if kept != lanes.open_now:
