A call that comes up as its time is over ends as a link, not only as a connection

uvloop closes a connection whose calling is given up between its coming up and the caller's next turn, and tells its protocol nothing: the link stood on, the next beat on it raised, and with that the task that beats on all links ended for good: no beats, no calls, a process that nobody hears any more. A hundred hollow sidecars begun at once in one loop met it; so would one whose machine stalls for the time of a call.

--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -458,11 +458,19 @@
 
     async def _call(self, place: Address) -> None:
         refused = False
+        links: list[Link] = []
+
+        def called() -> Link:
+            links.append(self._link(place))
+            return links[-1]
+
         try:
             async with asyncio.timeout(CALL_S):
-                return await self.loop.create_connection(lambda: self._link(place), *place)
+                return await self.loop.create_connection(called, *place)
         except TimeoutError:
-            pass
+            for link in links:  # that came up at that moment: uvloop closes it, and tells nobody
+                if link.transport is not None:
+                    return link.close("too late")
         except OSError:
             refused = True
         self.dialling.vain(self.clock(), place, refused)
--- a/tests/orchard/test_node.py
+++ b/tests/orchard/test_node.py
@@ -85,6 +85,45 @@
         self.assertEqual({"127.0.0.1", "127.0.0.2", "127.0.0.3"}, asyncio.run(called("127.0.0.4")))
 
 
+class Late(testtools.TestCase):
+    def test_a_call_that_comes_up_as_its_time_is_over(self) -> None:
+        """The loop closes the connection then without a word: the link must be over too, or the next beat on
+        it raises, and whatever beats on all links ends."""
+
+        class Transport:
+            aborted = False
+
+            def write(self, data: bytes) -> None:
+                if self.aborted:
+                    raise RuntimeError("the handler is closed")
+
+            def get_write_buffer_size(self) -> int:
+                return 0
+
+            def abort(self) -> None:
+                self.aborted = True
+
+        async def play() -> None:
+            loop, transport = asyncio.get_running_loop(), Transport()
+
+            async def create_connection(factory, *place):
+                factory().connection_made(transport)
+                raise TimeoutError
+
+            node = Node(
+                taken(copy.deepcopy(FILE)), mock.Mock(time=loop.time, create_connection=create_connection)
+            )
+            place = ("127.0.0.2", 7660)
+            node.dialling.told(0.0, place)
+            node.dialling.of[place].calling = True
+            await node._call(place)
+            self.assertTrue(transport.aborted)
+            self.assertEqual((set(), {}), (node.unnamed, node.links))
+            self.assertEqual((False, 1), (node.dialling.of[place].calling, node.dialling.of[place].vain))
+
+        asyncio.run(play())
+
+
 class Told(testtools.TestCase):
     """What a process tells of the settled set, and by what it becomes ready."""
 
@@ -124,7 +163,7 @@
             news = node._news("side", pull)
             self.assertEqual((7.0, 1.0), (news["at"], news["age"]))
             self.assertEqual([row(rows[0].bare, (4, "l"))], news["rows"])
-            node.now += TELL_S   # it stood still: nothing has told it so yet
+            node.now += TELL_S  # it stood still: nothing has told it so yet
             self.assertEqual((False, False, 0), told("side"))
             self.assertEqual((True, False, 2), told("k2"))
 
