--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -40,6 +40,7 @@
 from foxspread.orchard.replication.copy import Copy, row, unrow
 from foxspread.orchard.replication.disk import Disk
 from foxspread.orchard.replication.keeper import CUT_OFF_S, Keeper
+from foxspread.orchard.replication.replacement import Replacement, View as MembersView
 from foxspread.orchard.replication.replica import PATIENCE_S
 from foxspread.orchard.replication.acceptor import Acceptor
 from foxspread.orchard.settings import Address, Settings, address, moved, read, shown
@@ -69,6 +70,7 @@
         self.journal.view("record", self._fold_record)
         self.copy = Copy()
         self.keeper: Keeper | None = None
+        self.replacement: Replacement | None = None
         self.contact = Contact(self.member, int.from_bytes(os.urandom(4), "big"))
         self.in_contact = False  # as others were last told
         self.readiness, self.still = Readiness(), Standstill(self.clock(), TICK_S)
@@ -134,6 +136,7 @@
                 self.clock, self.life, self.chance.draw, disk, self._send_member, self._settled
             )
             self.keeper.others = lambda: self.keepers
+            self.replacement = Replacement(self.member, self.life, self.chance.draw)
             self.keeper.patience = lambda: PATIENCE_S if self._current() else CUT_OFF_S
         control.resources["Config"] = Configuration(
             self.keeper, self._a_core, lambda: self.still.stale(self.clock())
@@ -199,6 +202,9 @@
                 self.clock(), self.settings.node, self.settings.zone, BACK_S
             ):
                 await asyncio.sleep(TICK_S)
+        if self.keeper is not None and self.keeper.acceptor is not None:
+            while not self.replacement.may_go(self.clock(), self._members_view()):
+                await asyncio.sleep(TICK_S)
         for desk in self.desks.values():
             desk.retire()
         await asyncio.sleep(0.1 if side else 0.3)
@@ -238,6 +244,7 @@
             if self.keeper is not None:
                 self.keeper.tick()
                 self._ask_contact(now)
+                self._tend_members()
             self._dial(now)
             if self.keeper is None:
                 self._lean_on_neighbours(now)
@@ -296,6 +303,23 @@
                 self.links[name].send(asking)
         self._stand()
 
+    def _tend_members(self) -> None:
+        if self.keeper.acceptor is not None:
+            self.replacement.tend(self.clock, self._members_view(), self.keeper.ask)
+
+    def _members_view(self) -> MembersView:
+        self._current()  # what is settled here by now counts
+        return MembersView.of(
+            self.clock(),
+            self._report(),
+            self.keeper.members,
+            self.copy,
+            self.contact.reports,
+            self.contact.age(self.clock()),
+            self.settings.tolerate,
+            self.settings.tolerate_zones,
+        )
+
     def _stand(self) -> None:
         """Others are told when this keeper's contact ends and when it is back; then news goes out again."""
         if (current := self._current()) == self.in_contact:
