--- a/foxspread/orchard/replication/replacement.py
+++ b/foxspread/orchard/replication/replacement.py
@@ -34,7 +34,7 @@
 LEASE_S = 1.0  # from its asking
 OVER = 1.25  # times `LEASE_S`, unchanged: another may take it
 SPARE_S = 0.1  # so long before its end a holder stops
-STAGGER_S = 0.15  # for each that is to act before
+STAGGER_S = 0.35  # for each that is to act before: over the 0.3 s between two reports
 PAUSE_S = 0.1  # after a failure, doubling, by chance between half and all of it
 PAUSE_MOST_S = 2.0
 CHANGES_MOST = 8  # of the set, in `CHANGES_S`, that this process has seen; beyond, it waits
@@ -213,7 +213,7 @@
             if (
                 name not in view.members
                 and report is not None
-                and _well(report, view)
+                and report.votes
                 and not report.leaving
                 and hearers >= view.members.majority
             ):
@@ -287,6 +287,7 @@
             name
             for name, since in sorted(self.well.items())
             if now - since >= (BACK_S if name in self.lost else JOIN_S)
+            and _well(view.reports[name][1], view)
             and view.reports[name][1].settled >= view.upto
         ]
 
