--- a/tests/orchard/replication/test_replacement.py
+++ b/tests/orchard/replication/test_replacement.py
@@ -11,6 +11,7 @@
 from foxspread.orchard.outcome import conflict, unsettled
 from foxspread.orchard.replication import replacement as r
 from foxspread.orchard.replication.contact import Report
+from foxspread.orchard.replication.copy import Copy
 from foxspread.orchard.replication.members import Members, members_of, one_step, quorum
 
 TICK_S = 0.1
@@ -242,6 +243,30 @@
         self.assertEqual("a1 c3 d1", field.run(3).of())
 
 
+class Wiring(TestCase):
+    def test_what_a_node_hands_in_and_where_a_call_goes(self) -> None:
+        # The reports of others as contact has them, this one's own as of now, the lease as settled.
+        copy, put = Copy(), []
+        held = Item(LEASE, "members", 4, {"holder": "c3", "life": "c3+1"})
+        copy.fold((7, "c"), [(held, (7, "c"))])
+        told = {n: Report(n, True, 2, (7, "c"), (7, "c"), n[1:], hears=("a1", "c3", "d1")) for n in HEARD}
+        told["d1"] = replace(told["d1"], zone="2")
+        heard = {name: (told[name], 10.0) for name in ("c3", "d1")}
+        members, core = Members(2, ("a1", "b2", "c3")), r.Replacement("a1", "a1+1", lambda: 0.0)
+        for tick in range(60):
+            now = 10.0 + tick * TICK_S
+            heard = {name: (report, now) for name, (report, _) in heard.items()}
+            view = r.View.of(now, told["a1"], members, copy, heard, 0.0, 1, 0)
+            core.tend(lambda now=now: now, view, lambda items, tell: put.append((items, tell)))
+        self.assertEqual([Item(LEASE, "members", 5, {"holder": "a1", "life": "a1+1"})], put[0][0])
+        self.assertEqual(1, len(put))  # one under way at the most
+        put[0][1](unsettled("lost"))
+        self.assertIsNone(core.asked)
+
+
+HEARD = ("a1", "c3", "d1")
+
+
 class Leaving(TestCase):
     def test_in_first_then_out_then_it_may_go(self) -> None:
         field = Field("a1 b2 c3 d1").run(3)
