--- a/foxspread/orchard/replication/replacement.py
+++ b/foxspread/orchard/replication/replacement.py
@@ -142,7 +142,7 @@
             return None
         version = view.lease.version if view.lease is not None else 0
         if self.held is not None and self.held[0] == version and now < self.held[1] - SPARE_S:
-            return self._ask(now, version + 1, [changed(view.members, change, _disks(view))])
+            return self._ask(now, version + 1, [changed(view.members, change, _disks(view, change))])
         if now >= self._turn(view) and self._free(now, view.lease):
             return self._ask(now, version + 1, [])
         return None
@@ -351,5 +351,6 @@
     return report.votes and report.epoch >= view.members.epoch
 
 
-def _disks(view: View) -> dict[str, list]:
-    return {name: list(report.disk) for name, (_, report) in view.reports.items()}
+def _disks(view: View, of: tuple[str, ...]) -> dict[str, list]:
+    """Which disks the members have, as far as told: whoever settles the change knows of these."""
+    return {name: list(view.reports[name][1].disk) for name in of if name in view.reports}
--- a/tests/orchard/replication/test_replacement.py
+++ b/tests/orchard/replication/test_replacement.py
@@ -75,6 +75,7 @@
         self.lease = lease
         for new in sets[1:]:
             assert new.epoch == self.members.epoch + 1 and one_step(self.members, new), "one step"
+            assert set(change[0].content["disks"]) <= set(new.of), "the disks of its members"
             came = set(new.of) - set(self.members.of)
             assert not came & (self.mute | set(self.behind) | self.leaving), "no candidate"
             assert len(new.of) >= self.least, "never fewer"
