--- a/foxspread/orchard/replication/replacement.py
+++ b/foxspread/orchard/replication/replacement.py
@@ -34,7 +34,7 @@
 LEASE_S = 1.0  # from its asking
 OVER = 1.25  # times `LEASE_S`, unchanged: another may take it
 SPARE_S = 0.1  # so long before its end a holder stops
-STAGGER_S = 0.15  # for each that is to act before
+STAGGER_S = 0.35  # for each that is to act before: over the 0.3 s between two reports
 PAUSE_S = 0.1  # after a failure, doubling, by chance between half and all of it
 PAUSE_MOST_S = 2.0
 CHANGES_MOST = 8  # of the set, in `CHANGES_S`, that this process has seen; beyond, it waits
@@ -142,7 +142,7 @@
             return None
         version = view.lease.version if view.lease is not None else 0
         if self.held is not None and self.held[0] == version and now < self.held[1] - SPARE_S:
-            return self._ask(now, version + 1, [changed(view.members, change, _disks(view))])
+            return self._ask(now, version + 1, [changed(view.members, change, _disks(view, change))])
         if now >= self._turn(view) and self._free(now, view.lease):
             return self._ask(now, version + 1, [])
         return None
@@ -213,7 +213,7 @@
             if (
                 name not in view.members
                 and report is not None
-                and _well(report, view)
+                and report.votes
                 and not report.leaving
                 and hearers >= view.members.majority
             ):
@@ -287,6 +287,7 @@
             name
             for name, since in sorted(self.well.items())
             if now - since >= (BACK_S if name in self.lost else JOIN_S)
+            and _well(view.reports[name][1], view)
             and view.reports[name][1].settled >= view.upto
         ]
 
@@ -350,5 +351,6 @@
     return report.votes and report.epoch >= view.members.epoch
 
 
-def _disks(view: View) -> dict[str, list]:
-    return {name: list(report.disk) for name, (_, report) in view.reports.items()}
+def _disks(view: View, of: tuple[str, ...]) -> dict[str, list]:
+    """Which disks the members have, as far as told: whoever settles the change knows of these."""
+    return {name: list(view.reports[name][1].disk) for name in of if name in view.reports}
