What one process holds and sends at a size that is not run; hollow sidecars begin apart

They begin a stated time apart. A newcomer at a machine with a disk no longer costs a copy of all sources besides what it is told.

--- a/foxspread/orchard/__main__.py
+++ b/foxspread/orchard/__main__.py
@@ -26,6 +26,7 @@
     python -m foxspread.orchard up --folder DIR the whole of it on this machine
     python -m foxspread.orchard try DIR         what it does, by figures
     python -m foxspread.orchard hollow          what each role spends, by the number of sidecars
+    python -m foxspread.orchard weigh           what one process holds and sends at a size that is not run
     """
 
 
@@ -193,6 +194,7 @@
 @click.option(
     "--restarts", default=1.0, show_default=True, type=click.FloatRange(0.1, 20.0), help="A second."
 )
+@click.option("--apart-s", default=0.02, show_default=True, help="Between two first starts in one process.")
 @click.option("--net", default="127.77", show_default=True, help="The first two numbers of all addresses.")
 @click.option("--target", default=15_000, show_default=True, help="Sidecars, to which slopes are carried.")
 @click.option("--minutes", default=10.0, show_default=True, help="After these no further size begins.")
@@ -229,5 +231,18 @@
     sys.exit(0 if len(found) == len(sizes) and not any(each.faults for each in found) else 1)
 
 
+@main.command()
+@click.option("--sidecars", default=15_000, show_default=True, type=click.IntRange(1, 100_000))
+@click.option("--services", default=1500, show_default=True, type=click.IntRange(1, 10_000))
+@click.option("--routes", default=3400, show_default=True, type=click.IntRange(1, 50_000))
+@click.option("--zones", default=13, show_default=True, type=click.IntRange(1, 100))
+@click.option("--keepers", default=22, show_default=True, type=click.IntRange(1, 100))
+def weigh(**told: int) -> None:
+    """What one process holds and sends at a size that is not run: bytes, milliseconds, memory."""
+    from foxspread.orchard.hollow.weigh import weighed
+
+    click.echo("\n".join(each.line() for each in weighed(**told)))
+
+
 if __name__ == "__main__":
     main()
--- a/foxspread/orchard/hollow/run.py
+++ b/foxspread/orchard/hollow/run.py
@@ -53,6 +53,7 @@
     changes: float = 2.0  # of the configuration, a second
     news: float = 4.0  # of servers, a second
     restarts: float = 1.0  # of sidecars, a second
+    apart_s: float = 0.02  # between two starts in one process, at the first
     calm_s: float = 3.0  # before the first phase
     down_s: float = 4.0  # for which a zone is away
     heartbeat_s: float = 1.3
@@ -96,7 +97,7 @@
             )
 
     async def do(self, what: str, **told: Any) -> dict[str, Any]:
-        async with self.turn, asyncio.timeout(STEP_S):
+        async with self.turn, asyncio.timeout(STEP_S + told.get("apart_s", 0.0) * len(self.sidecars)):
             self.process.stdin.write(orjson.dumps({"do": what, **told}) + b"\n")
             line = await self.process.stdout.readline()
         if not line:
@@ -255,7 +256,7 @@
             for worker in self.workers:
                 await worker.start()
             began = time.monotonic()
-            await asyncio.gather(*(worker.do("start", apart_s=0.004) for worker in self.workers))
+            await asyncio.gather(*(worker.do("start", apart_s=shape.apart_s) for worker in self.workers))
             await self._known("all to start", items)
             self.figures.times["all start"] = {"until all know all": time.monotonic() - began}
             await asyncio.sleep(shape.calm_s)
--- a/foxspread/orchard/membership/exchange.py
+++ b/foxspread/orchard/membership/exchange.py
@@ -20,8 +20,8 @@
     """What a neighbour has told of itself, and what it was told."""
 
     number: int  # in the order in which they came: of two with the same version the earlier one is asked
-    told: int  # changes here up to this one, but for those of `held`
-    held: set[str]
+    told: int = 0  # changes here up to this one, but for those of `held`
+    held: set[str] | None = None  # None: nothing was told yet
     has: dict[str, Version] = field(default_factory=dict)
 
 
@@ -50,8 +50,7 @@
         if old is not None:
             self._less(peer)
         self.came += 1
-        number = self.came if old is None else old.number
-        self.peers[peer] = Peer(number, told=self.changes, held=set(self.mine))
+        self.peers[peer] = Peer(self.came if old is None else old.number)
 
     def left(self, peer: Hashable) -> None:
         if self.peers.pop(peer, None) is not None:
@@ -86,6 +85,8 @@
         dirty = [source for source in self.dirty if source in self.mine]
         for name, peer in self.peers.items() if dirty else ():
             news = {}
+            if peer.held is None:
+                peer.held = set(self.mine)
             for source in dirty:
                 if self.changed[source] <= peer.told and source not in peer.held:
                     continue
@@ -104,7 +105,7 @@
         """All versions that a new neighbour is told."""
         news = {s: v for s, v in self.mine.items() if self.tells(peer, s)}
         there = self.peers[peer]
-        there.told, there.held = self.changes, self.mine.keys() - news.keys()
+        there.told, there.held = self.changes, {s for s in self.mine if s not in news}
         return news
 
     def told(self, peer: Hashable, versions: dict[str, Version]) -> None:
--- /dev/null
+++ b/tests/orchard/hollow/test_weigh.py
@@ -0,0 +1,44 @@
+"""What is held and sent at a size that is not run."""
+
+import testtools
+from click.testing import CliRunner
+
+from foxspread.orchard.__main__ import main
+from foxspread.orchard.hollow.weigh import filled, items, message, rows, timed, weighed
+from foxspread.orchard.messaging.netstrings import encode
+from foxspread.orchard.registry.records import record
+
+
+class Weighing(testtools.TestCase):
+    def test_what_is_weighed_is_what_is_sent(self) -> None:
+        # Guards: records of distinct sidecars, as the parts take them; bytes are those of the wire.
+        told = rows(600, 50, 13)
+        records = [record(each) for each in told]
+        self.assertEqual(
+            [600, 600, 13],
+            [len({f(r) for r in records}) for f in (lambda r: r.node, lambda r: r.inbound, lambda r: r.zone)],
+        )
+        self.assertEqual(told, [each.packed() for each in records])
+        self.assertEqual(50, len({each.servers[0].service for each in records}))
+        news = {"t": "news", "records": told}
+        self.assertEqual(len(encode(news)), message("news", news)[0].wire)
+
+    def test_items_are_distinct_and_whole(self) -> None:
+        found = items(7, 3)
+        self.assertEqual(10, len({each.key for each in found}))
+
+    def test_time_and_memory(self) -> None:
+        runs: list[int] = []
+        self.assertGreaterEqual(timed(lambda: runs.append(1), 3), 0.0)
+        self.assertEqual(3, len(runs))
+        made, took, memory = filled(lambda: bytearray(b"x" * 20_000_000))
+        self.assertGreater(memory, 15_000_000)
+        self.assertEqual(20_000_000, len(made))
+
+    def test_the_command(self) -> None:
+        options = ["--sidecars", "40", "--services", "5", "--routes", "9", "--keepers", "3"]
+        result = CliRunner().invoke(main, ["weigh", *options])
+        self.assertEqual(0, result.exit_code, result.output)
+        self.assertEqual(len(weighed(40, 5, 9, 13, 3)), len(result.output.splitlines()))
+        self.assertIn("40 records and their servers", result.output)
+        self.assertEqual(2, CliRunner().invoke(main, ["weigh", "--sidecars", "0"]).exit_code)
