--- a/foxspread/orchard/hollow/weigh.py
+++ b/foxspread/orchard/hollow/weigh.py
@@ -159,6 +159,7 @@
         exchange = Exchange(lambda peer, source: source != SETTLED)
         for source, version in versions.items():
             exchange.have(source, tuple(version))
+        exchange.dirty.clear()  # who is there was told as they came
         for source in versions:
             _told_all(exchange, source)
             exchange.told(source, {source: tuple(versions[source])})
