--- a/tests/orchard/helpers.py
+++ b/tests/orchard/helpers.py
@@ -185,7 +185,8 @@
     def take(self, size):
         """The peer takes so many of the bytes that wait."""
         part, self.held = self.held[:size], self.held[size:]
-        self._out(part)
+        if part:
+            self._out(part)
         if self.full and len(self.held) <= self.high / 4:
             self.full = False
             self.protocol.resume_writing()
