--- a/foxspread/orchard/dataplane/caller.py
+++ b/foxspread/orchard/dataplane/caller.py
@@ -233,7 +233,8 @@
             return exchange.answer(503, b"no configuration yet\n", [b"Retry-After: 0.3\r\n"])
         now = self.clock()
         again = self.hop.core.runs.part(message.header(b"x-request-id") or b"")
-        errand = self.steering.begin(now, route, heads.deadline(message), self.waited(message), again)
+        waited = self.waited(message, route.safe)
+        errand = self.steering.begin(now, route, heads.deadline(message), waited, again)
         job = Job(self, exchange, errand)
         exchange.left = job.left
         job.carry(self.steering.next(now, errand))
--- a/foxspread/orchard/dataplane/hop.py
+++ b/foxspread/orchard/dataplane/hop.py
@@ -145,7 +145,7 @@
         message = exchange.message
         id, caller = message.text(b"x-expect-instance"), message.header(b"x-caller") or b""
         terms, mark = heads.terms(message.header(heads.WORD.lower()))
-        left = (heads.deadline(message) or 0.0) - self.waited(message)
+        left = (heads.deadline(message) or 0.0) - self.waited(message, terms.safe)
 
         def told(word: bytes, why: str, answer: http.Message | None, busy: int) -> None:
             line = heads.word(word, busy, mark, why)
--- a/foxspread/orchard/dataplane/serving.py
+++ b/foxspread/orchard/dataplane/serving.py
@@ -151,14 +151,15 @@
         """Lines of an answer to a request that could not be read whole."""
         return []
 
-    def waited(self, message: http.Message) -> float:
-        """Seconds since a request began to come, as far as can't be ruled out."""
+    def waited(self, message: http.Message, safe: bool = False) -> float:
+        """Seconds since a request began to come: as was seen, where it is safe, else as far as more can't be
+        ruled out; for it may have lain unread while this process stood still."""
         now = self.clock()
         if self.slept_from is None and self.swept_at is not None and now - self.swept_at > STILL_S:
             self.slept_from, self.swept_at = self.swept_at, None
             asyncio.get_running_loop().call_later(WAKING_S, self._woke)
         since = message.began or now
-        return now - (since if self.slept_from is None else min(since, self.slept_from))
+        return now - (since if safe or self.slept_from is None else min(since, self.slept_from))
 
     def _woke(self) -> None:
         self.slept_from = None
