--- a/foxspread/orchard/dataplane/caller.py
+++ b/foxspread/orchard/dataplane/caller.py
@@ -16,7 +16,7 @@
 from foxspread.orchard.configuration.routes import RouteTable
 from foxspread.orchard.log import say
 
-CALLER_LINES_MOST = 1200  # connections of clients
+CALLER_LINES_MOST = 1000  # connections of clients
 REFUSED_BY_SERVER = ("refused", "silent", "gone")  # why nothing was handed over: the server's own doing
 
 
--- a/foxspread/orchard/dataplane/serving.py
+++ b/foxspread/orchard/dataplane/serving.py
@@ -210,7 +210,8 @@
 
     @property
     def idle(self) -> bool:
-        return not self.waiting and not self.reader.busy and self.transport is not None and not self.refused
+        here = self.transport is not None and not self.transport.is_closing()
+        return here and not self.waiting and not self.reader.busy and not self.refused
 
     @property
     def owes(self) -> bool:
--- a/tests/orchard/dataplane/test_serving.py
+++ b/tests/orchard/dataplane/test_serving.py
@@ -380,11 +380,9 @@
             self.loop.advance(1.0)
         made[0].receive(request())
         desk.at_once = False
-        self.line(desk)[1].receive(request())
-        self.loop.settle()
-        self.assertEqual([False, True, False], [each.closing for each in made])
-        for each in (made[0], made[2]):
-            each.receive(request())
+        for closing in ([1], [1, 2], [0, 1, 2]):  # in one turn: one that is closing makes no more way
+            self.line(desk)[1].receive(request())
+            self.assertEqual(closing, [number for number in range(3) if made[number].closing])
         _, late = self.line(desk)
         late.receive(request())
         self.loop.settle()
