--- a/foxspread/orchard/dataplane/caller.py
+++ b/foxspread/orchard/dataplane/caller.py
@@ -222,6 +222,9 @@
         for (route, status, why), times in self.counts.items():
             say("unserved", route=route, status=status, why=why, times=times)
         self.counts.clear()
+        for (status, why), times in self.refusals.items():
+            say("unread", status=status, why=why, times=times)
+        self.refusals.clear()
 
     def take(self, exchange: Exchange) -> None:
         message = exchange.message
--- a/foxspread/orchard/dataplane/serving.py
+++ b/foxspread/orchard/dataplane/serving.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 
 from foxspread.net import http
@@ -141,6 +141,7 @@
         self.share = share if share is not None else Share(SHARE_MOST)
         self.lines: set[Serving] = set()
         self.retired = False
+        self.refusals: Counter[tuple[int, str]] = Counter()  # of what was not read whole, by status and reason
         self.swept_at: float | None = None  # at first, and after having stood still: None
         self.slept_from: float | None = None  # bytes that are read now may have come since then
 
@@ -223,6 +224,7 @@
         transport.set_write_buffer_limits(high=BUFFERED_MOST)
         if not self.desk.make_room():
             self.refused = True
+            self.desk.refusals[0, "no room for a connection"] += 1
             return transport.abort()  # nothing of it is read: whatever is sent may be sent again
         self.desk.lines.add(self)
 
@@ -291,6 +293,7 @@
         exchange = Exchange(self, http.Message())
         self.waiting.append(exchange)
         lines = self.desk.refusal(self.reader.message, text)
+        self.desk.refusals[status, text] += 1
         self.reader.drop()
         if status == 503:
             lines.append(b"Retry-After: %.3f\r\n" % BACK_S)
--- a/tests/orchard/dataplane/test_serving.py
+++ b/tests/orchard/dataplane/test_serving.py
@@ -332,6 +332,7 @@
         desk.taken[-1].answer(200)
         desk.taken[1].answer(200)
         self.assertEqual([0, 200], [desk.share.held, statuses(part.written)[0]])
+        self.assertEqual({(503, "no memory for this body now"): 4}, desk.refusals)
 
     def test_all_that_is_held_is_given_back(self):
         # Guards: whichever way a connection ends, nothing of it counts on; answers do until they are taken.
@@ -387,6 +388,7 @@
         late.receive(request())
         self.loop.settle()
         self.assertEqual([True, b"", 3, 4], [late.aborted, late.written, len(desk.lines), len(desk.taken)])
+        self.assertEqual({(0, "no room for a connection"): 1}, desk.refusals)
 
     def test_how_long_a_request_may_have_waited(self):
         # Guards: what lay unread while this process stood still is that old, and what is read after that is
