--- a/foxspread/orchard/dataplane/serving.py
+++ b/foxspread/orchard/dataplane/serving.py
@@ -141,7 +141,7 @@
         self.share = share if share is not None else Share(SHARE_MOST)
         self.lines: set[Serving] = set()
         self.retired = False
-        self.refusals: Counter[tuple[int, str]] = Counter()  # of what was not read whole, by status and reason
+        self.refusals: Counter[tuple[int, str]] = Counter()  # of what was not read whole: status, why
         self.swept_at: float | None = None  # at first, and after having stood still: None
         self.slept_from: float | None = None  # bytes that are read now may have come since then
 
