--- a/foxspread/orchard/dataplane/caller.py
+++ b/foxspread/orchard/dataplane/caller.py
@@ -9,7 +9,7 @@
 from foxspread.net import http
 from foxspread.orchard.dataplane import heads
 from foxspread.orchard.dataplane.errand import Errand, Pass, Refuse, Send, Steering, Step
-from foxspread.orchard.dataplane.hop import Handing, Hop
+from foxspread.orchard.dataplane.hop import FRESH_S, Handing, Hop
 from foxspread.orchard.dataplane.lanes import CONNECT_S, End, Lane, Lanes
 from foxspread.orchard.dataplane.lasthop import Terms
 from foxspread.orchard.dataplane.serving import Desk, Exchange, Limits
@@ -74,7 +74,7 @@
                 message, self.lines, upstream.id, desk.caller, left, terms, told
             )
             return None
-        lane = desk.lanes.reuse(upstream.place)
+        lane = desk.lanes.reuse(upstream.place, None if route.safe else FRESH_S)
         if lane is not None:
             self._ask(send, lane)
         else:
--- a/tests/orchard/dataplane/test_caller.py
+++ b/tests/orchard/dataplane/test_caller.py
@@ -239,11 +239,13 @@
     def test_an_unsafe_request_on_a_connection_that_was_idle(self):
         # Guards: what has been idle may have been closed by the server; an unsafe one gets a new connection.
         for mail_class, connections in (("safe", 1), ("unsafe", 2)):
-            site = Site(self.loop, beside=True, mail_class=mail_class)
-            for _ in range(2):
-                self.assertEqual([200], statuses(site.ask(PAY).written))
-                self.loop.advance(3.0)
-            self.assertEqual(connections, site.hops["me"].lanes.opened)
+            for beside in (True, False):  # at both hops: a sidecar too may have ended and begun anew
+                site = Site(self.loop, others=("b",), beside=beside, mail_class=mail_class)
+                for _ in range(2):
+                    self.assertEqual([200], statuses(site.ask(PAY).written))
+                    self.loop.advance(3.0)
+                self.assertEqual(connections, site.hops["me" if beside else "b"].lanes.opened)
+                self.assertEqual(0 if beside else connections, site.lanes.opened)
 
     def test_a_copy_of_an_overdue_request(self):
         # Guards: the first whole answer goes to the client, the other server may stop.
