--- a/foxspread/orchard/dataplane/caller.py
+++ b/foxspread/orchard/dataplane/caller.py
@@ -9,14 +9,14 @@
 from foxspread.net import http
 from foxspread.orchard.dataplane import heads
 from foxspread.orchard.dataplane.errand import Errand, Pass, Refuse, Send, Steering, Step
-from foxspread.orchard.dataplane.hop import Handing, Hop
+from foxspread.orchard.dataplane.hop import FRESH_S, Handing, Hop
 from foxspread.orchard.dataplane.lanes import CONNECT_S, End, Lane, Lanes
 from foxspread.orchard.dataplane.lasthop import Terms
 from foxspread.orchard.dataplane.serving import Desk, Exchange, Limits
 from foxspread.orchard.configuration.routes import RouteTable
 from foxspread.orchard.log import say
 
-CALLER_LINES_MOST = 1200  # connections of clients
+CALLER_LINES_MOST = 1000  # connections of clients
 REFUSED_BY_SERVER = ("refused", "silent", "gone")  # why nothing was handed over: the server's own doing
 
 
@@ -74,7 +74,7 @@
                 message, self.lines, upstream.id, desk.caller, left, terms, told
             )
             return None
-        lane = desk.lanes.reuse(upstream.place)
+        lane = desk.lanes.reuse(upstream.place, None if route.safe else FRESH_S)
         if lane is not None:
             self._ask(send, lane)
         else:
@@ -222,6 +222,9 @@
         for (route, status, why), times in self.counts.items():
             say("unserved", route=route, status=status, why=why, times=times)
         self.counts.clear()
+        for (status, why), times in self.refusals.items():
+            say("unread", status=status, why=why, times=times)
+        self.refusals.clear()
 
     def take(self, exchange: Exchange) -> None:
         message = exchange.message
@@ -233,7 +236,8 @@
             return exchange.answer(503, b"no configuration yet\n", [b"Retry-After: 0.3\r\n"])
         now = self.clock()
         again = self.hop.core.runs.part(message.header(b"x-request-id") or b"")
-        errand = self.steering.begin(now, route, heads.deadline(message), self.waited(message), again)
+        waited = self.waited(message, route.safe)
+        errand = self.steering.begin(now, route, heads.deadline(message), waited, again)
         job = Job(self, exchange, errand)
         exchange.left = job.left
         job.carry(self.steering.next(now, errand))
--- a/foxspread/orchard/dataplane/serving.py
+++ b/foxspread/orchard/dataplane/serving.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 
 from foxspread.net import http
@@ -141,6 +141,7 @@
         self.share = share if share is not None else Share(SHARE_MOST)
         self.lines: set[Serving] = set()
         self.retired = False
+        self.refusals: Counter[tuple[int, str]] = Counter()  # of what was not read whole: status, why
         self.swept_at: float | None = None  # at first, and after having stood still: None
         self.slept_from: float | None = None  # bytes that are read now may have come since then
 
@@ -151,14 +152,15 @@
         """Lines of an answer to a request that could not be read whole."""
         return []
 
-    def waited(self, message: http.Message) -> float:
-        """Seconds since a request began to come, as far as can't be ruled out."""
+    def waited(self, message: http.Message, safe: bool = False) -> float:
+        """Seconds since a request began to come: as was seen, where it is safe, else as far as more can't be
+        ruled out; for it may have lain unread while this process stood still."""
         now = self.clock()
         if self.slept_from is None and self.swept_at is not None and now - self.swept_at > STILL_S:
             self.slept_from, self.swept_at = self.swept_at, None
             asyncio.get_running_loop().call_later(WAKING_S, self._woke)
         since = message.began or now
-        return now - (since if self.slept_from is None else min(since, self.slept_from))
+        return now - (since if safe or self.slept_from is None else min(since, self.slept_from))
 
     def _woke(self) -> None:
         self.slept_from = None
@@ -209,7 +211,8 @@
 
     @property
     def idle(self) -> bool:
-        return not self.waiting and not self.reader.busy and self.transport is not None and not self.refused
+        here = self.transport is not None and not self.transport.is_closing()
+        return here and not self.waiting and not self.reader.busy and not self.refused
 
     @property
     def owes(self) -> bool:
@@ -221,6 +224,7 @@
         transport.set_write_buffer_limits(high=BUFFERED_MOST)
         if not self.desk.make_room():
             self.refused = True
+            self.desk.refusals[0, "no room for a connection"] += 1
             return transport.abort()  # nothing of it is read: whatever is sent may be sent again
         self.desk.lines.add(self)
 
@@ -289,6 +293,7 @@
         exchange = Exchange(self, http.Message())
         self.waiting.append(exchange)
         lines = self.desk.refusal(self.reader.message, text)
+        self.desk.refusals[status, text] += 1
         self.reader.drop()
         if status == 503:
             lines.append(b"Retry-After: %.3f\r\n" % BACK_S)
