--- a/foxspread/orchard/__main__.py
+++ b/foxspread/orchard/__main__.py
@@ -152,7 +152,7 @@
 @click.option("--jobs", type=click.IntRange(1, 256), help="Processes; as many as there are processors.")
 def sim(seeds: range, machines: int, faults: str, trace: int | None, broken: str, jobs: int | None) -> None:
     """Plays a fleet that agrees in virtual time, one run a seed. Exit code 1 where a rule is broken."""
-    from foxspread.orchard.simulation.agreement import FAULTS, Plan
+    from foxspread.orchard.simulation.plan import FAULTS, Plan
     from foxspread.orchard.simulation.broken import CORES
     from foxspread.orchard.simulation.runs import several, traced
 
--- a/foxspread/orchard/simulation/broken.py
+++ b/foxspread/orchard/simulation/broken.py
@@ -10,7 +10,7 @@
 from foxspread.orchard.replication.members import Members
 from foxspread.orchard.replication.replica import Replica
 from foxspread.orchard.replication.proposer import Out, Proposer
-from foxspread.orchard.simulation.agreement import Cores
+from foxspread.orchard.simulation.machines import Cores
 from foxspread.orchard.simulation.disks import SimDisk
 
 
--- a/foxspread/orchard/simulation/explore.py
+++ b/foxspread/orchard/simulation/explore.py
@@ -21,7 +21,7 @@
 from foxspread.orchard.replication.copy import Copy, ballot, unrow
 from foxspread.orchard.replication.acceptor import Message, Saved, Acceptor
 from foxspread.orchard.replication.proposer import Out, Proposer
-from foxspread.orchard.simulation.agreement import Cores
+from foxspread.orchard.simulation.machines import Cores
 
 NEVER = 1e9
 Action = tuple  # what is done, and with what
--- /dev/null
+++ b/foxspread/orchard/simulation/operators.py
@@ -0,0 +1,68 @@
+"""Operators: each call is sent to one machine, and unchanged to another where no clear answer has come."""
+
+from typing import TYPE_CHECKING
+
+from foxspread.orchard.configuration.items import Item
+from foxspread.orchard.outcome import Failure, unsettled
+from foxspread.orchard.simulation.judge import Call
+from foxspread.orchard.simulation.machines import Machine
+
+if TYPE_CHECKING:
+    from foxspread.orchard.simulation.agreement import Fleet
+
+SILENCE_S = 1.0  # after which an operator asks another
+GIVES_UP_S = 14.0
+
+
+class Operators:
+    def __init__(self, fleet: "Fleet") -> None:
+        self.fleet, self.world, self.judge = fleet, fleet.world, fleet.judge
+        self.calls = 0
+
+    def call(self, items: tuple[Item, ...], first: Machine) -> None:
+        self.calls += 1
+        call = Call(self.calls, items, self.world.now)
+        self.judge.calls.append(call)
+        self._try(call, first, 0)
+
+    def _try(self, call: Call, machine: Machine, count: int) -> None:
+        """Resent unchanged, to another, where no clear answer has come."""
+        world, judge = self.world, self.judge
+        if call.ended is not None or world.now - call.began > GIVES_UP_S:
+            return
+        call.tries.append((world.now, machine.name))
+        self.fleet.say(f"{call} is sent to {machine.name}")
+        floor, over = judge.floor(), []
+        another = world.pick([each for each in self.fleet.machines if each is not machine])
+        pause = 0.1 * (1 + count)
+
+        def next_try() -> None:
+            if not over:
+                over.append(True)
+                self._try(call, another, count + 1)
+
+        def told(outcome: bool | Failure, held: dict) -> None:
+            if outcome is True and call.items and self.fleet.faults.at_ack:
+                befall = self.fleet.faults.at_ack.pop()
+                world.after(0.0, lambda: befall(machine))
+            world.after(world.within(0.0005, 0.004), lambda: answered(outcome, held))
+
+        def answered(outcome: bool | Failure, held: dict) -> None:
+            if over:
+                return
+            self.fleet.say(f"{call}: {machine.name} answers {outcome if outcome else outcome.reason}")
+            if not outcome and outcome.status >= 500:
+                world.after(pause, next_try)
+                return
+            over.append(True)
+            if outcome is True and not call.items:
+                judge.read(call, floor, machine.name, held)
+            judge.ended(call, outcome)
+
+        def arrives() -> None:
+            if not machine.up:
+                return answered(unsettled("nobody there"), {})
+            machine.does(lambda: None if over else machine.asked(call.items, told))
+
+        world.after(world.within(0.0005, 0.004), arrives)
+        world.after(SILENCE_S, next_try)
--- /dev/null
+++ b/foxspread/orchard/simulation/plan.py
@@ -0,0 +1,210 @@
+"""What a seed draws: a list of events, calls of operators and what befalls machines, links and disks."""
+
+from dataclasses import dataclass
+
+from foxspread.orchard.configuration.items import LIMITS, ROUTE, SERVICE, Item
+from foxspread.orchard.simulation.judge import shown
+from foxspread.sums import Chance
+
+FAULTS = (
+    "kill",
+    "wipe",
+    "freeze",
+    "cut",
+    "cut_in",
+    "cut_out",
+    "split",
+    "power_off",
+    "power_off_wiped",
+    "power_at_ack",
+    "acker_wiped",
+    "behind",
+    "disk_slow",
+    "disk_stalls",
+    "disk_refuses",
+    "links_drop",
+    "links_repeat",
+    "links_late",
+    "link_slow",
+    "clock",
+)
+WIPES = ("wipe", "power_off_wiped", "acker_wiped", "behind")
+
+
+@dataclass(frozen=True)
+class Plan:
+    machines: int = 3
+    sidecars: int = 2
+    seconds: float = 9.0  # calls and faults begin within this; then all is whole again
+    rounds: int = 9  # of calls, by two operators
+    most: int = 5  # faults
+    faults: tuple[str, ...] = FAULTS
+
+    @property
+    def tolerate(self) -> int:
+        return (self.machines - 1) // 2
+
+
+@dataclass(frozen=True)
+class Event:
+    at: float
+    kind: str  # "call", "read" or one of FAULTS
+    where: int = 0  # a machine
+    seconds: float = 0.0
+    items: tuple[Item, ...] = ()
+
+    def __str__(self) -> str:
+        what = " ".join(shown(item) for item in self.items)
+        return f"{self.at:7.3f} {self.kind} c{self.where + 1} {self.seconds:.3f} {what}".rstrip()
+
+
+def drawn(plan: Plan, seed: int) -> list[Event]:
+    chance = Chance(seed * 2 + 1)
+    calls = _Calls(chance, plan).all()
+    times = [each.at for each in calls]
+    events = list(calls)
+    for _ in range(int(chance.draw() * (plan.most + 1)) if plan.faults else 0):
+        at = 0.5 + chance.draw() * (plan.seconds - 1.0)
+        if chance.draw() < 0.6:  # in the midst of a call
+            at = times[int(chance.draw() * len(times))] + chance.draw() * 0.06
+        kind = plan.faults[int(chance.draw() * len(plan.faults))]
+        long = chance.draw() ** 2 * 3.0 + 0.02
+        events.append(Event(at, kind, int(chance.draw() * plan.machines), long))
+        if kind in WIPES:  # who knows what, while it catches up
+            for _ in range(2):
+                after = min(at + long / 10 + chance.draw() * 2, plan.seconds - 0.1)
+                events.append(Event(after, "read", int(chance.draw() * plan.machines)))
+    return sorted(events, key=lambda each: each.at)
+
+
+class _Calls:
+    """Two operators that get in each other's way."""
+
+    def __init__(self, chance: Chance, plan: Plan) -> None:
+        self.chance, self.plan = chance, plan
+        self.versions: dict[tuple[str, str], int] = {}
+        self.past: list[tuple[Item, ...]] = []
+        self.tags = 0
+        self.events: list[Event] = []
+
+    def all(self) -> list[Event]:
+        first = tuple(self._service(f"v{n}") for n in range(3)) + tuple(
+            self._route(f"r{n}", f"/p{n}/", f"v{n % 3}") for n in range(3)
+        )
+        self._send(0.4, first)
+        at = 0.8
+        kinds = (
+            self.race,
+            self.change,
+            self.old,
+            self.one_place,
+            self.drop_against_route,
+            self.drop_and_add,
+            self.again,
+            self.three,
+            self.read,
+            self.read,
+        )
+        for _ in range(self.plan.rounds):
+            kinds[int(self.draw() * len(kinds))](at)
+            at += self.draw() * 2 * (self.plan.seconds - 2.0) / self.plan.rounds
+        return [each for each in self.events if each.at < self.plan.seconds - 0.1]
+
+    def draw(self) -> float:
+        return self.chance.draw()
+
+    def _send(self, at: float, items: tuple[Item, ...], where: int | None = None) -> None:
+        if items:
+            self.past.append(items)
+        where = int(self.draw() * self.plan.machines) if where is None else where
+        self.events.append(Event(at, "call" if items else "read", where, 0.0, items))
+
+    def _two(self, at: float, *calls: tuple[Item, ...]) -> None:
+        """At once, at several machines."""
+        first = int(self.draw() * self.plan.machines)
+        for n, items in enumerate(calls):
+            self._send(at + self.draw() ** 2 * 0.03, items, (first + n) % self.plan.machines)
+
+    def _next(self, kind: str, name: str) -> int:
+        self.versions[kind, name] = self.versions.get((kind, name), 0) + 1 + int(self.draw() * 3)
+        return self.versions[kind, name]
+
+    def _tag(self) -> int:
+        self.tags += 1
+        return self.tags
+
+    def _service(self, name: str, version: int | None = None) -> Item:
+        version = version or self._next(SERVICE, name)
+        return Item(SERVICE, name, version, {"name": name, "tag": self._tag()})
+
+    def _route(self, name: str, place: str, service: str, version: int | None = None) -> Item:
+        version = version or self._next(ROUTE, name)
+        rule = {
+            "name": name,
+            "sorting": {"postcode": place},
+            "dispatch": {"service": service},
+            "tag": self._tag(),
+        }
+        return Item(ROUTE, name, version, {"destination": "a.example", "rule": rule})
+
+    def _drop(self, kind: str, name: str) -> Item:
+        return Item(kind, name, self._next(kind, name), None)
+
+    def _some(self) -> int:
+        return int(self.draw() * 3)
+
+    def race(self, at: float) -> None:
+        n = self._some()
+        one = self._route(f"r{n}", f"/p{n}/", f"v{self._some()}")
+        two = self._route(f"r{n}", f"/p{n}/", f"v{self._some()}", one.version)
+        self._two(at, (one,), (two, self._limits()) if self.draw() < 0.5 else (two,))
+
+    def three(self, at: float) -> None:
+        n = self._some()
+        one = self._route(f"r{n}", f"/p{n}/", "v0")
+        others = [self._route(f"r{n}", f"/p{n}/", f"v{m}", one.version) for m in (1, 2)]
+        self._two(at, (one,), *((each,) for each in others))
+
+    def change(self, at: float) -> None:
+        n = self._some()
+        self._two(at, (self._route(f"r{n}", f"/p{n}/", f"v{self._some()}"), self._service(f"v{n}")))
+
+    def old(self, at: float) -> None:
+        kind, name = list(self.versions)[int(self.draw() * len(self.versions))]
+        version = max(1, self.versions[kind, name] - 1)
+        if kind == SERVICE:
+            self._two(at, (self._service(name, version),))
+        elif kind == ROUTE:
+            self._two(at, (self._route(name, "/old/", "v0", version),))
+
+    def one_place(self, at: float) -> None:
+        place = f"/new{self._tag()}/"
+        self._two(
+            at,
+            (self._route(f"n{self._tag()}", place, "v0"),),
+            (self._service(f"w{self._tag()}"), self._route(f"n{self._tag()}", place, "v1")),
+        )
+
+    def drop_against_route(self, at: float) -> None:
+        name = f"w{self._tag()}"
+        self._send(at, (self._service(name),))
+        later = at + (0.3 if self.draw() < 0.7 else 0.0)
+        route = self._route(f"n{self._tag()}", f"/to{name}/", name)
+        self._two(later, (self._drop(SERVICE, name),), (route,))
+        if self.draw() < 0.4:
+            self._send(later + 0.2, (self._service(name),))
+
+    def drop_and_add(self, at: float) -> None:
+        n = self._some()
+        drop = self._drop(ROUTE, f"r{n}")
+        self._two(at, (drop,), (self._route(f"r{n}", f"/p{n}/", "v1"),))
+
+    def again(self, at: float) -> None:
+        call = self.past[int(self.draw() * len(self.past))]
+        self._two(at, call, call)
+
+    def read(self, at: float) -> None:
+        self._send(at, ())
+
+    def _limits(self) -> Item:
+        return Item(LIMITS, LIMITS, self._next(LIMITS, LIMITS), {"tag": self._tag()})
--- a/tests/orchard/simulation/test_agreement.py
+++ b/tests/orchard/simulation/test_agreement.py
@@ -5,8 +5,9 @@
 from testtools import TestCase
 
 from foxspread.orchard.configuration.items import SERVICE, Item
-from foxspread.orchard.simulation.agreement import FAULTS, Event, Fleet, Plan, Played, drawn, minimised, play
+from foxspread.orchard.simulation.agreement import Fleet, Played, minimised, play
 from foxspread.orchard.simulation.broken import CORES
+from foxspread.orchard.simulation.plan import FAULTS, Event, Plan, drawn
 from foxspread.orchard.simulation.runs import several, traced
 from tests.orchard.replication.orders import SHOWN_BY, route, service
 
