--- a/foxspread/orchard/simulation/agreement.py
+++ b/foxspread/orchard/simulation/agreement.py
@@ -88,8 +88,11 @@
         )
 
     def _befall(self, event: Event) -> None:
+        machine = self.machines[event.where % len(self.machines)]
         if event.kind in ("call", "read"):
-            return self.operators.call(event.items, self.machines[event.where % len(self.machines)])
+            return self.operators.call(event.items, machine)
+        if event.kind == "copy":
+            return self.operators.copy(event.items, machine)
         self.faults.befall(event)
 
 
--- a/foxspread/orchard/simulation/faults.py
+++ b/foxspread/orchard/simulation/faults.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from foxspread.orchard.simulation.machines import Machine
+from foxspread.orchard.simulation.machines import Machine, Sidecar
 
 if TYPE_CHECKING:
     from foxspread.orchard.simulation.agreement import Fleet
@@ -39,6 +39,8 @@
                 self.judge.now = self.world.now
                 end()
                 self.judge.over(row)
+                if isinstance(whom, Machine) and whom.up and not whom.lost:
+                    self.fleet.operators.probe(whom)
 
         self.ends[number] = over
         self.world.after(seconds, over)
@@ -135,11 +137,65 @@
         ]
         return self._cut_off(side, seconds, "io")
 
-    def _cut_off(self, side: list[Machine], seconds: float, ways: str) -> bool | None:
+    def _cut_some(self, machine: Machine, seconds: float) -> bool | None:
+        """Towards some of the others only, either way."""
+        others = [name for name in self.fleet.parties if name != machine.name and self.world.draw() < 0.5]
+        return self._cut_off([machine], seconds, "io", others)
+
+    def _island(self, machine: Machine, seconds: float) -> bool | None:
+        """A machine and a sidecar that reaches nobody else; the sidecar begins a new life in there."""
+        sidecar = self.world.pick(self.fleet.sidecars)
+        others = [name for name in self.fleet.parties if name not in (machine.name, sidecar.name)]
+        if self._cut_off([machine], seconds, "io", others) is False:
+            return False
+        pairs = {(name, sidecar.name) for name in others} | {(sidecar.name, name) for name in others}
+        pairs -= self.fleet.links.cut
+        self.fleet.links.cut |= pairs
+
+        def join() -> None:
+            self.fleet.links.cut -= pairs
+
+        self._until(seconds, None, join)
+        for _ in range(2):
+            self.world.after(self.world.draw() * seconds, lambda: self._restart(sidecar, 0.1))
+
+    def _sidecar_restart(self, machine: Machine, seconds: float) -> None:
+        self._restart(self.world.pick(self.fleet.sidecars), seconds)
+
+    def _restart(self, sidecar: Sidecar, seconds: float) -> None:
+        if sidecar.up:
+            sidecar.kill()
+            self._until(seconds, None, lambda: None if sidecar.up else sidecar.start())
+
+    def _next_cut(self, machine: Machine, seconds: float) -> None:
+        """The next that acknowledges is cut off, in one of the ways."""
+        ways = (self._cut, self._cut_in, self._cut_out, self._cut_some, self._island)
+        way = self.world.pick(list(ways))
+        self.at_ack.append(lambda acker: way(acker, seconds))
+
+    def _loss_after_repair(self, machine: Machine, seconds: float, wiped: bool = True) -> bool | None:
+        """One is wiped; as soon as it is whole again `tolerate` others go, disks and all."""
+        if self._wipe(machine, 0.2 + seconds / 8) is False:
+            return False
+        at = self.fleet.machines.index(machine)
+        others = self.fleet.machines[at + 1 :] + self.fleet.machines[:at]
+
+        def then() -> None:
+            if machine.lost and not self.whole:
+                return self.world.after(0.02, then)
+            for each in others[: self.fleet.plan.tolerate]:
+                self._kill(each, seconds, self.world.draw() < 0.5)
+
+        self.world.after(0.3 + seconds / 8, then)
+
+    def _cut_off(
+        self, side: list[Machine], seconds: float, ways: str, others: list[str] | None = None
+    ) -> bool | None:
         if not self._bearable(*side):
             return False
         names = {each.name for each in side}
-        others = [name for name in self.fleet.parties if name not in names]
+        if others is None:
+            others = [name for name in self.fleet.parties if name not in names]
         pairs = {(a, b) for a in others for b in names if "i" in ways} | {
             (a, b) for a in names for b in others if "o" in ways
         }
--- a/foxspread/orchard/simulation/judge.py
+++ b/foxspread/orchard/simulation/judge.py
@@ -6,10 +6,12 @@
 
 import orjson
 
-from foxspread.orchard.configuration.items import Item, Key, consistent
+from foxspread.orchard.configuration.items import Item, Key, consistent, for_all
 from foxspread.orchard.outcome import Failure
 
 ANSWERED_S = 4.0  # a call at a machine without trouble is answered within this
+FRESH_S = 4.0  # nothing is told, and nobody says ready, by what lacks something acknowledged longer ago
+BACK_S = 5.0  # after its trouble is over a machine answers a read by itself within this
 
 
 @dataclass(eq=False)
@@ -42,7 +44,7 @@
         rule = item.content["rule"]
         said = f"{rule['sorting']['postcode']}>{rule['dispatch']['service']}:{rule['tag']}"
     else:
-        said = f":{item.content['tag']}"
+        said = f":{item.content['tag'] if 'tag' in item.content else item.content}"
     return f"{item.name}@r{item.version}({said})"
 
 
@@ -50,6 +52,24 @@
     return item.key, item.version, orjson.dumps(item.content, option=orjson.OPT_SORT_KEYS)
 
 
+@dataclass
+class Return:
+    """A machine whose trouble is over, and when it first answered a read by itself."""
+
+    machine: str
+    since: float
+    served: float | None = None
+
+
+@dataclass
+class Order:
+    """What anyone was told about one order: the same items, however often and wherever it was sent."""
+
+    items: tuple[Item, ...]
+    taken: list[str] = field(default_factory=list)  # where and when
+    refused: list[str] = field(default_factory=list)
+
+
 class Judge:
     def __init__(self) -> None:
         self.breaks: list[Break] = []
@@ -57,8 +77,12 @@
         self.copies: dict[str, dict[Key, Item]] = {}  # what each life of each copy shows
         self.contents: dict[tuple[Key, int], tuple[bytes, str]] = {}  # the one that was settled, seen where
         self.seen: set[tuple[Key, int, bytes]] = set()
-        self.newest: dict[Key, int] = {}  # of those that copies showed
+        self.confirmed: dict[tuple[Key, int], tuple[bytes, str]] = {}  # acknowledged or read, and by whom
         self.acknowledged: dict[Key, Item] = {}  # the newest of each item that was acknowledged or read
+        self.known_since: list[tuple[float, Item]] = []  # each as it became the newest
+        self.ripe, self.least = 0, {}  # of these, how many nobody may lack any more, and the newest of each
+        self.orders: dict[frozenset, Order] = {}
+        self.returned: list[Return] = []
         self.calls: list[Call] = []
         self.troubles: list[list[Any]] = []  # from, to or None, a machine or None for all
 
@@ -77,12 +101,11 @@
         for item in new:
             same = _same(item)
             self.seen.add(same)
-            self.newest[item.key] = max(item.version, self.newest.get(item.key, 0))
             first = self.contents.setdefault(same[:2], (same[2], copy))
-            if first[0] != same[2]:
-                self.broken(
-                    "one content", f"{shown(item)} at {copy}, another content was in force at {first[1]}"
-                )
+            other = self.confirmed.get(same[:2], first)
+            for what in (first, other):
+                if what[0] != same[2]:
+                    self.broken("one content", f"{shown(item)} at {copy}, another content at {what[1]}")
             old = held.get(item.key)
             if old is not None and old.version > item.version:
                 self.broken("no way back", f"{copy} showed {shown(old)}, then {shown(item)}")
@@ -90,6 +113,18 @@
         if changed and (why := consistent(before, changed)) is not None:
             self.broken("consistent", f"{copy}: {why.reason}")
 
+    def tells(self, copy: str, what: str, items: dict[Key, Item]) -> None:
+        """It shows, tells or says something by what it holds: all is there that was known `FRESH_S` ago."""
+        while self.ripe < len(self.known_since) and self.known_since[self.ripe][0] <= self.now - FRESH_S:
+            item = self.known_since[self.ripe][1]
+            self.least[item.key] = item
+            self.ripe += 1
+        for key, item in self.least.items():
+            held = items.get(key)
+            if held is None or held.version < item.version:
+                has = shown(held) if held is not None else "nothing"
+                self.broken("nothing old", f"{copy} {what} by {has}: {shown(item)} was known long before")
+
     # What operators are told.
 
     def floor(self) -> dict[Key, Item]:
@@ -98,9 +133,23 @@
 
     def ended(self, call: Call, outcome: bool | Failure) -> None:
         call.ended, call.outcome = self.now, outcome
+
+    def said(self, items: tuple[Item, ...], outcome: bool | Failure, by: str) -> None:
+        """A clear answer to an order, or to a copy of it, whoever reads it: one for good."""
+        if not items or (isinstance(outcome, Failure) and outcome.status >= 500):
+            return
+        key = frozenset(map(_same, items))
+        order = self.orders.setdefault(key, Order(items))
+        where = f"{by} at {self.now:.3f}"
         if outcome is True:
-            for item in call.items:
-                self._known(item)
+            order.taken.append(where)
+            for item in items:
+                self._known(item, by)
+        else:
+            order.refused.append(f"{where} ({outcome.reason})")
+        if order.taken and order.refused:
+            what = " ".join(map(shown, items))
+            self.broken("one answer", f"{what}: taken by {order.taken[0]}, refused by {order.refused[0]}")
 
     def read(self, call: Call, floor: dict[Key, Item], at: str, items: dict[Key, Item]) -> None:
         for key, least in floor.items():
@@ -109,19 +158,20 @@
                 has = shown(item) if item is not None else "nothing"
                 self.broken("nothing lost", f"{call} at {at} began after {shown(least)} was known: has {has}")
         for item in items.values():
-            self._known(item)
-
-    def _known(self, item: Item) -> None:
-        """An old version is acknowledged whatever it holds, once a newer one is in force."""
+            self._known(item, at)
+
+    def _known(self, item: Item, by: str) -> None:
+        """One content for each number, for good: also of one that a newer one has overtaken."""
+        key, version, content = _same(item)
+        for ledger, what in ((self.confirmed, "confirmed"), (self.contents, "in force")):
+            other = ledger.get((key, version))
+            if other is not None and other[0] != content:
+                self.broken("one content", f"{shown(item)} by {by}, another was {what} at {other[1]}")
+        self.confirmed.setdefault((key, version), (content, by))
         old = self.acknowledged.get(item.key)
         if old is None or old.version < item.version:
             self.acknowledged[item.key] = item
-        elif (
-            old.version == item.version
-            and _same(old) != _same(item)
-            and self.newest.get(item.key, 0) <= item.version
-        ):
-            self.broken("one content", f"{shown(item)} and {shown(old)} were both acknowledged or read")
+            self.known_since.append((self.now, item))
 
     # At the end.
 
@@ -136,7 +186,10 @@
 
     def alike(self, current: Iterable[str]) -> None:
         """All has been whole for a while: the copies that live show the same."""
-        shown_by = {copy: self.copies.get(copy, {}) for copy in current}
+        shown_by = {
+            copy: {key: item for key, item in self.copies.get(copy, {}).items() if for_all(item)}
+            for copy in current
+        }
         newest: dict[Key, Item] = {}
         for held in shown_by.values():
             for key, item in held.items():
@@ -147,19 +200,32 @@
                 lacks = [shown(item) for key, item in newest.items() if held.get(key) != item]
                 self.broken("all alike", f"{copy} lacks {', '.join(lacks)}")
 
+    def back(self, machine: str) -> Return:
+        """Its trouble is over."""
+        row = Return(machine, self.now)
+        self.returned.append(row)
+        return row
+
     def close(self) -> None:
         self._refused()
         self._answered()
+        self._returned()
 
     def _refused(self) -> None:
-        users: dict[tuple[Key, int, bytes], list[Call]] = {}
+        """What was refused once never comes into force, by whatever copy of it."""
+        refused: dict[tuple[Key, int, bytes], Order] = {}
+        for order in self.orders.values():
+            if order.refused:
+                refused.update((_same(item), order) for item in order.items)
         for call in self.calls:
-            for item in call.items:
-                users.setdefault(_same(item), []).append(call)
-        for same, calls in users.items():
-            if same in self.seen and all(_refused(call) for call in calls):
-                why = calls[0].outcome.reason
-                self.broken("refused is nowhere", f"{calls[0]} was refused ({why}) and was in force")
+            order = self.orders.get(frozenset(map(_same, call.items)))
+            if order is None or not order.refused:
+                for item in call.items:
+                    refused.pop(_same(item), None)
+        for same, order in refused.items():
+            if same in self.seen:
+                what = " ".join(map(shown, order.items))
+                self.broken("refused is nowhere", f"{what}: refused by {order.refused[0]}, and was in force")
 
     def _answered(self) -> None:
         for call in self.calls:
@@ -170,12 +236,16 @@
                         self.broken("answered", f"{call} at {machine} at {began:.3f}: no answer in time")
                     break
 
+    def _returned(self) -> None:
+        for row in self.returned:
+            until = row.since + BACK_S
+            if until > self.now or self._troubled(row.machine, row.since + 1e-6, until):
+                continue
+            if row.served is None or row.served > until:
+                self.broken("of use again", f"{row.machine} is back at {row.since:.3f}: no answer in time")
+
     def _troubled(self, machine: str, began: float, until: float) -> bool:
         return any(
             whom in (None, machine) and since < until and (end is None or end > began)
             for since, end, whom in self.troubles
         )
-
-
-def _refused(call: Call) -> bool:
-    return isinstance(call.outcome, Failure) and call.outcome.status < 500
--- a/foxspread/orchard/simulation/machines.py
+++ b/foxspread/orchard/simulation/machines.py
@@ -136,6 +136,7 @@
             self._show(self.copy.fold(upto, map(unrow, rows)))
 
     def _show(self, new: list[Item]) -> None:
+        self.fleet.judge.now = self.world.now
         if new := [item.bare for item in new if item.kind in THEIRS]:
             self.fleet.say(f"{self.name} shows {' '.join(map(shown, new))}, upto {self.copy.upto[0]}")
             self.fleet.judge.shows(self.named, new)
@@ -160,7 +161,15 @@
 
 
 class Sidecar(Party):
-    """A copy beside no disk; nothing befalls it but what befalls its links."""
+    """A copy beside no disk: all that it knows it has from others, in each life anew."""
+
+    def start(self) -> None:
+        self.copy = Copy()
+        super().start()
+
+    def _show(self, new: list[Item]) -> None:
+        super()._show(new)
+        self.fleet.judge.tells(self.named, "shows the set", self.copy.items)
 
 
 class Machine(Party):
--- a/foxspread/orchard/simulation/operators.py
+++ b/foxspread/orchard/simulation/operators.py
@@ -4,7 +4,7 @@
 
 from foxspread.orchard.configuration.items import Item
 from foxspread.orchard.outcome import Failure, unsettled
-from foxspread.orchard.simulation.judge import Call
+from foxspread.orchard.simulation.judge import BACK_S, Call
 from foxspread.orchard.simulation.machines import Machine
 
 if TYPE_CHECKING:
@@ -12,6 +12,7 @@
 
 SILENCE_S = 1.0  # after which an operator asks another
 GIVES_UP_S = 14.0
+PROBE_S = 0.25  # between reads at a machine that has come back
 
 
 class Operators:
@@ -45,9 +46,13 @@
             if outcome is True and call.items and self.fleet.faults.at_ack:
                 befall = self.fleet.faults.at_ack.pop()
                 world.after(0.0, lambda: befall(machine))
+            if self.fleet.plan.answers_lost and world.draw() < self.fleet.plan.answers_lost:
+                return
             world.after(world.within(0.0005, 0.004), lambda: answered(outcome, held))
 
         def answered(outcome: bool | Failure, held: dict) -> None:
+            judge.now = world.now
+            judge.said(call.items, outcome, machine.name)
             if over:
                 return
             self.fleet.say(f"{call}: {machine.name} answers {outcome if outcome else outcome.reason}")
@@ -66,3 +71,28 @@
 
         world.after(world.within(0.0005, 0.004), arrives)
         world.after(SILENCE_S, next_try)
+
+    def copy(self, items: tuple[Item, ...], machine: Machine) -> None:
+        """A copy of an order, sent long ago, that this machine reads only now."""
+
+        def told(outcome: bool | Failure, held: dict) -> None:
+            self.judge.now = self.world.now
+            self.judge.said(items, outcome, f"{machine.name}, late,")
+            self.fleet.say(f"late copy at {machine.name}: {outcome if outcome else outcome.reason}")
+
+        machine.does(lambda: machine.asked(items, told))
+
+    def probe(self, machine: Machine) -> None:
+        """Reads at one that has come back, and nowhere else, until it answers."""
+        row, until = self.judge.back(machine.name), self.world.now + BACK_S
+
+        def told(outcome: bool | Failure, held: dict) -> None:
+            if outcome is True and row.served is None:
+                row.served = self.world.now
+
+        def ask() -> None:
+            if row.served is None and self.world.now < until:
+                machine.does(lambda: machine.asked((), told))
+                self.world.after(PROBE_S, ask)
+
+        ask()
--- a/foxspread/orchard/simulation/plan.py
+++ b/foxspread/orchard/simulation/plan.py
@@ -1,5 +1,6 @@
 """What a seed draws: a list of events, calls of operators and what befalls machines, links and disks."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from foxspread.orchard.configuration.items import LIMITS, ROUTE, SERVICE, Item
@@ -28,6 +29,14 @@
     "link_slow",
     "clock",
 )
+LONG_FAULTS = (  # what a long day has besides
+    "next_cut",
+    "cut_some",
+    "island",
+    "sidecar_restart",
+    "loss_after_repair",
+)
+STORIES = ("cut", "away", "repairs", "all_killed", "slow", "asleep")
 WIPES = ("wipe", "power_off_wiped", "acker_wiped", "behind")
 
 
@@ -39,16 +48,25 @@
     rounds: int = 9  # of calls, by two operators
     most: int = 5  # faults
     faults: tuple[str, ...] = FAULTS
+    stories: tuple[str, ...] = ()  # of these each day tells two or three
+    together: int = 0  # so many orders at once, at times
+    copies: float = 0.0  # share of the orders of which a machine reads a copy late, up to the whole day
+    answers_lost: float = 0.0  # share
 
     @property
     def tolerate(self) -> int:
         return (self.machines - 1) // 2
 
 
+def long_day(machines: int = 3, faults: tuple[str, ...] = FAULTS + LONG_FAULTS) -> Plan:
+    """A minute: room for cuts of twenty seconds and two hundred changes."""
+    return Plan(machines, 3, 60.0, 60, 6, faults, STORIES, 8, 0.3, 0.05)
+
+
 @dataclass(frozen=True)
 class Event:
     at: float
-    kind: str  # "call", "read" or one of FAULTS
+    kind: str  # "call", "read", "copy" (of a call, read late) or one of the faults
     where: int = 0  # a machine
     seconds: float = 0.0
     items: tuple[Item, ...] = ()
@@ -74,9 +92,69 @@
             for _ in range(2):
                 after = min(at + long / 10 + chance.draw() * 2, plan.seconds - 0.1)
                 events.append(Event(after, "read", int(chance.draw() * plan.machines)))
+    if plan.stories and plan.faults:
+        events += _Stories(chance, plan).all()
+    if plan.copies:
+        events += list(_copies(chance, plan, calls))
     return sorted(events, key=lambda each: each.at)
 
 
+def _copies(chance: Chance, plan: Plan, calls: list[Event]) -> Iterator[Event]:
+    for each in calls:
+        if each.kind == "call" and chance.draw() < plan.copies:
+            at = each.at + chance.draw() ** 3 * (plan.seconds - each.at)
+            yield Event(at, "copy", int(chance.draw() * plan.machines), 0.0, each.items)
+
+
+class _Stories:
+    """What takes longer than a fault."""
+
+    def __init__(self, chance: Chance, plan: Plan) -> None:
+        self.chance, self.plan = chance, plan
+
+    def all(self) -> list[Event]:
+        told: list[Event] = []
+        for _ in range(2 + int(self.chance.draw() * 2)):
+            story = self.plan.stories[int(self.chance.draw() * len(self.plan.stories))]
+            at = 2.0 + self.chance.draw() * (self.plan.seconds - 25.0)
+            told += getattr(self, f"_{story}")(at)
+        return [each for each in told if each.at < self.plan.seconds - 0.5]
+
+    def _event(self, at: float, kind: str, seconds: float, where: int | None = None) -> Event:
+        where = int(self.chance.draw() * self.plan.machines) if where is None else where
+        return Event(at, kind, where, seconds)
+
+    def _cut(self, at: float) -> list[Event]:
+        """Of the one that acknowledged last, twenty seconds; sidecars begin anew inside and after."""
+        restarts = [self._event(at + self.chance.draw() * 22, "sidecar_restart", 0.1) for _ in range(4)]
+        return [self._event(at, "next_cut", 20.0), *restarts]
+
+    def _away(self, at: float) -> list[Event]:
+        """Through many changes; wiped at times; then sidecars begin anew as it comes back."""
+        seconds = 10 + self.chance.draw() * 15
+        kind = "wipe" if self.chance.draw() < 0.5 else "kill"
+        restarts = [
+            self._event(at + seconds + self.chance.draw() / 2, "sidecar_restart", 0.02) for _ in "123"
+        ]
+        return [self._event(at, kind, seconds), *restarts]
+
+    def _repairs(self, at: float) -> list[Event]:
+        return [self._event(at + n * 8, "loss_after_repair", 4.0) for n in range(2)]
+
+    def _all_killed(self, at: float) -> list[Event]:
+        return [self._event(at, "power_off", 0.8), self._event(at + 0.8, "sidecar_restart", 0.1)]
+
+    def _slow(self, at: float) -> list[Event]:
+        return [self._event(at, "disk_slow", 20.0)]
+
+    def _asleep(self, at: float) -> list[Event]:
+        where = int(self.chance.draw() * self.plan.machines)
+        return [
+            self._event(at, "freeze", 3 + self.chance.draw() * 12, where),
+            self._event(at + 1, "clock", 9 * self.chance.draw(), where),
+        ]
+
+
 class _Calls:
     """Two operators that get in each other's way."""
 
@@ -105,6 +183,8 @@
             self.read,
             self.read,
         )
+        if self.plan.together:
+            kinds += (self.crowd, self.too_early, self.old_twice, self.stream, self.stream)
         for _ in range(self.plan.rounds):
             kinds[int(self.draw() * len(kinds))](at)
             at += self.draw() * 2 * (self.plan.seconds - 2.0) / self.plan.rounds
@@ -206,5 +286,38 @@
     def read(self, at: float) -> None:
         self._send(at, ())
 
+    def crowd(self, at: float) -> None:
+        """As many at once as there may be: some alike, some against each other."""
+        n = self._some()
+        one = self._route(f"r{n}", f"/p{n}/", f"v{self._some()}")
+        calls = [(one,), (one,), (self._route(f"r{n}", f"/p{n}/", "v0", one.version),)]
+        while len(calls) < self.plan.together:
+            calls.append((self._service(f"v{self._some()}"),) if self.draw() < 0.5 else (self._limits(),))
+        self._two(at, *calls)
+
+    def too_early(self, at: float) -> None:
+        """A route to what comes only later: refused, and for good."""
+        name = f"w{self._tag()}"
+        route = (self._route(f"n{self._tag()}", f"/to{name}/", name),)
+        self._send(at, route)
+        self._send(at + 0.5, (self._service(name),))
+        self.events.append(
+            Event(at + 0.7 + self.draw(), "copy", int(self.draw() * self.plan.machines), 0.0, route)
+        )
+
+    def old_twice(self, at: float) -> None:
+        """Two contents under one number, both sent when a newer one holds."""
+        n = self._some()
+        version = self.versions[SERVICE, f"v{n}"] + 1
+        self._next(SERVICE, f"v{n}")
+        self._send(at, (self._service(f"v{n}"),))
+        for pause in (0.3, 0.6 + self.draw() * 3):
+            self._send(at + pause, (self._service(f"v{n}", version),))
+
+    def stream(self, at: float) -> None:
+        """Three changes a second for a while."""
+        for n in range(20):
+            self._send(at + n / 3, (self._service(f"v{self._some()}"),))
+
     def _limits(self) -> Item:
         return Item(LIMITS, LIMITS, self._next(LIMITS, LIMITS), {"tag": self._tag()})
--- a/tests/orchard/simulation/test_judge.py
+++ b/tests/orchard/simulation/test_judge.py
@@ -4,7 +4,7 @@
 
 from foxspread.orchard.configuration.items import Item
 from foxspread.orchard.outcome import conflict, unsettled
-from foxspread.orchard.simulation.judge import Call, Judge
+from foxspread.orchard.simulation.judge import BACK_S, FRESH_S, Call, Judge
 from tests.orchard.replication.orders import route, service
 
 V1, V2, OTHER = service(version=1), service(version=2), service(version=1, tag=1)
@@ -15,6 +15,7 @@
     judge.calls.append(made)
     judge.now = ended
     if outcome is not None:
+        judge.said(items, outcome, "c1")
         judge.ended(made, outcome)
     return made
 
@@ -42,6 +43,34 @@
     return judge
 
 
+def told(*answers: tuple, seen: tuple[Item, ...] = ()) -> Judge:
+    """Each: outcome and items of one order."""
+    judge = shows(("a", *seen))
+    for number, (outcome, *items) in enumerate(answers):
+        call(judge, outcome, *items, number=number)
+    judge.close()
+    return judge
+
+
+def tells(known_at: float, now: float, *held: Item) -> Judge:
+    judge = Judge()
+    call(judge, True, V1, ended=known_at)
+    judge.now = now
+    judge.tells("s1", "shows the set", {item.key: item for item in held})
+    return judge
+
+
+def returned(served: float | None, trouble: tuple | None = None) -> Judge:
+    judge = Judge()
+    judge.now = 1.0
+    if trouble is not None:
+        judge.troubles.append(list(trouble))
+    judge.back("c1").served = served
+    judge.now = 20.0
+    judge.close()
+    return judge
+
+
 def answered(ended: float | None, trouble: str | None = "", until: float = 9.0) -> Judge:
     judge = Judge()
     if trouble != "":
@@ -74,6 +103,33 @@
             "a read of another content": (read_after([V1], [OTHER]), "one content"),
             "refused and in force": (refused(V1), "refused is nowhere"),
             "refused, and another is in force": (refused(OTHER), None),
+            "two contents of an overtaken number": (
+                told((True, V2), (True, V1), (True, OTHER)),
+                "one content",
+            ),
+            "confirmed, another was in force": (told((True, OTHER), seen=(V1, V2)), "one content"),
+            "overtaken, confirmed again": (told((True, V1), (True, V2), (True, V1)), None),
+            "overtaken, no clear answer": (told((True, V1), (True, V2), (unsettled(""), V1)), None),
+            "taken, then refused": (told((True, V1), (True, V2), (conflict(""), V1)), "one answer"),
+            "refused, then taken": (told((conflict(""), V1), (True, V1)), "one answer"),
+            "refused twice": (told((conflict(""), V1), (conflict(""), V1)), None),
+            "refused, in force by a late copy": (
+                told((conflict(""), V1, V2), (None, V1, V2), seen=(V1,)),
+                "refused is nowhere",
+            ),
+            "refused, in force by another order": (
+                told((conflict(""), V1, V2), (True, V1), seen=(V1,)),
+                None,
+            ),
+            "shows old": (tells(1.0, 1.0 + FRESH_S, service(version=0)), "nothing old"),
+            "shows nothing": (tells(1.0, 1.0 + FRESH_S), "nothing old"),
+            "shows old, not for long": (tells(1.0, 0.9 + FRESH_S), None),
+            "shows what is newer": (tells(1.0, 1.0 + FRESH_S, V2), None),
+            "back and never of use": (returned(None), "of use again"),
+            "back, of use late": (returned(1.1 + BACK_S), "of use again"),
+            "back, of use": (returned(0.9 + BACK_S), None),
+            "back, in trouble again": (returned(None, (2.0, 3.0, "c1")), None),
+            "back, with trouble elsewhere": (returned(None, (2.0, 3.0, "c2")), "of use again"),
             "answered late": (answered(4.5), "answered"),
             "never answered": (answered(None), "answered"),
             "answered in time": (answered(3.5), None),
@@ -87,14 +143,6 @@
         for name, (judge, rule) in rows.items():
             self.assertEqual([rule] if rule else [], [each.rule for each in judge.breaks], name)
 
-    def test_an_old_version_is_acknowledged_whatever_it_holds(self) -> None:
-        # "Changes nothing" is a clear answer once a newer version is in force, and only then.
-        for newest, rules in ((V2, []), (V1, ["one content"])):
-            judge = shows(("a", V1), ("a", newest))
-            call(judge, True, V1)
-            call(judge, True, OTHER, number=2)
-            self.assertEqual(rules, [each.rule for each in judge.breaks])
-
     def test_a_call_without_a_clear_answer_may_be_in_force(self) -> None:
         judge = shows(("a", V1))
         call(judge, unsettled("no majority"), V1)
