--- a/foxspread/orchard/__main__.py
+++ b/foxspread/orchard/__main__.py
@@ -146,26 +146,44 @@
 @main.command()
 @click.option("--seeds", default="1-1000", show_default=True, callback=_seeds, metavar="A-B")
 @click.option("--machines", default=3, show_default=True, type=click.IntRange(3, 21), help="With a disk.")
-@click.option("--long", is_flag=True, help="Days of a minute: cuts of 20 s, streams of changes, late copies.")
+@click.option(
+    "--day",
+    default="short",
+    show_default=True,
+    type=click.Choice(["short", "long", "members"]),
+    help="Of 9 s; of a minute, with cuts of 20 s, streams of changes, late copies; with members that change.",
+)
+@click.option(
+    "--bears", default=0, type=click.IntRange(0, 10), help="Lost at once; 0: what a majority bears."
+)
 @click.option("--faults", default="", metavar="A,B,...", help="Only these; 'none' for none.")
 @click.option("--trace", type=int, metavar="SEED", help="One seed, told; the fewest events where it breaks.")
 @click.option("--broken", default="", help="Plays a broken core of simulation/broken.py.")
 @click.option("--jobs", type=click.IntRange(1, 256), help="Processes; as many as there are processors.")
 def sim(
-    seeds: range, machines: int, long: bool, faults: str, trace: int | None, broken: str, jobs: int | None
+    seeds: range,
+    machines: int,
+    day: str,
+    bears: int,
+    faults: str,
+    trace: int | None,
+    broken: str,
+    jobs: int | None,
 ) -> None:
     """Plays a fleet that agrees in virtual time, one run a seed. Exit code 1 where a rule is broken."""
+    from dataclasses import replace
+
     from foxspread.orchard.simulation.broken import CORES
-    from foxspread.orchard.simulation.plan import FAULTS, LONG_FAULTS, Plan, long_day
+    from foxspread.orchard.simulation.plan import days
     from foxspread.orchard.simulation.runs import several, traced
 
-    every = FAULTS + LONG_FAULTS if long else FAULTS
-    kinds = every if not faults else tuple(each for each in faults.split(",") if each != "none")
-    if unknown := [each for each in kinds if each not in every]:
-        raise click.BadParameter(f"{', '.join(unknown)}: of {', '.join(every)}", param_hint="--faults")
+    plan = days(machines, bears)[day]
+    kinds = plan.faults if not faults else tuple(each for each in faults.split(",") if each != "none")
+    if unknown := [each for each in kinds if each not in plan.faults]:
+        raise click.BadParameter(f"{', '.join(unknown)}: of {', '.join(plan.faults)}", param_hint="--faults")
     if broken and broken not in CORES:
         raise click.BadParameter(f"{broken}: one of {', '.join(CORES)}", param_hint="--broken")
-    plan = long_day(machines, kinds) if long else Plan(machines=machines, faults=kinds)
+    plan = replace(plan, faults=kinds)
     if trace is not None:
         return click.echo("\n".join(traced(plan, trace, broken)))
     summary = several(plan, seeds, jobs, broken)
--- a/foxspread/orchard/simulation/agreement.py
+++ b/foxspread/orchard/simulation/agreement.py
@@ -15,6 +15,7 @@
 from foxspread.orchard.simulation.plan import Event, Plan, drawn
 from foxspread.orchard.simulation.world import Links, World
 
+QUIET = ("hello", "have", "pull", "news", "contact", "contacted")  # not told in a trace
 ALIKE_S = 5.0  # after which all that live hold the same, without a call
 
 
@@ -38,12 +39,18 @@
         self.told: list[str] | None = [] if trace else None
         self.links = Links(self.world, self._deliver)
         self.faults, self.operators = Faults(self), Operators(self)
-        self.machines = [Machine(self, f"c{n + 1}") for n in range(plan.machines)]
+        self.machines = [
+            Machine(self, f"c{n + 1}", n >= plan.machines) for n in range(plan.machines + plan.spares)
+        ]
+        self.seeds = tuple(each.name for each in self.machines[: plan.seeds or plan.machines])
         self.sidecars = [Sidecar(self, f"s{n + 1}") for n in range(plan.sidecars)]
         self.parties: dict[str, Party] = {each.name: each for each in (*self.machines, *self.sidecars)}
         for each in self.machines:
             each.offset, each.rate = self.world.draw() * 1000, self.world.within(0.98, 1.02)
-            each.start(first=True)
+            if each.spare:
+                each.wiped = self.judge.trouble(each.name)
+            else:
+                each.start(first=True)
         for each in self.sidecars:
             each.start()
 
@@ -56,7 +63,7 @@
         there = self.parties[to]
 
         def hear() -> None:
-            if self.told is not None and message["t"] not in ("hello", "have", "pull", "news"):
+            if self.told is not None and message["t"] not in QUIET:
                 self.say(f"  {sender} > {to} {_line(message)}")
             self.judge.now = self.world.now
             there.heard(sender, message)
@@ -70,9 +77,10 @@
         self.faults.end()
         self.world.run(self.plan.seconds + ALIKE_S)
         self.judge.now = self.world.now
-        self.judge.alike([each.named for each in self.parties.values()])
+        self.judge.alike([each.named for each in self.parties.values() if each.up])
         for each in self.machines:
-            self.operators.call((), each)
+            if each.up:
+                self.operators.call((), each)
         self.world.run(self.plan.seconds + ALIKE_S + ANSWERED_S + 0.5)
         self.judge.now = self.world.now
         self.judge.close()
--- a/foxspread/orchard/simulation/faults.py
+++ b/foxspread/orchard/simulation/faults.py
@@ -11,6 +11,9 @@
     from foxspread.orchard.simulation.agreement import Fleet
     from foxspread.orchard.simulation.plan import Event
 
+CATCH_UP_S = 4.0  # after its start or return a machine counts as lost for so long
+GRACE_S = 6.0  # for one that leaves
+
 
 class Faults:
     def __init__(self, fleet: "Fleet") -> None:
@@ -19,6 +22,7 @@
         self.at_ack: list[Callable[[Machine], None]] = []  # what befalls the next that acknowledges a call
         self.ends: dict[int, Callable[[], None]] = {}  # of faults that go on
         self.whole = False  # no more faults
+        self.leaving: dict[str, float] = {}  # for how long it is away then
 
     def befall(self, event: "Event") -> None:
         machine = self.fleet.machines[event.where % len(self.fleet.machines)]
@@ -39,7 +43,7 @@
                 self.judge.now = self.world.now
                 end()
                 self.judge.over(row)
-                if self.fleet.plan.probes and whom is not None and whom.up and not whom.lost:
+                if self.fleet.plan.probes and whom is not None and whom.works:
                     self.fleet.operators.probe(whom)
 
         self.ends[number] = over
@@ -58,7 +62,14 @@
             machine.disk.wipe()
             if machine.wiped is None:
                 machine.wiped = self.judge.trouble(machine.name)
-        self._until(seconds, machine, lambda: None if machine.up else machine.start())
+        self._until(seconds, machine, lambda: self._return(machine))
+
+    def _return(self, machine: Machine) -> None:
+        if not machine.up:
+            machine.start()
+            machine.counts_from = None
+            if self.fleet.plan.members_change:
+                machine.returning_until = self.world.now + CATCH_UP_S
 
     def _kill(self, machine: Machine, seconds: float, wiped: bool = False) -> bool | None:
         if self.whole or not machine.up or not self._bearable(machine):
@@ -70,17 +81,12 @@
 
     def _power_off(self, machine: Machine, seconds: float, wiped: bool = False) -> bool | None:
         """All lose power; one that is wiped comes back with nothing."""
-        unknowing = {
-            each for each in self.fleet.machines if each.wiped is not None or (wiped and each is machine)
-        }
-        if (
-            self.whole
-            or len(unknowing) > self.fleet.plan.tolerate
-            or not all(each.up for each in self.fleet.machines)
-        ):
+        there = [each for each in self.fleet.machines if not each.spare and each.counts_from is None]
+        unknowing = {each for each in there if each.wiped is not None or (wiped and each is machine)}
+        if self.whole or len(unknowing) > self.fleet.plan.tolerate or not all(each.up for each in there):
             return False
         self._until(seconds + 2.0, None, lambda: None)
-        for each in self.fleet.machines:
+        for each in there:
             away = 0.05 + self.world.draw() * seconds + each.slow_start
             each.slow_start = 0.0
             self._down(each, away, wiped and each is machine)
@@ -173,6 +179,31 @@
         way = self.world.pick(list(ways))
         self.at_ack.append(lambda acker: way(acker, seconds))
 
+    def _gone(self, machine: Machine, seconds: float) -> bool | None:
+        """For good, as others see it; a spare is started in its place. It wakes up with its old disk."""
+        spare = next((each for each in self.fleet.machines if each.spare), None)
+        if spare is None or machine.counts_from is not None or self._kill(machine, seconds) is False:
+            return False
+        self.world.after(1.0, lambda: self._succeed(machine, spare))
+
+    def _succeed(self, machine: Machine, spare: Machine) -> None:
+        if spare.spare and not machine.up:
+            spare.spare = False
+            machine.counts_from = self.world.now + CATCH_UP_S
+            spare.start()
+
+    def _leave(self, machine: Machine, seconds: float) -> bool | None:
+        """It says that it leaves, and ends once it may, at its grace in any case; then it comes back."""
+        if self.whole or not machine.up or machine.frozen or not self._bearable(machine):
+            return False
+        machine.leaving, life = True, machine.life
+        self.leaving[machine.name] = seconds
+        self._until(GRACE_S, machine, lambda: self.has_left(machine) if machine.life == life else None)
+
+    def has_left(self, machine: Machine) -> None:
+        if machine.up and machine.leaving:
+            self._down(machine, self.leaving[machine.name], False)
+
     def _loss_after_repair(self, machine: Machine, seconds: float, wiped: bool = True) -> bool | None:
         """One is wiped; as soon as it is whole again `tolerate` others go, disks and all."""
         if self._wipe(machine, 0.2 + seconds / 8) is False:
--- a/foxspread/orchard/simulation/judge.py
+++ b/foxspread/orchard/simulation/judge.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from foxspread.orchard.configuration.items import Item, Key, consistent, for_all
+from foxspread.orchard.configuration.items import LEASE, MEMBERS, Item, Key, consistent, for_all
 from foxspread.orchard.outcome import Failure
 
 ANSWERED_S = 4.0  # a call at a machine without trouble is answered within this
@@ -84,6 +84,8 @@
         self.acknowledged: dict[Key, Item] = {}  # the newest of each item that was acknowledged or read
         self.known_since: list[tuple[float, Item]] = []  # each as it became the newest
         self.ripe, self.least = 0, {}  # of these, how many nobody may lack any more, and the newest of each
+        self.sets: dict[int, set[str]] = {}  # members by epoch
+        self.acting: dict[int, str] = {}  # by the number of the lease
         self.orders: dict[frozenset, Order] = {}
         self.returned: list[Return] = []
         self.calls: list[Call] = []
@@ -114,9 +116,29 @@
             if old is not None and old.version > item.version:
                 self.broken("no way back", f"{copy} showed {shown(old)}, then {shown(item)}")
             held[item.key] = changed[item.key] = item
+            if item.kind == MEMBERS:
+                self._one_step(copy, item)
         if changed and (why := consistent(before, changed)) is not None:
             self.broken("consistent", f"{copy}: {why.reason}")
 
+    def _one_step(self, copy: str, item: Item) -> None:
+        """The set of members changes by one machine at a time."""
+        self.sets[item.version] = set(item.content["of"])
+        for one in (item.version - 1, item.version):
+            old, new = self.sets.get(one), self.sets.get(one + 1)
+            if old is not None and new is not None and len(old ^ new) != 1:
+                self.broken("one at a time", f"{copy}: members {sorted(old)}, then {sorted(new)}")
+
+    def acted(self, machine: str, items: list[Item], outcome: bool | Failure) -> None:
+        """One that does a duty was told so of the lease that it named."""
+        for item in items:
+            if item.kind == LEASE and outcome is True:
+                other = self.acting.setdefault(item.version, machine)
+                if other != machine:
+                    self.broken(
+                        "one holder", f"lease {item.version} was acted on by {other} and by {machine}"
+                    )
+
     def tells(self, copy: str, what: str, items: dict[Key, Item]) -> None:
         """It shows, tells or says something by what it holds: all is there that was known `FRESH_S` ago."""
         while self.ripe < len(self.known_since) and self.known_since[self.ripe][0] <= self.now - FRESH_S:
--- a/foxspread/orchard/simulation/machines.py
+++ b/foxspread/orchard/simulation/machines.py
@@ -6,12 +6,15 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from foxspread.orchard.configuration.items import THEIRS, Item, Key
+from foxspread.orchard.configuration.items import LEASE, MEMBERS, THEIRS, Item, Key, for_all
+from foxspread.orchard.control.readiness import Readiness
 from foxspread.orchard.membership.exchange import Exchange
-from foxspread.orchard.outcome import Broken
+from foxspread.orchard.outcome import Broken, Failure
+from foxspread.orchard.replication.contact import Contact, Report
 from foxspread.orchard.replication.copy import Copy, row, unrow
 from foxspread.orchard.replication.acceptor import Acceptor
-from foxspread.orchard.replication.replica import Replica
+from foxspread.orchard.replication.replica import PATIENCE_S, Replica
+from foxspread.orchard.replication.replacement import Replacement, View
 from foxspread.orchard.replication.proposer import Proposer
 from foxspread.orchard.simulation.disks import SYNC_S, SimDisk
 from foxspread.orchard.simulation.judge import shown
@@ -23,6 +26,8 @@
 SETTLED = "="  # the source of the settled set, as in a node
 TICK_S = 0.1
 MEET_S = 1.5  # links come up anew, whoever was missed is told
+CUT_OFF_S = 0.3  # for a call on a machine without contact to a majority, as in a node
+SHOWN = THEIRS | {MEMBERS, LEASE}  # what the judge is shown
 
 
 @dataclass(frozen=True)
@@ -33,6 +38,9 @@
     proposer: type[Proposer] = Proposer
     replica: type[Replica] = Replica
     disk: type[SimDisk] = SimDisk
+    contact: type[Contact] = Contact
+    readiness: type[Readiness] = Readiness
+    replacement: type[Replacement] = Replacement
 
 
 class Party:
@@ -122,22 +130,24 @@
             self._soon()
         elif kind == "pull":
             since = tuple(message["v"][SETTLED]) or (0, "")
-            rows = [row(*each) for each in self.copy.since(since)]
-            self._send(sender, {"t": "news", "upto": self.copy.upto, "rows": rows})
+            if (news := self._news(sender, since)) is not None:
+                self._send(sender, {"t": "news", "at": message["at"], **news})
         elif kind == "news":
-            self._take(tuple(message["upto"]), message["rows"])
+            self._take(sender, message)
             self._soon()
 
+    def _news(self, to: str, since: tuple) -> dict[str, Any] | None:
+        """None: it does not tell."""
+
     def _noticed(self, at: tuple) -> None:
         pass
 
-    def _take(self, upto: tuple, rows: list) -> None:
-        if upto >= self.copy.upto:
-            self._show(self.copy.fold(upto, map(unrow, rows)))
+    def _take(self, sender: str, news: dict[str, Any]) -> None:
+        pass
 
     def _show(self, new: list[Item]) -> None:
         self.fleet.judge.now = self.world.now
-        if new := [item.bare for item in new if item.kind in THEIRS]:
+        if new := [item.bare for item in new if item.kind in SHOWN]:
             self.fleet.say(f"{self.name} shows {' '.join(map(shown, new))}, upto {self.copy.upto[0]}")
             self.fleet.judge.shows(self.named, new)
         self.exchange.have(SETTLED, self.copy.upto)
@@ -154,7 +164,10 @@
         for peer, versions in self.exchange.notices():
             self._send(peer, {"t": "have", "v": versions})
         for peer, wanted in self.exchange.pulls(self.clock()):
-            self._send(peer, {"t": "pull", "v": wanted})
+            self._pull(peer, wanted[SETTLED])
+
+    def _pull(self, peer: str, since: tuple) -> None:
+        self._send(peer, {"t": "pull", "v": {SETTLED: since}, "at": self.clock()})
 
     def _send(self, to: str, message: dict[str, Any]) -> None:
         self.fleet.links.send(self.name, to, message)
@@ -164,41 +177,64 @@
     """A copy beside no disk: all that it knows it has from others, in each life anew."""
 
     def start(self) -> None:
-        self.copy = Copy()
+        self.copy, self.readiness = Copy(), self.fleet.cores.readiness()
+        self.was_ready = False
         super().start()
 
-    def _show(self, new: list[Item]) -> None:
-        super()._show(new)
-        self.fleet.judge.tells(self.named, "shows the set", self.copy.items)
+    def _tick(self) -> None:
+        if self.readiness.asks(self.clock(), False):
+            self._pull(self.world.pick(self.fleet.machines).name, self.copy.upto)
+        super()._tick()
+
+    def _take(self, sender: str, news: dict[str, Any]) -> None:
+        upto = tuple(news["upto"])
+        if upto >= self.copy.upto:
+            self._show(self.copy.fold(upto, map(unrow, news["rows"])))
+            self.fleet.judge.tells(self.named, "shows the set", self.copy.items)
+        self.readiness.told(self.clock(), news["at"], news["age"])
+        if not self.was_ready and self.readiness.ready(bool(self.copy.items)):
+            self.was_ready = True
+            self.fleet.judge.tells(self.named, "is ready", self.copy.items)
 
 
 class Machine(Party):
-    """A machine with a disk."""
+    """A machine with a disk. A spare is there, but not started until one is gone."""
 
-    def __init__(self, fleet: "Fleet", name: str) -> None:
+    def __init__(self, fleet: "Fleet", name: str, spare: bool = False) -> None:
         super().__init__(fleet, name)
         self.disk = fleet.cores.disk(fleet.world, name)
         self.core: Replica | None = None
         self.cut = 0  # faults that cut it off
         self.slow_start = 0.0  # it is away for so much longer, the next time
         self.wiped: list | None = None  # the trouble that is over once it has caught up
+        self.spare = spare
+        self.counts_from: float | None = None  # gone for good: from then on its successor counts
+        self.returning_until = 0.0  # till then it counts as lost
+        self.leaving = False
 
     @property
     def lost(self) -> bool:
+        """Whether it counts among those that are lost at once."""
+        if self.spare or (self.counts_from is not None and self.world.now >= self.counts_from):
+            return False
+        return not self.works or self.world.now < self.returning_until
+
+    @property
+    def works(self) -> bool:
         return (
-            not self.up
-            or self.frozen
-            or self.cut > 0
-            or self.disk.stalled
-            or self.disk.refuses
-            or self.disk.sync_s > SYNC_S
-            or not self.core.acceptor.voting
+            self.up
+            and not self.frozen
+            and self.cut == 0
+            and not self.disk.stalled
+            and not self.disk.refuses
+            and self.disk.sync_s <= SYNC_S
+            and self.core.acceptor.voting
         )
 
     def start(self, first: bool = False) -> None:
         super().start()
         fleet, world = self.fleet, self.world
-        saved = self.disk.open(tuple(each.name for each in fleet.machines), first)
+        saved = self.disk.open(fleet.seeds, first)
         acceptor = fleet.cores.acceptor(self.name, saved)
         self.copy = acceptor.copy
         draw = Chance(int(world.draw() * 2**32)).draw
@@ -206,6 +242,10 @@
             self.clock, self.named, draw, self._put, self._send, self._hears_itself, self._show
         )
         self.core.proposes_with = fleet.cores.proposer
+        self.core.others = lambda: [each.name for each in fleet.machines if each is not self]
+        self.contact = fleet.cores.contact(self.name, int(draw() * 2**30))
+        self.replacement = fleet.cores.replacement(self.name, self.named, draw)
+        self.in_contact = self.leaving = False
         self.core.begin(acceptor)
 
     def kill(self) -> None:
@@ -219,34 +259,128 @@
     def _hears_itself(self, call: Callable[..., None], *told: Any) -> None:
         self.later(0.0, lambda: call(*told))
 
-    def _tells(self, peer: str, source: str) -> bool:
-        return self.core.fresh
-
     def _tick(self) -> None:
         self.core.tick()
         if self.wiped is not None and self.core.acceptor.voting:
             self.fleet.say(f"{self.name} has caught up")
             self.fleet.judge.over(self.wiped)
             self.wiped = None
+        now = self.clock()
+        if (asking := self.contact.ask(now, self._report())) is not None:
+            for each in self.fleet.machines:
+                if each is not self:
+                    self._send(each.name, asking)
+        self._stand()
+        if self.ready:
+            self.fleet.judge.tells(self.named, "is ready", self.copy.items)
+        if self.fleet.plan.members_change:
+            self._replace(now)
         super()._tick()
 
+    # Whether it may speak.
+
+    @property
+    def ready(self) -> bool:
+        return bool(self.copy.items) and self.core.fresh and self._current()
+
+    def _current(self) -> bool:
+        if self.core is None or self.core.acceptor is None:
+            return False
+        self.contact.held(self.core.acceptor.members, self.copy.upto)
+        return self.contact.current(self.clock())
+
+    def _report(self) -> Report:
+        acceptor = self.core.acceptor
+        return Report(
+            self.name,
+            acceptor.known and acceptor.voting,
+            acceptor.epoch,
+            acceptor.copy.upto,
+            max(acceptor.accepted, acceptor.copy.upto),
+            self.name,
+            self.leaving,
+            self.contact.hears(self.clock()),
+            acceptor.disk,
+        )
+
+    def _stand(self) -> None:
+        if (current := self._current()) != self.in_contact:
+            self.in_contact = current
+            if current:
+                self.exchange.dirty.add(SETTLED)
+                self._soon()
+
+    def _tells(self, peer: str, source: str) -> bool:
+        return isinstance(self.fleet.parties[peer], Machine) or self._current()
+
+    def _news(self, to: str, since: tuple) -> dict[str, Any] | None:
+        keeps = isinstance(self.fleet.parties[to], Machine)
+        if not keeps and not self._current():
+            return None
+        rows = self.copy.since(since)
+        if not keeps:
+            rows = [(item.bare, at) for item, at in rows if for_all(item)]
+        age = self.contact.age(self.clock()) if self._current() else None
+        return {"upto": self.copy.upto, "age": age, "rows": [row(*each) for each in rows]}
+
+    # Who the members are.
+
+    def _view(self, now: float) -> View:
+        acceptor = self.core.acceptor
+        reports = {name: (at, report) for name, (report, at) in self.contact.reports.items()}
+        reports[self.name] = now, self._report()
+        self.contact.held(acceptor.members, self.copy.upto)
+        return View(
+            self.name,
+            acceptor.members,
+            self.copy.items.get((LEASE, MEMBERS)),
+            reports,
+            self.copy.upto,
+            self.fleet.plan.tolerate,
+            0,
+            self.contact.age(now),
+        )
+
+    def _replace(self, now: float) -> None:
+        view = self._view(now)
+        if self.leaving and self.replacement.may_go(now, view):
+            return self.fleet.faults.has_left(self)
+        if (items := self.replacement.step(now, view)) is None:
+            return
+
+        def told(outcome: bool | Failure) -> None:
+            self.fleet.judge.acted(self.named, items, outcome)
+            self.replacement.told(self.clock(), outcome)
+
+        self.core.ask(items, told)
+
+    # What it hears.
+
     def heard(self, sender: str, message: dict[str, Any]) -> None:
-        if message["t"] in ("hello", "have", "pull", "news"):
+        kind = message["t"]
+        if kind in ("hello", "have", "pull", "news"):
             super().heard(sender, message)
-            if message["t"] == "hello" and isinstance(self.fleet.parties[sender], Machine):
+            if kind == "hello" and isinstance(self.fleet.parties[sender], Machine):
+                self.contact.next_at = self.clock()
                 self.core.reached(sender)
+        elif kind == "contact":
+            self._send(sender, self.contact.answer(message, self._report()))
+        elif kind == "contacted":
+            self.contact.heard(self.clock(), sender, message)
+            self._stand()
         else:
             self.core.heard(sender, message)
 
     def _noticed(self, at: tuple) -> None:
         self.core.peer_settled(at)
 
-    def _take(self, upto: tuple, rows: list) -> None:
-        self.core.learn(upto, rows)
+    def _take(self, sender: str, news: dict[str, Any]) -> None:
+        self.core.learn(tuple(news["upto"]), news["rows"])
 
     def asked(self, items: tuple[Item, ...], tell: Callable) -> None:
         """By an operator; `tell` gets the outcome, and of a read what is held."""
-        self.core.ask(list(items), lambda outcome: tell(outcome, self.theirs()))
+        patience = PATIENCE_S if self._current() else CUT_OFF_S
+        self.core.ask(list(items), lambda outcome: tell(outcome, self.theirs()), patience)
 
     def theirs(self) -> dict[Key, Item]:
         """What a read tells."""
--- a/foxspread/orchard/simulation/plan.py
+++ b/foxspread/orchard/simulation/plan.py
@@ -1,7 +1,7 @@
 """What a seed draws: a list of events, calls of operators and what befalls machines, links and disks."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from foxspread.orchard.configuration.items import LIMITS, ROUTE, SERVICE, Item
 from foxspread.orchard.simulation.judge import shown
@@ -37,6 +37,7 @@
     "loss_after_repair",
 )
 STORIES = ("cut", "away", "repairs", "all_killed", "slow", "asleep")
+MEMBERS_STORIES = ("turnover", "leaves", "cut", "all_killed", "asleep")
 WIPES = ("wipe", "power_off_wiped", "acker_wiped", "behind")
 
 
@@ -52,16 +53,53 @@
     together: int = 0  # so many orders at once, at times
     copies: float = 0.0  # share of the orders of which a machine reads a copy late, up to the whole day
     answers_lost: float = 0.0  # share
+    seeds: int = 0  # of the first start; 0: all machines
+    spares: int = 0  # machines that are started when one is gone for good
+    bears: int = 0  # machines lost at once; 0: as many as a majority can be without
+    calm: float = 0.5  # nothing befalls before
     probes: bool = False  # whoever comes back is read from, it alone, until it answers
 
     @property
     def tolerate(self) -> int:
-        return (self.machines - 1) // 2
+        return self.bears or (self.machines - 1) // 2
+
+    @property
+    def members_change(self) -> bool:
+        return 0 < self.seeds
 
 
-def long_day(machines: int = 3, faults: tuple[str, ...] = FAULTS + LONG_FAULTS) -> Plan:
+def long_day(machines: int = 3) -> Plan:
     """A minute: room for cuts of twenty seconds and two hundred changes."""
-    return Plan(machines, 3, 60.0, 60, 6, faults, STORIES, 8, 0.3, 0.05, True)
+    return Plan(machines, 3, 60.0, 60, 6, FAULTS + LONG_FAULTS, STORIES, 8, 0.3, 0.05, probes=True)
+
+
+def members_day(machines: int = 5, bears: int = 2) -> Plan:
+    """A minute in which machines with a disk come, leave, are gone for good and return: three seeds,
+    the others join or stand by, three more are started as others go."""
+    faults = ("kill", "wipe", "freeze", "cut", "cut_in", "cut_out", "cut_some", "power_off", "disk_slow")
+    faults += (
+        "gone",
+        "gone",
+        "leave",
+        "leave",
+        "loss_after_repair",
+        "power_at_ack",
+        "links_drop",
+        "links_late",
+    )
+    return Plan(
+        machines, 2, 60.0, 40, 8, faults, MEMBERS_STORIES, 8, 0.3, 0.05, 3, 3, bears, calm=12.0, probes=True
+    )
+
+
+def days(machines: int, bears: int = 0) -> dict[str, Plan]:
+    """By name; `bears`: machines lost at once, 0 for as many as a majority can be without."""
+    lost = bears or (machines - 1) // 2
+    return {
+        "short": Plan(machines, bears=bears),
+        "long": replace(long_day(machines), bears=bears),
+        "members": members_day(machines, lost),
+    }
 
 
 @dataclass(frozen=True)
@@ -83,8 +121,8 @@
     times = [each.at for each in calls]
     events = list(calls)
     for _ in range(int(chance.draw() * (plan.most + 1)) if plan.faults else 0):
-        at = 0.5 + chance.draw() * (plan.seconds - 1.0)
-        if chance.draw() < 0.6:  # in the midst of a call
+        at = plan.calm + chance.draw() * (plan.seconds - plan.calm - 0.5)
+        if chance.draw() < 0.6 and not plan.seeds:  # in the midst of a call
             at = times[int(chance.draw() * len(times))] + chance.draw() * 0.06
         kind = plan.faults[int(chance.draw() * len(plan.faults))]
         long = chance.draw() ** 2 * 3.0 + 0.02
@@ -117,7 +155,8 @@
         told: list[Event] = []
         for _ in range(2 + int(self.chance.draw() * 2)):
             story = self.plan.stories[int(self.chance.draw() * len(self.plan.stories))]
-            at = 2.0 + self.chance.draw() * (self.plan.seconds - 25.0)
+            calm = max(2.0, self.plan.calm)
+            at = calm + self.chance.draw() * (self.plan.seconds - calm - 23.0)
             told += getattr(self, f"_{story}")(at)
         return [each for each in told if each.at < self.plan.seconds - 0.5]
 
@@ -145,6 +184,19 @@
     def _all_killed(self, at: float) -> list[Event]:
         return [self._event(at, "power_off", 0.8), self._event(at + 0.8, "sidecar_restart", 0.1)]
 
+    def _turnover(self, at: float) -> list[Event]:
+        """One after the other is gone for good, and wakes up later."""
+        return [self._event(at + 9 * n, "gone", 20.0) for n in range(3)]
+
+    def _leaves(self, at: float) -> list[Event]:
+        """One leaves; the next is killed at some step of it."""
+        where = int(self.chance.draw() * self.plan.machines)
+        return [
+            self._event(at, "leave", 5.0, where),
+            self._event(at + self.chance.draw() * 4, "kill", 2.0, where + 1),
+            self._event(at + 12, "leave", 5.0),
+        ]
+
     def _slow(self, at: float) -> list[Event]:
         return [self._event(at, "disk_slow", 20.0)]
 
