Copies are told in pieces, in the order of ballots; a catch-up core; dropped and refused items are collected

A state was told in one message of 8 MiB at most: past that a member never caught up, and a link that ended began it anew. Ruled out: resuming with any teller past the place alone (a later change seen at the first teller hides an item from an older second one; the test of all orders finds it). Collected by items of the settled set: refused orders by the agreed clock, dropped items by version and ballot; who stands before that horizon begins anew and replaces its set.

--- a/foxspread/orchard/replication/copy.py
+++ b/foxspread/orchard/replication/copy.py
@@ -1,16 +1,27 @@
 """A copy of the settled set, as every sidecar holds one: items, each with the ballot at which it changed,
 and the ballot up to which all is known. What a copy lacks is what has changed since the ballot that it
-tells.
+tells; it is told in pieces, in the order of ballots (docs/design/catching-up.md).
 """
 
+from bisect import bisect_right
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any
 
-from foxspread.orchard.configuration.items import Item, Key, unpacked
+import orjson
+
+from foxspread.orchard.configuration.items import KEPT, REFUSED, THEIRS, Item, Key, for_all, unpacked
 from foxspread.orchard.outcome import Broken
 
 Ballot = tuple[int, str]  # a number, and the life of the process that chose it: no two alike
 NONE: Ballot = (0, "")
 Row = list  # kind, name, version, content, number and life of the ballot; what is past, where anything is
+Place = tuple[Ballot, Key]  # of a row in the order of ballots, within one ballot of keys
+LAST: Key = ("\U0010ffff", "")  # after each key of a ballot
+START: Place = (NONE, LAST)
+PIECE_BYTES = 64 * 1024  # of rows as JSON in one piece; a larger row goes alone
+STALE_MOST = 64  # places that no row stands at any more, beside as many as there are rows
 
 
 def ballot(told: list | tuple) -> Ballot:
@@ -26,32 +37,103 @@
     return unpacked([*told[:4], *told[6:]]), (told[4], told[5])
 
 
+def place_of(told: Row) -> Place:
+    return (told[4], told[5]), (told[0], told[1])
+
+
+def whole(upto: Ballot) -> Place:
+    """Where all that changed up to and at that ballot has been passed."""
+    return upto, LAST
+
+
+def packed_place(place: Place) -> list | None:
+    """Number and life; with kind and name where not all of that ballot has been passed. None: the start."""
+    at, key = place
+    if place == START:
+        return None
+    return [*at] if key == LAST else [*at, *key]
+
+
+def place(told: list | None) -> Place:
+    return START if told is None else (ballot(told), (str(told[2]), str(told[3])) if len(told) > 2 else LAST)
+
+
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """What a teller has after a place, as far as it goes into one message."""
+
+    rows: list[Row]
+    upto: Ballot  # of the teller: with no more to come, all up to it has been passed
+    more: bool
+    horizon: Ballot  # of the teller: what was dropped up to it may be gone without a trace
+    digest: str
+
+    def packed(self) -> dict[str, Any]:
+        told = {"rows": self.rows, "upto": self.upto, "more": self.more, "digest": self.digest}
+        return told if self.horizon == NONE else {**told, "horizon": self.horizon}
+
+
+def sealed(rows: list[Row], after: Place, upto: Ballot, more: bool, horizon: Ballot) -> str:
+    """A digest of all that a piece says, and of where it begins."""
+    body = orjson.dumps([rows, after, upto, more, horizon])
+    return blake2b(body, digest_size=12).hexdigest()
+
+
 class Copy:
     def __init__(self) -> None:
         self.upto: Ballot = NONE
         self.items: dict[Key, Item] = {}
         self.at: dict[Key, Ballot] = {}  # what changed last stands last
+        self.order: list[Place] = []  # of all in `at`, sorted; some stale
+        self.floor = 0  # items dropped at no higher version and no later than `horizon` are collected
+        self.horizon: Ballot = NONE
+        self.clock = 0  # the agreed clock: the largest time that any item has told
+        self.refused_since = 0  # orders refused before that, by this clock, are collected
+        self.collected: list[Key] = []  # gone by the last `fold` or `replace`: a disk has to drop their rows
 
     def fold(self, upto: Ballot, rows: Iterable[tuple[Item, Ballot]]) -> list[Item]:
         """All that changed since `upto` was last folded, at the least; returns what is new here. A version
         never falls: agreed values only grow, and one that does not breaks all that stands on this."""
         new: list[Item] = []
-        for item, at in sorted(rows, key=lambda each: each[1]):
-            if at <= self.at.get(item.key, NONE) or at > upto:
+        self.collected = []
+        for item, at in sorted(rows, key=lambda each: (each[1], each[0].key)):
+            if not self.upto < at <= upto:
                 continue
             old = self.items.get(item.key)
             if old is not None and old.version > item.version:
                 raise Broken(f"{item.key}: r{old.version} was settled before r{item.version} at {at}")
-            if old is None or old.version != item.version:
-                new.append(item)
-            elif old.content != item.content:
+            if old is not None and _differs(old, item):
                 raise Broken(f"{item.key}: two contents of r{item.version} were settled")
-            self.items[item.key] = item
-            self.at.pop(item.key, None)
-            self.at[item.key] = at
+            if self._put(item, at) and (old is None or old.version != item.version):
+                new.append(item)
         self.upto = max(self.upto, upto)
         return new
 
+    def replace(self, upto: Ballot, rows: Iterable[tuple[Item, Ballot]]) -> list[Item]:
+        """A whole set in the place of this one, which knows too little of what was dropped: what is not in it
+        is gone, and told first, as dropped. Nothing, where this copy is as new."""
+        if upto <= self.upto:
+            self.collected = []
+            return []
+        fresh = Copy()
+        new = fresh.fold(upto, rows)
+        gone = [old for key, old in self.items.items() if key not in fresh.items]
+        for key, item in fresh.items.items():
+            old = self.items.get(key)
+            if old is not None and (old.version > item.version or _differs(old, item)):
+                raise Broken(f"{key}: r{old.version} was settled, and now r{item.version} with the whole set")
+        held = self.items
+        self.__dict__.update(vars(fresh))
+        self.collected = [old.key for old in gone]
+        dropped = [
+            Item(*old.key, old.version, None)
+            for old in gone
+            if old.content is not None and old.kind in THEIRS
+        ]
+        return dropped + [
+            each for each in new if each.key not in held or held[each.key].version != each.version
+        ]
+
     def since(self, ballot: Ballot) -> list[tuple[Item, Ballot]]:
         return list(self._since(ballot))[::-1]
 
@@ -60,3 +142,79 @@
             if self.at[key] <= ballot:
                 return
             yield self.items[key], self.at[key]
+
+    def piece(self, after: Place = START, most: int = PIECE_BYTES, bare: bool = False) -> Piece:
+        """What stands after that place, up to about `most` bytes of JSON; `bare`: as machines without a disk
+        are told it."""
+        rows, size, more = [], 0, False
+        for number in range(bisect_right(self.order, after), len(self.order)):
+            at, key = self.order[number]
+            if self.at.get(key) != at:
+                continue
+            item = self.items[key]
+            if bare:
+                if not for_all(item):
+                    continue
+                item = item.bare
+            told = row(item, at)
+            size += len(orjson.dumps(told))
+            if rows and size > most:
+                more = True
+                break
+            rows.append(told)
+        return Piece(
+            rows,
+            self.upto,
+            more,
+            self.horizon,
+            sealed(rows, after, self.upto, more, self.horizon),
+        )
+
+    def _put(self, item: Item, at: Ballot) -> bool:
+        """Whether it is held from now on."""
+        if item.kind == KEPT:
+            self._collect(item, at)
+        elif item.kind == REFUSED:
+            self.clock = max(self.clock, item.content[2])
+            if item.content[2] < self.refused_since:
+                self._gone(item.key)
+                return False
+        self.items[item.key] = item
+        self.at.pop(item.key, None)
+        self.at[item.key] = at
+        self.order.append((at, item.key))
+        if len(self.order) > 2 * len(self.at) + STALE_MOST:
+            self.order = [(at, key) for key, at in self.at.items()]
+        return True
+
+    def _collect(self, kept: Item, at: Ballot) -> None:
+        """By rules that each copy follows at the same ballot, and that ask nothing but the settled set."""
+        if kept.name == "refused":
+            self.refused_since = kept.content["t"]
+            self.clock = max(self.clock, self.refused_since)
+            gone = [
+                key
+                for key, item in self.items.items()
+                if item.kind == REFUSED and item.content[2] < self.refused_since
+            ]
+        elif kept.name == "dropped":
+            self.floor, self.horizon = kept.content["floor"], min(ballot(kept.content["at"]), at)
+            gone = [
+                key
+                for key, item in self.items.items()
+                if item.content is None and item.version <= self.floor and self.at[key] <= self.horizon
+            ]
+        else:
+            return
+        for key in gone:
+            self._gone(key)
+
+    def _gone(self, key: Key) -> None:
+        if self.items.pop(key, None) is not None:
+            del self.at[key]
+            self.collected.append(key)
+
+
+def _differs(old: Item, new: Item) -> bool:
+    """An order refused anew once its first refusal was collected has another time under the same version."""
+    return old.version == new.version and old.content != new.content and old.kind != REFUSED
