The disk counts its starts and drops what was collected; large catch-ups are made ready in slices

A file copied and put back later is sound and votes with what it has forgotten. Each open raises `boots`, synced before anything else; `older` compares it, and the highest ballot promised, with what others hold of that disk. The count alone misses a copy made since the last start, hence the ballot beside it; what nobody is left to have heard can't be missed (docs/design/catching-up.md). A write `drop` removes rows.

--- a/foxspread/orchard/replication/acceptor.py
+++ b/foxspread/orchard/replication/acceptor.py
@@ -21,7 +21,7 @@
 from foxspread.orchard.replication.copy import NONE, Ballot, Copy, ballot, row, unrow
 
 Message = dict[str, Any]
-Write = tuple  # ("meta", name, value) or ("items", rows)
+Write = tuple  # ("meta", name, value), ("items", rows) or ("drop", keys of items)
 Identity = Ballot  # of a disk: a number, 0 on the first start of all, and chance
 Answer = tuple[list[Write], Message | None, list[Item]]  # written, then sent; settled items that are new here
 
@@ -40,6 +40,7 @@
     disks: dict[str, Identity] = field(default_factory=dict)
     voting: bool = False
     known: bool = False  # who the members are is known for sure, not only from seeds
+    boots: int = 0  # how often this disk has been opened, this time included; 0: by an older release only
 
     @classmethod
     def found(cls, meta: dict[str, Any], rows: list) -> "Saved":
@@ -56,6 +57,7 @@
             {member: ballot(disk) for member, disk in meta.get("disks", {}).items()},
             meta["voting"],
             meta["known"],
+            meta.get("boots", 0),
         )
 
 
--- a/foxspread/orchard/replication/disk.py
+++ b/foxspread/orchard/replication/disk.py
@@ -1,6 +1,9 @@
 """The acceptor's disk: one SQLite file, written by one thread, many messages to a sync. What is handed over
 together with what is to follow it is written and synced first. A disk that refuses a write is asked again,
 and nothing goes out meanwhile; a file that is torn, cut off or not ours counts as none.
+
+A file that was copied and put back later is sound, and has forgotten what came between. It counts its own
+starts; others hold the highest count, and the highest ballot promised, that its disk has told them (`older`).
 """
 
 import os
@@ -10,16 +13,18 @@
 import time
 import uuid
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import orjson
 
 from foxspread.orchard.log import say
 from foxspread.orchard.replication.acceptor import Saved, Write
+from foxspread.orchard.replication.copy import Ballot
 
 FILE = "rootstock.sqlite"
 FORMAT = "2"
 AGAIN_S = 0.05  # after a write that the disk refused
+SLICE = 256  # rows that are made ready for the disk at a time: the loop goes on between
 REFUSED = {  # by the system, or held by another process: that says nothing against the file
     sqlite3.SQLITE_BUSY,
     sqlite3.SQLITE_LOCKED,
@@ -33,6 +38,13 @@
 }
 
 
+def older(boots: int, promised: Ballot, held: Iterable[tuple[int, Ballot]]) -> bool:
+    """Whether a disk is a copy from before. `boots` and `promised`: what it tells of itself at its start;
+    `held`: the highest of both that others have heard from a disk of that identity. A ballot that it has told
+    nobody who is left can't be missed by this."""
+    return any(boots < others_boots or promised < others for others_boots, others in held)
+
+
 class Damaged(Exception):
     """What lies there can't be trusted."""
 
@@ -73,7 +85,7 @@
             self.db = self._connected(path)
             saved = self._read()
             if saved is not None:
-                return saved
+                return self._booted(saved)
         except (
             Damaged,
             sqlite3.DatabaseError,
@@ -92,7 +104,20 @@
                     os.remove(os.path.join(self.folder, name))
             self.db = self._connected(path)
             first = False
-        return Saved((0 if first else 1, uuid.uuid4().hex[:16]), members, voting=first, known=first)
+        identity = (0 if first else 1, uuid.uuid4().hex[:16])
+        return self._booted(Saved(identity, members, voting=first, known=first))
+
+    def _booted(self, saved: Saved) -> Saved:
+        """One start more, and that is on disk before anything else is done."""
+        saved.boots += 1
+        try:
+            self.db.execute(
+                "INSERT OR REPLACE INTO meta VALUES (?, ?, ?)", ("boots", *_sealed("boots", saved.boots))
+            )
+        except sqlite3.Error:
+            self.db.close()
+            raise
+        return saved
 
     def _connected(self, path: str) -> sqlite3.Connection:
         db = sqlite3.connect(path, check_same_thread=False, isolation_level=None)
@@ -160,11 +185,11 @@
                             "INSERT OR REPLACE INTO meta VALUES (?, ?, ?)",
                             ("format", *_sealed("format", FORMAT)),
                         )
+                elif write[0] == "drop":
+                    db.executemany("DELETE FROM items WHERE kind = ? AND name = ?", write[1])
                 else:
-                    db.executemany(
-                        "INSERT OR REPLACE INTO items VALUES (?, ?, ?, ?)",
-                        [(row[0], row[1], *_sealed(row[0], row[1], row)) for row in write[1]],
-                    )
+                    for start in range(0, len(write[1]), SLICE):
+                        self._keep(write[1][start : start + SLICE])
             db.execute("COMMIT")
         except sqlite3.Error as error:
             self._troubled(error)
@@ -178,6 +203,14 @@
             self.troubled_since = None
         return True
 
+    def _keep(self, rows: list) -> None:
+        """One slice of a transaction: all of it, with what says that it is settled, is there or nothing."""
+        self.db.executemany(
+            "INSERT OR REPLACE INTO items VALUES (?, ?, ?, ?)",
+            [(row[0], row[1], *_sealed(row[0], row[1], row)) for row in rows],
+        )
+        time.sleep(0)
+
     def _troubled(self, error: Exception) -> None:
         if self.troubled_since is None:
             self.troubled_since = time.monotonic()
--- a/foxspread/orchard/simulation/disks.py
+++ b/foxspread/orchard/simulation/disks.py
@@ -28,7 +28,9 @@
     def open(self, members: tuple[str, ...], first: bool) -> Saved:
         if "disk" not in self.meta:
             identity = (0 if first else 1, f"{self.name}.{self.wipes}.{self.turn}")
-            return Saved(identity, members, voting=first, known=first)
+            self.meta["boots"] = b"1"
+            return Saved(identity, members, voting=first, known=first, boots=1)
+        self.meta["boots"] = b"%d" % (orjson.loads(self.meta.get("boots", b"0")) + 1)
         meta = {name: orjson.loads(body) for name, body in self.meta.items()}
         return Saved.found(meta, [orjson.loads(body) for body in self.items.values()])
 
@@ -74,6 +76,9 @@
             for write in writes:
                 if write[0] == "meta":
                     self.meta[write[1]] = orjson.dumps(write[2])
+                elif write[0] == "drop":
+                    for key in write[1]:
+                        self.items.pop(tuple(key), None)
                 else:
                     for row in write[1]:
                         self.items[row[0], row[1]] = orjson.dumps(row)
