A message that no peer would take is not sent; tests of a link whose peer reads too slowly

A call whose delta lies over the bound of a netstring ended each link that it went over, at each try. encode gives a failure for it, the link says so and goes on. The bound stays at 8 MiB: the settled set goes in pieces now, but accept and promise tell what a ballot changes whole.

--- a/foxspread/orchard/messaging/link.py
+++ b/foxspread/orchard/messaging/link.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from foxspread.orchard.log import say
 from foxspread.orchard.outcome import Failure
 from foxspread.orchard.messaging.netstrings import Decoder, encode
 
@@ -57,8 +58,11 @@
             return
         if self.transport.get_write_buffer_size() > HELD_MOST:
             return self.close("reads too slowly")
+        data = encode(message)
+        if isinstance(data, Failure):
+            return say("message_too_large", peer=self.peer, why=data.reason)
         self.last_sent = self.clock()
-        self.transport.write(encode(message))
+        self.transport.write(data)
 
     def beat(self, slept: float) -> None:
         """Now and then; `slept`: how long this process itself stood still, which says nothing of the peer."""
--- a/foxspread/orchard/messaging/netstrings.py
+++ b/foxspread/orchard/messaging/netstrings.py
@@ -1,5 +1,8 @@
 """Netstrings of JSON, without I/O: LENGTH:JSON, with zlib where that is shorter by far (a packed one begins
 with 0x78, JSON of ours with a brace). Bounds what a peer may make us hold.
+
+The settled set goes in pieces of some 64 KiB. What may be larger is what a ballot changes, told whole in
+`accept` and `promise`: the operator's calls that are under way together.
 """
 
 import zlib
@@ -13,8 +16,11 @@
 PACKED_FROM = 1500  # bytes
 
 
-def encode(message: dict[str, Any]) -> bytes:
+def encode(message: dict[str, Any]) -> bytes | Failure:
+    """A failure where a peer would not take it, and end the link for it."""
     body = orjson.dumps(message)
+    if len(body) > MOST:
+        return Failure(f"a message {message.get('t')!r} of {len(body)} bytes")
     if len(body) > PACKED_FROM:
         body = zlib.compress(body, 1)
     return b"%d:%s," % (len(body), body)
--- /dev/null
+++ b/tests/orchard/messaging/test_link.py
@@ -0,0 +1,67 @@
+"""Links: a peer that reads too slowly, and what it can make us hold."""
+
+import testtools
+
+from foxspread.orchard.configuration.items import SERVICE, Item
+from foxspread.orchard.messaging.link import HELD_MOST, Link
+from foxspread.orchard.messaging.netstrings import MOST, Decoder
+from foxspread.orchard.replication.catchup import CatchUp
+from foxspread.orchard.replication.copy import PIECE_BYTES, Copy
+
+
+class Stuck:
+    """A transport whose peer reads nothing."""
+
+    def __init__(self):
+        self.held, self.aborted = b"", False
+
+    def write(self, data):
+        self.held += data
+
+    def get_write_buffer_size(self):
+        return len(self.held)
+
+    def abort(self):
+        self.aborted = True
+
+
+class SlowReader(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.ended = []
+        self.link = Link(lambda: 0.0, lambda link: None, lambda link, message: None, self.ended.append)
+        self.transport = Stuck()
+        self.link.connection_made(self.transport)
+
+    def test_it_is_left_once_too_much_waits(self):
+        # Guards memory: what waits is bounded by one message more than the bound.
+        incompressible = "".join(chr(0x4E00 + number * 7919 % 20000) for number in range(300_000))
+        for _ in range(40):
+            self.link.send({"t": "news", "rows": incompressible})
+        self.assertEqual(
+            (True, "reads too slowly", [self.link]), (self.transport.aborted, self.link.why, self.ended)
+        )
+        self.assertLess(len(self.transport.held), HELD_MOST + 1_000_000)
+
+    def test_what_is_too_large_is_not_sent_and_ends_nothing(self):
+        self.link.send({"t": "accept", "delta": "a" * MOST})
+        self.link.send({"t": "beat"})
+        self.assertEqual(([{"t": "beat"}], []), (Decoder().feed(self.transport.held), self.ended))
+
+    def test_a_catch_up_never_waits_with_more_than_a_piece(self):
+        # However large the set: one piece is asked for at a time, and that is all that a slow taker holds up.
+        copy = Copy()
+        items = [Item(SERVICE, f"s{number}", 1, {"tag": "x" * 300}) for number in range(3000)]
+        copy.fold((1, "w"), [(item, (1, "w")) for item in items])
+        taker = CatchUp(Copy(), lambda: 0.0)
+        taker.told("k", copy.upto)
+        pieces = 0
+        while asked := taker.step(0.0):
+            self.transport.held = b""
+            told = CatchUp.answer(copy, asked[0][1], 0.0, True)
+            self.link.send(told)
+            self.assertLess(len(self.transport.held), PIECE_BYTES + 1000)
+            pieces += 1
+            if taker.heard(0.0, "k", told) is not None:
+                break
+        self.assertGreater(pieces, 10)
--- a/tests/orchard/messaging/test_netstrings.py
+++ b/tests/orchard/messaging/test_netstrings.py
@@ -61,3 +61,9 @@
             self.assertEqual([size], [len(each["a"]) for each in Decoder().feed(netstring(text))])
         packed = zlib.compress(text)
         self.assertEqual(1, len(Decoder().feed(netstring(packed))))
+        most = {"a": "a" * (MOST - 8)}
+        self.assertEqual([most], Decoder().feed(encode(most)))
+
+    def test_nothing_is_sent_that_no_peer_takes(self):
+        # Guards: a call too large for a message is not settled; it costs no links, now or at each new try.
+        self.assertIsInstance(encode({"t": "accept", "delta": "a" * MOST}), Failure)
