--- a/tests/orchard/replication/test_catchup.py
+++ b/tests/orchard/replication/test_catchup.py
@@ -250,6 +250,18 @@
             peer, message = self.asked(taker)
         self.assertEqual(HELD[3], names_of(taken))
 
+    def test_a_teller_behind_the_place_moves_nothing_back(self) -> None:
+        taker = self.taker()
+        taker.told("k", at(4))
+        for _ in range(2):
+            peer, message = self.asked(taker)
+            taker.heard(self.now, peer, answered(upto(4), message))
+        taker.told("k", at(5))
+        cursor = taker.cursor
+        peer, message = self.asked(taker)  # it had restarted with less when this came
+        self.assertIsNone(taker.heard(self.now, peer, answered(upto(2), message)))
+        self.assertEqual((cursor, at(2), []), (taker.cursor, taker.has["k"], taker.step(self.now)))
+
     def test_a_teller_that_restarts_with_less(self) -> None:
         # Told of as newer than it is now, or behind the place where this copy stands: asked once, not again.
         taker = self.taker(3)
