--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -23,7 +23,7 @@
 from foxspread.orchard.control.desk import ControlDesk, ReadyDesk
 from foxspread.orchard.control.instances import Instances
 from foxspread.orchard.control.readiness import Readiness, Standstill
-from foxspread.orchard.configuration.items import LIMITS, MEMBERS, Item, for_all
+from foxspread.orchard.configuration.items import LIMITS, MEMBERS, Item
 from foxspread.orchard.configuration.routes import RouteTable
 from foxspread.orchard.registry.lives import Lives
 from foxspread.orchard.registry.records import LEAVING, UP, Record, Records, record
@@ -36,8 +36,9 @@
 from foxspread.orchard.messaging.datagrams import Datagrams
 from foxspread.orchard.messaging.link import Link
 from foxspread.orchard.health.upstreams import Upstreams
-from foxspread.orchard.replication.contact import Contact, Report
-from foxspread.orchard.replication.copy import Copy, row, unrow
+from foxspread.orchard.replication.contact import Contact, Report, Starts
+from foxspread.orchard.replication.catchup import CatchUp
+from foxspread.orchard.replication.copy import Copy, ballot, unrow
 from foxspread.orchard.replication.disk import Disk
 from foxspread.orchard.replication.keeper import CUT_OFF_S, Keeper
 from foxspread.orchard.replication.replacement import Replacement, View as MembersView
@@ -72,9 +73,11 @@
         self.keeper: Keeper | None = None
         self.replacement: Replacement | None = None
         self.contact = Contact(self.member, int.from_bytes(os.urandom(4), "big"))
+        self.starts = Starts()
         self.in_contact = False  # as others were last told
         self.readiness, self.still = Readiness(), Standstill(self.clock(), TICK_S)
         self.exchange = Exchange(self._tells)
+        self.catchup = CatchUp(self.copy, self.chance.draw)
         self.number, self.record_life = 0, int(time.time() * 1e6)  # of the record; raised where it is known
         self.state, self.knows_records = UP, False
         # Links.
@@ -162,7 +165,7 @@
                 None, self.keeper.disk.open, tuple(sorted(settings.seeds)), settings.first_start
             )
             self.keeper.disk.start()
-            self.copy = (acceptor := Acceptor(self.member, saved)).copy
+            self.copy = self.catchup.copy = (acceptor := Acceptor(self.member, saved)).copy
             self.keeper.begin(acceptor)
             self._agreed(self.keeper.members.of)
             say(
@@ -299,6 +302,9 @@
         if self.keeper.acceptor is None:
             return
         if (asking := self.contact.ask(now, self._report())) is not None:
+            acceptor = self.keeper.acceptor
+            told = {"boots": acceptor.boots, "promised": self.keeper.durable}
+            asking |= {"life": self.life, "disk": acceptor.disk, **told}
             for name in self.keepers.values():
                 self.links[name].send(asking)
         self._stand()
@@ -342,6 +348,10 @@
             return source == self.settings.node or not self._keeps(peer)
         return source != SETTLED or self._keeps(peer) or self._current()
 
+    def _learns_from(self, peer: str) -> bool:
+        """Those without a disk hold no more than a part of each item."""
+        return self.keeper is None or self._keeps(peer)
+
     def _keeps(self, peer: str) -> bool:
         return peer in self.keepers.values()
 
@@ -440,6 +450,7 @@
         elif self.links.get(link.peer) is link:
             del self.links[link.peer]
             self.exchange.left(link.peer)
+            self.catchup.left(link.peer)
             self.dialling.down(self.clock(), link.peer)
             self.keepers = {member: name for member, name in self.keepers.items() if name != link.peer}
             say("link_ended", peer=link.peer, why=link.why)
@@ -509,21 +520,34 @@
         if link.peer is None:
             return link.close("no hello")
         if kind == "have":
-            self.exchange.told(link.peer, {source: tuple(v) for source, v in message["v"].items()})
+            versions = {source: tuple(v) for source, v in message["v"].items()}
+            if (upto := versions.pop(SETTLED, None)) is not None and self._learns_from(link.peer):
+                self.catchup.told(link.peer, ballot(upto))
+            self.exchange.told(link.peer, versions)
             self._noticed(message["v"])
             self._soon()
         elif kind == "pull":
             link.send(self._news(link.peer, message))
         elif kind == "news":
             self._take_news(link.peer, message)
+        elif kind == "piece":
+            if self._may_tell(link.peer):
+                link.send(CatchUp.answer(self.copy, message, self._age(), self._keeps(link.peer)))
+        elif kind == "rows":
+            self._take_rows(link.peer, message)
         elif kind == "standing":
             self.dialling.contact(link.peer, bool(message["contact"]))
         elif self.keeper is not None and self._keeps(link.peer):
             sender = next(member for member, node in self.keepers.items() if node == link.peer)
             if kind == "contact":
                 if self.keeper.acceptor is not None:
-                    link.send(Contact.answer(message, self._report()))
+                    disk, promised = ballot(message["disk"]), ballot(message["promised"])
+                    past = self.starts.told(sender, message["life"], disk, message["boots"], promised)
+                    answer = Contact.answer(message, self._report())
+                    link.send({**answer, "older": message["life"]} if past else answer)
             elif kind == "contacted":
+                if message.get("older") == self.life:
+                    self.keeper.found_older(os.urandom(8).hex())
                 self.contact.heard(self.clock(), sender, message)
                 self._stand()
             else:
@@ -560,35 +584,43 @@
             self.keeper.peer_settled(tuple(versions[SETTLED]))
 
     def _news(self, peer: str, message: dict[str, Any]) -> dict[str, Any]:
-        wanted, keeps = message["v"], self._keeps(peer)
+        """Records as they stand; of the settled set how old this copy may be, its rows come in pieces."""
+        wanted = message["v"]
         news: dict[str, Any] = {"t": "news", "at": message["at"]}
-        if SETTLED in wanted and (self.keeper is None or keeps or self._current()):
-            rows = self.copy.since(tuple(wanted[SETTLED]) or (0, ""))
-            if not keeps:
-                rows = [(item.bare, at) for item, at in rows if for_all(item)]
+        if SETTLED in wanted and self._may_tell(peer):
             news["upto"], news["age"] = self.copy.upto, self._age()
-            news["rows"] = [row(*each) for each in rows]
         found = [self.records.of[source].packed() for source in wanted if source in self.records.of]
         if found:
             news["records"] = found
         return news
 
+    def _may_tell(self, peer: str) -> bool:
+        """Of the settled set, now."""
+        return self.keeper is None or self._keeps(peer) or self._current()
+
     def _take_news(self, peer: str, news: dict[str, Any]) -> None:
-        if "upto" in news:
-            upto = tuple(news["upto"])
-            if self.keeper is not None:
-                if self._keeps(peer):  # others have no more than a part of each item
-                    self.keeper.learn(upto, news["rows"])
-            else:
-                if upto >= self.copy.upto:
-                    new = self.copy.fold(upto, map(unrow, news["rows"]))
-                    if new:
-                        self.journal.append("settled", new)
-                    self.exchange.have(SETTLED, self.copy.upto)
+        if "upto" in news and self.keeper is None:
+            if (upto := ballot(news["upto"])) <= self.copy.upto:
                 self.readiness.told(self.clock(), news["at"], news["age"])
+            else:
+                self.catchup.told(peer, upto)
         for told in news.get("records", ()):
             self._take_record(record(told))
-        self.knows_records = self.knows_records or bool(self.copy.items)
+        self.knows_records = self.knows_records or "records" in news
+        self._soon()
+
+    def _take_rows(self, peer: str, message: dict[str, Any]) -> None:
+        now = self.clock()
+        if (taken := self.catchup.heard(now, peer, message)) is not None:
+            if self.keeper is not None:
+                self.keeper.learn(taken.upto, taken.rows, taken.replaced)
+            else:
+                rows = map(unrow, taken.rows)
+                take = self.copy.replace if taken.replaced else self.copy.fold
+                if new := take(taken.upto, rows):
+                    self.journal.append("settled", new)
+                self.exchange.have(SETTLED, self.copy.upto)
+                self.readiness.told(now, now, taken.age)
         self._soon()
 
     def _soon(self) -> None:
@@ -605,6 +637,10 @@
         for peer, wanted in self.exchange.pulls(self.clock()):
             if peer in self.links:
                 self.links[peer].send(self._pull(self.clock(), wanted))
+        if self.keeper is None or self.keeper.acceptor is not None:
+            for peer, message in self.catchup.step(self.clock()):
+                if peer in self.links:
+                    self.links[peer].send(message)
 
     def _send_member(self, member: str, message: dict[str, Any]) -> bool:
         link = self.links.get(self.keepers.get(member, ""))
--- a/foxspread/orchard/replication/acceptor.py
+++ b/foxspread/orchard/replication/acceptor.py
@@ -25,7 +25,7 @@
 from foxspread.orchard.replication.members import Members, enough_to_enrol, members_of
 
 Message = dict[str, Any]
-Write = tuple  # ("meta", name, value) or ("items", rows)
+Write = tuple  # ("meta", name, value), ("items", rows) or ("drop", keys of items)
 Identity = Ballot  # of a disk: a number, 0 on the first start of all, and chance
 Answer = tuple[list[Write], Message | None, list[Item]]  # written, then sent; settled items that are new here
 AHEAD_MOST = 256  # rows that a message brings along; whoever lacks more takes them in pieces
@@ -47,6 +47,7 @@
     disks: dict[str, Identity] = field(default_factory=dict)
     voting: bool = False
     known: bool = False  # who the members are is known for sure, not only from seeds
+    boots: int = 0  # how often this disk has been opened, this time included; 0: by an older release only
 
     @classmethod
     def found(cls, meta: dict[str, Any], rows: list) -> "Saved":
@@ -63,6 +64,7 @@
             {member: ballot(disk) for member, disk in meta.get("disks", {}).items()},
             meta["voting"],
             meta["known"],
+            meta.get("boots", 0),
         )
 
 
@@ -84,6 +86,7 @@
         self.delta: dict[Key, Item] = {item.key: item for item in map(unpacked, saved.delta)}
         self.disks, self.voting, self.known = dict(saved.disks), saved.voting, saved.known
         self.enrolled: dict[str, Message] = {}
+        self.boots = saved.boots
         self.target: Ballot | None = None  # enrolled: it votes once it holds what was settled up to this
 
     @property
@@ -223,19 +226,27 @@
 
     def rows(self, since: Ballot) -> list | None:
         """What has changed since then; None where that is too much for a message."""
+        if NONE < since < self.copy.horizon:
+            return None  # what was dropped since may be gone without a trace
         found = self.copy.since(since) if self.copy.upto > since else []
         return [row(*each) for each in found] if len(found) <= AHEAD_MOST else None
 
     # As one that learns what is settled.
 
-    def learn(self, upto: Ballot, rows: Iterable[tuple[Item, Ballot]]) -> tuple[list[Write], list[Item]]:
+    def learn(
+        self, upto: Ballot, rows: Iterable[tuple[Item, Ballot]], whole: bool = False
+    ) -> tuple[list[Write], list[Item]]:
         """All that changed in the settled set since this copy, at the least. An older acceptance yields to
-        it. With it, one that has enrolled may hold all that it waits for."""
+        it. With it, one that has enrolled may hold all that it waits for. `whole`: the rows are the whole
+        set, in the place of this copy, which knows too little of what was dropped."""
         if upto <= self.copy.upto:
             return [], []
         rows = list(rows)
-        new = self.copy.fold(upto, rows)
-        writes: list[Write] = [("items", [row(*each) for each in rows]), ("meta", "settled", upto)]
+        new = self.copy.replace(upto, rows) if whole else self.copy.fold(upto, rows)
+        held = [row(*each) for each in rows if each[0].key in self.copy.items]
+        writes: list[Write] = [("items", held), ("meta", "settled", upto)]
+        if self.copy.collected:
+            writes.append(("drop", [list(key) for key in self.copy.collected]))
         writes += self._promise(upto)
         if self.accepted <= upto:
             self.accepted, self.delta = upto, {}
@@ -293,6 +304,13 @@
         """So many others that have noted this disk meet each majority that a forgotten one was part of."""
         return enough_to_enrol(members, self.me)
 
+    def forget(self, chance: str) -> list[Write]:
+        """This disk is a copy from before: what was promised and accepted since is forgotten, as if it were
+        empty, but for what it holds settled."""
+        self.disk, self.enrolled, self.target = (self.disk[0] + 1, chance), {}, None
+        self.voting = self.known = False
+        return self.first()
+
     def to_enrol_with(self) -> list[Members]:
         """The newest set of members that was told, and those that it may be changing to."""
         told = [Members(each["epoch"], tuple(each["members"])) for each in self.enrolled.values()]
--- a/foxspread/orchard/replication/contact.py
+++ b/foxspread/orchard/replication/contact.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from foxspread.orchard.replication.copy import NONE, Ballot
+from foxspread.orchard.replication.disk import older
 from foxspread.orchard.replication.members import Members, quorum
 
 TELL_S = 1.5  # older than that, nothing of the settled set is told to sidecars
@@ -136,3 +137,28 @@
         self.epoch = max(self.epoch, told.epoch)
         if told.votes:
             asking.answers[told.member] = told.seen
+
+
+class Starts:
+    """What the disks of other keepers have told of themselves, by which one that is a copy from before is
+    found out: it began fewer times, or has less promised on it, than it had told. Of the keepers heard last
+    only, by this process."""
+
+    def __init__(self) -> None:
+        self.of: dict[str, tuple[str, Ballot, int, Ballot]] = {}  # life, identity, starts, promised
+
+    def told(self, member: str, life: str, disk: Ballot, boots: int, promised: Ballot) -> bool:
+        """Whether that disk is older than one of that machine that has told before."""
+        held = self.of.pop(member, None)
+        new = life, disk, boots, promised
+        if held is not None:
+            same = held[1] == disk
+            if life != held[0] and (disk[0] < held[1][0] or same and older(boots, promised, [held[2:]])):
+                self.of[member] = held
+                return True
+            if life == held[0] and same:  # it may have been under way for long
+                new = life, disk, boots, max(promised, held[3])
+        self.of[member] = new
+        if len(self.of) > REPORTS_MOST:
+            del self.of[next(iter(self.of))]
+        return False
--- a/foxspread/orchard/replication/replica.py
+++ b/foxspread/orchard/replication/replica.py
@@ -8,7 +8,7 @@
 from foxspread.orchard.configuration.items import Item
 from foxspread.orchard.log import say
 from foxspread.orchard.outcome import Failure, unsettled
-from foxspread.orchard.replication.copy import Ballot, unrow
+from foxspread.orchard.replication.copy import NONE, Ballot, unrow
 from foxspread.orchard.replication.acceptor import Message, Acceptor, Write
 from foxspread.orchard.replication.proposer import Out, Proposer
 
@@ -46,11 +46,12 @@
         self.reading = False
         self.next_enrol = 0.0
         self.caught_up = False
+        self.durable: Ballot = NONE  # promised, and on disk
         self.others: Callable[[], Iterable[str]] = tuple  # machines with a disk that can be reached
 
     def begin(self, acceptor: Acceptor) -> None:
         self.acceptor, self.proposer = acceptor, self.proposes_with(acceptor, self.life, self.draw)
-        self.caught_up = acceptor.known
+        self.caught_up, self.durable = acceptor.known, acceptor.promised
         self.put(acceptor.first(), lambda: None)
         self.settled(list(acceptor.copy.items.values()))
 
@@ -80,10 +81,18 @@
         elif kind in TOLD:
             self._do(self.proposer.heard(self.clock(), sender, message))
 
-    def learn(self, upto: Ballot, rows: list) -> None:
-        """News of the settled set, from another copy."""
+    def learn(self, upto: Ballot, rows: list, whole: bool = False) -> None:
+        """News of the settled set, from another copy; `whole`: all of it, in the place of this one."""
         if self.acceptor is not None:
-            self._learnt(*self.acceptor.learn(upto, map(unrow, rows)))
+            self._learnt(*self.acceptor.learn(upto, map(unrow, rows), whole))
+
+    def found_older(self, chance: str) -> None:
+        """Others have heard later things of this machine's disk: it enrols anew. `chance`: of its new
+        identity."""
+        if self.acceptor is not None and self.acceptor.known:
+            say("disk_older", disk=self.acceptor.disk, boots=self.acceptor.boots)
+            self.put(self.acceptor.forget(chance), lambda: None)
+            self.caught_up, self.fresh, self.next_enrol = False, False, 0.0
 
     def _learnt(self, writes: list[Write], new: list[Item]) -> None:
         self.put(writes, lambda: None)
@@ -143,7 +152,10 @@
             self.settled([])
 
     def _answer(self, sender: str, writes: list[Write], reply: Message | None, new: list[Item]) -> None:
+        promised = self.acceptor.promised
+
         def go() -> None:
+            self.durable = max(self.durable, promised)
             if reply is not None:
                 self._pass(sender, reply)
 
--- a/tests/orchard/replication/test_acceptor.py
+++ b/tests/orchard/replication/test_acceptor.py
@@ -19,3 +19,21 @@
         accept |= {"ahead": [row(service("v"), (1, "b"))], "delta": [service("w").packed()]}
         _, answer, new = acceptor.accept(accept)
         self.assertEqual(("accepted", [service("v")]), (answer["t"], new))
+
+    def test_a_copy_from_before_enrols_like_an_empty_disk(self) -> None:
+        # Guards: an older file put back votes with what it has forgotten.
+        old, *others = (
+            Acceptor(me, Saved((0, me), ("a", "b", "c"), voting=True, known=True)) for me in "abc"
+        )
+        asked = {"t": "prepare", "b": (5, "w"), "e": 0, "s": (0, "")}
+        for each in others:
+            each.prepare(asked)
+        old.forget("x")
+        self.assertIsNone(old.prepare({**asked, "b": (2, "v")})[1])
+        self.assertIsNone(old.accept({**asked, "t": "accept", "disks": {}, "delta": []})[1])
+        for each in others:
+            self.assertFalse(old.serves)
+            old.take_in(each.me, each.enrol("a", {"disk": old.disk})[1])
+        self.assertEqual((True, (5, "w")), (old.serves, old.promised))
+        self.assertEqual("nack", old.prepare({**asked, "b": (2, "v")})[1]["t"])
+        self.assertEqual((1, "x"), others[0].disks["a"])
--- a/tests/orchard/replication/test_contact.py
+++ b/tests/orchard/replication/test_contact.py
@@ -11,6 +11,7 @@
     TELL_S,
     Contact,
     Report,
+    Starts,
     report,
 )
 from foxspread.orchard.replication.members import Members
@@ -136,3 +137,33 @@
     def test_a_report_comes_as_it_was_sent(self):
         sent = Report("m1", True, 3, OLD, NEW, "z", True, ("m1", "m2"), (2, "d"))
         self.assertEqual(sent, report(sent.packed()))
+
+
+class OlderDisks(testtools.TestCase):
+    def test_a_copy_from_before_is_found_out(self) -> None:
+        # Guards: a file put back votes with what it has forgotten.
+        one, other = (3, "p"), (9, "p")
+        for told, past in (
+            (("b", (0, "d"), 6, other), False),  # a start more
+            (("b", (0, "d"), 5, one), True),  # as often begun, less promised: a copy since its last start
+            (("b", (0, "d"), 4, other), True),
+            (("b", (1, "e"), 1, one), False),  # it came back empty, and is known to be another
+            (("b", (0, "e"), 1, one), False),  # one that was never synced
+            (("a", (0, "d"), 5, one), False),  # the same life, held up on its way
+        ):
+            starts = Starts()
+            self.assertFalse(starts.told("m", "a", (0, "d"), 5, one))
+            self.assertFalse(starts.told("m", "a", (0, "d"), 5, other))
+            self.assertEqual(past, starts.told("m", *told), told)
+        starts = Starts()
+        starts.told("m", "a", (2, "d"), 5, one)
+        self.assertTrue(starts.told("m", "b", (1, "x"), 9, other))  # of before it was wiped
+        self.assertTrue(starts.told("m", "b", (1, "x"), 9, other))  # and is so until it has enrolled
+        self.assertFalse(starts.told("m", "b", (3, "y"), 9, one))
+
+    def test_as_many_as_are_heard_are_kept(self) -> None:
+        starts = Starts()
+        for n in range(REPORTS_MOST + 1):
+            starts.told(f"m{n}", "a", (0, "d"), 5, (1, "p"))
+        self.assertEqual(REPORTS_MOST, len(starts.of))
+        self.assertNotIn("m0", starts.of)
