The node's clock goes on while its machine is suspended

Cause: an age, a lease, a drain's time on the loop's clock stand still with a suspended machine, and are found young on waking. Ruled out: the wall clock.

--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -53,10 +53,16 @@
 SETTLED = "="  # the source of the settled set, among those of records
 
 
+def steady() -> float:
+    """Seconds. It goes on while the machine is suspended, unlike the loop's: an age, a lease or a drain's
+    time must not stand still with it."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Node:
     def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop) -> None:
         self.settings, self.loop = settings, loop
-        self.clock = loop.time
+        self.clock = steady
         self.life = os.urandom(10).hex()  # by chance alone: no clock makes two lives alike
         self.chance = Chance(int.from_bytes(os.urandom(4), "big"))
         self.journal = Journal(self.clock)
--- a/tests/orchard/test_node.py
+++ b/tests/orchard/test_node.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import tempfile
+import time
 from types import SimpleNamespace
 from unittest import mock
 
@@ -73,11 +74,11 @@
             told = {"node": f"core-{ip}", "serves": ["control"], "ip": ip, "data_dir": "x", "seeds": seeds}
             node = Node(
                 taken({**FILE, **told, "counters": {"control": f"{ip}:8146"}}),
-                loop := asyncio.get_running_loop(),
+                asyncio.get_running_loop(),
             )
             node.keeper = object()
             with mock.patch.object(node, "_call", mock.AsyncMock()):
-                node._dial(loop.time())
+                node._dial(node.clock())
             return {place[0] for place, there in node.dialling.of.items() if there.calling}
 
         self.assertEqual({"127.0.0.2", "127.0.0.3"}, asyncio.run(called("127.0.0.1")))
@@ -196,6 +197,14 @@
 
         asyncio.run(play())
 
+    def test_its_clock_goes_on_while_the_machine_is_suspended(self) -> None:
+        async def play() -> None:
+            node = Node(taken(FILE), asyncio.get_running_loop())
+            with mock.patch("time.clock_gettime", lambda which: 7e9 + which):
+                self.assertEqual(7e9 + time.CLOCK_BOOTTIME, node.clock())
+
+        asyncio.run(play())
+
     def test_a_record_outlives_a_clock_that_was_set_back(self) -> None:
         """What others hold of an earlier life is overtaken, also where both began at the same moment."""
 
