--- a/foxspread/orchard/node.py
+++ b/foxspread/orchard/node.py
@@ -333,7 +333,7 @@
             self._soon()
 
     def _sidecars(self) -> int:
-        return sum(1 for each in self.records.of.values() if each.inbound is not None)
+        return self.records.sidecars
 
     def _tells(self, peer: str, source: str) -> bool:
         """Keepers hear of each sidecar from itself; neighbours without a disk hear of all. Sidecars hear of
