What a copy collects or replaces is dropped from its disk in the same write

Rows of what was collected stayed in the file for good; a refusal that came after its like was collected must not lose its new row with the old one. Acceptor.learn takes a whole set in the place of its own.

--- a/foxspread/orchard/replication/copy.py
+++ b/foxspread/orchard/replication/copy.py
@@ -89,7 +89,7 @@
         self.horizon: Ballot = NONE
         self.clock = 0  # the agreed clock: the largest time that any item has told
         self.refused_since = 0  # orders refused before that, by this clock, are collected
-        self.collected: list[Key] = []  # gone by the last `fold` or `replace`: a disk has to drop their rows
+        self.collected: list[Key] = []  # not held since the last `fold` or `replace`: a disk drops their rows
 
     def fold(self, upto: Ballot, rows: Iterable[tuple[Item, Ballot]]) -> list[Item]:
         """All that changed since `upto` was last folded, at the least; returns what is new here. A version
@@ -107,6 +107,8 @@
             if self._put(item, at) and (old is None or old.version != item.version):
                 new.append(item)
         self.upto = max(self.upto, upto)
+        if self.collected:
+            self.collected = [key for key in dict.fromkeys(self.collected) if key not in self.items]
         return new
 
     def replace(self, upto: Ballot, rows: Iterable[tuple[Item, Ballot]]) -> list[Item]:
@@ -124,7 +126,7 @@
                 raise Broken(f"{key}: r{old.version} was settled, and now r{item.version} with the whole set")
         held = self.items
         self.__dict__.update(vars(fresh))
-        self.collected = [old.key for old in gone]
+        self.collected = [*fresh.collected, *(old.key for old in gone)]
         dropped = [
             Item(*old.key, old.version, None)
             for old in gone
@@ -212,7 +214,7 @@
     def _gone(self, key: Key) -> None:
         if self.items.pop(key, None) is not None:
             del self.at[key]
-            self.collected.append(key)
+        self.collected.append(key)
 
 
 def _differs(old: Item, new: Item) -> bool:
--- a/tests/orchard/replication/test_disk.py
+++ b/tests/orchard/replication/test_disk.py
@@ -10,8 +10,8 @@
 
 from testtools import TestCase
 
-from foxspread.orchard.configuration.items import SERVICE, Item
-from foxspread.orchard.replication.copy import row
+from foxspread.orchard.configuration.items import KEPT, REFUSED, SERVICE, Item
+from foxspread.orchard.replication.copy import row, unrow
 from foxspread.orchard.replication.disk import FILE, Disk, older
 from foxspread.orchard.replication.acceptor import Saved, Acceptor
 
@@ -68,6 +68,31 @@
         self.written([("items", rows)], [("drop", [[SERVICE, "s7"], [SERVICE, "none"]])])
         self.assertEqual({each[1] for each in rows} - {"s7"}, {each[1] for each in self.opened().rows})
 
+    def test_a_disk_holds_the_rows_that_its_copy_holds(self) -> None:
+        # Whatever is collected, replaced, or refused anew once it was collected, in the same write or later.
+        acceptor = Acceptor("a", Saved((0, "a"), MEMBERS, voting=True, known=True))
+        settled = [
+            [service("v"), Item(SERVICE, "w", 2, None), Item(REFUSED, "r", 1, [409, "x", 3.0])],
+            [Item(KEPT, "refused", 1, {"t": 5.0}), Item(REFUSED, "r", 1, [409, "x", 9.0])],
+            [Item(REFUSED, "q", 1, [409, "x", 4.0])],
+            [Item(KEPT, "dropped", 1, {"floor": 2, "at": [1, "w"]})],
+        ]
+        steps = [
+            acceptor.learn((number, "w"), [(item, (number, "w")) for item in items])[0]
+            for number, items in enumerate(settled, 1)
+        ]
+        self.assertEqual(["v", "refused", "r", "dropped"], [name for _, name in acceptor.copy.items])
+        steps.append(acceptor.learn((7, "w"), [(service("y"), (6, "w"))], whole=True)[0])
+        for number in range(len(steps) + 1):
+            copy = Acceptor("a", Saved((0, "a"), MEMBERS, voting=True, known=True)).copy
+            for name in os.listdir(self.folder):
+                os.remove(os.path.join(self.folder, name))
+            self.written(*steps[:number])
+            saved = self.opened()
+            copy.fold(saved.settled, map(unrow, saved.rows))
+            self.assertEqual(len(saved.rows), len(copy.items), number)
+        self.assertEqual(acceptor.copy.items, copy.items)
+
     def test_starts_are_counted_before_anything_else_is_done(self) -> None:
         # A file put back from before has a start too few, or has forgotten what it told others that it
         # promised; one of an older release begins at the first.
