--- a/foxspread/orchard/configuration/orders.py
+++ b/foxspread/orchard/configuration/orders.py
@@ -55,8 +55,9 @@
 
 
 def digest_of_order(items: Iterable[Item]) -> str:
-    """Whatever the order in which its items stand."""
-    return _digest(sorted([each.kind, each.name, each.version, digest(each)] for each in items))
+    """Whatever the order in which its items stand; copies of an order are alike to the byte but for that."""
+    rows = sorted((each.packed()[:4] for each in items), key=lambda row: row[:3])
+    return blake2b(orjson.dumps(rows, option=orjson.OPT_SORT_KEYS), digest_size=10).hexdigest()
 
 
 def overtaken(there: Item) -> Past:
--- a/foxspread/orchard/replication/acceptor.py
+++ b/foxspread/orchard/replication/acceptor.py
@@ -282,7 +282,8 @@
             return [("meta", "disk", self.disk)], []
         self.enrolled[sender] = message
         others = {member: each for member, each in self.enrolled.items() if member != self.me}
-        for members in self.to_enrol_with():
+        sets = self.to_enrol_with()
+        for members in sets:
             if sum(member in others for member in members.of) < self.enough(members):
                 return None
         best = max(others.values(), key=lambda each: ballot(each["s"]))
@@ -294,6 +295,8 @@
             writes.append(self._accepted())
         for each in others.values():
             writes.append(self._note({member: ballot(disk) for member, disk in each["disks"].items()}))
+        if sets[0].epoch == 0:
+            self.seeds = sets[0]
         self.target, new = ballot(best["s"]), []
         if best["rows"] is not None:
             more, new = self.learn(self.target, map(unrow, best["rows"]))
@@ -314,7 +317,7 @@
     def to_enrol_with(self) -> list[Members]:
         """The newest set of members that was told, and those that it may be changing to."""
         told = [Members(each["epoch"], tuple(each["members"])) for each in self.enrolled.values()]
-        newest = max([self.members, *told], key=lambda each: each.epoch)
+        newest = max([*told, self.members], key=lambda each: each.epoch)  # told before own: seeds may change
         rows = [unpacked(each) for message in self.enrolled.values() for each in message["delta"]]
         nexts = [members_of(each) for each in rows if each.key == MEMBERS_KEY]
         return [newest, *(each for each in nexts if each.epoch > newest.epoch)]
--- a/tests/orchard/replication/test_acceptor.py
+++ b/tests/orchard/replication/test_acceptor.py
@@ -37,3 +37,12 @@
         self.assertEqual((True, (5, "w")), (old.serves, old.promised))
         self.assertEqual("nack", old.prepare({**asked, "b": (2, "v")})[1]["t"])
         self.assertEqual((1, "x"), others[0].disks["a"])
+
+    def test_an_empty_disk_takes_the_members_from_those_that_know_them(self) -> None:
+        # Guards: seeds that were exchanged while its disk was lost; it proposed under a set that never was.
+        others = [Acceptor(me, Saved((0, me), ("a", "b", "c"), voting=True, known=True)) for me in "bc"]
+        empty = Acceptor("a", Saved((1, "x"), ("a", "e", "f")))
+        for each in others:
+            empty.take_in(each.me, each.enrol("a", {"disk": empty.disk})[1])
+        self.assertEqual((True, ("a", "b", "c")), (empty.serves, empty.members.of))
+        self.assertIn(("meta", "members", ["a", "b", "c"]), empty.first())
