--- a/foxspread/decisions/marks.py
+++ b/foxspread/decisions/marks.py
@@ -8,29 +8,22 @@
 from foxspread.model import Mark
 from foxspread.sums import Latest, Mean
 
-Marked = Hashable  # a server, or (server, category)
+Marked = Hashable   # a server, or (server, category)
 
 
 class Marks:
-    def __init__(
-        self,
-        max_fails: int = 3,
-        fail_timeout: float = 10.0,
-        spell: float = 4.0,
-        trials: int = 2,
-        panic: float = 0.4,
-        pairs: bool = True,
-    ) -> None:
+    def __init__(self, max_fails: int = 3, fail_timeout: float = 10.0, spell: float = 4.0, trials: int = 2,
+                 panic: float = 0.4, pairs: bool = True) -> None:
         self.max_fails, self.fail_timeout, self.spell, self.trials = max_fails, fail_timeout, spell, trials
         self.panic, self.pairs = panic, pairs
         self.of: dict[Marked, Mark] = {}
-        self.marked, self.verdicts = set(), Mean(10.0, 0.0)  # 1 for each failure, over all servers
-        self.recent = defaultdict(lambda: Latest(64))  # by category: the verdicts on those judged last
+        self.marked, self.verdicts = set(), Mean(10.0, 0.0)   # 1 for each failure, over all servers
+        self.recent = defaultdict(lambda: Latest(64))   # by category: the verdicts on those judged last
 
     def met(self, server: Hashable, categories: Iterable[str] = ()) -> None:
         for what in (server, *((server, category) for category in categories)):
             self.marked.discard(what)
-            self.of.pop(what, None)  # a pair has none before its first verdict: most servers are met by few
+            self.of.pop(what, None)   # a pair has none before its first verdict: most servers are met by few
         self.of[server] = Mark()
 
     def category(self, what: Marked) -> str:
@@ -64,8 +57,8 @@
         # A dead server must not pass for one of many that fail: several failed connections are its own doing.
         if many and (weight > 1 and mark.streak >= 2 * self.max_fails or self._worse(now, what, recent)):
             seldom = 500.0 * (1 + len(self.marked)) / max(1.0, self.verdicts.sums(now)[1])
-            spell = max(self.spell / 8, min(self.spell, seldom))  # trials may take one lookup of fifty
-            again = now - mark.readmitted < 3 * self.fail_timeout  # flapping: away for longer each time
+            spell = max(self.spell / 8, min(self.spell, seldom))   # trials may take one lookup of fifty
+            again = now - mark.readmitted < 3 * self.fail_timeout   # flapping: away for longer each time
             mark.spell = min(mark.spell * 2, 4 * spell) if again else spell
             mark.until, mark.passes = now + mark.spell, 0
             self.marked.add(what)
@@ -82,5 +75,5 @@
         if mark.passes >= self.trials:
             self.marked.discard(what)
             self.of[what] = Mark(spell=mark.spell, readmitted=now)
-        elif not mark.passes:  # also after none: a hung server stays full, and each lookup would be the next
+        elif not mark.passes:   # also after none: a hung server stays full, and each lookup would be the next
             mark.until = now + mark.spell
--- a/foxspread/decisions/measures.py
+++ b/foxspread/decisions/measures.py
@@ -7,23 +7,15 @@
 
 
 class Measures:
-    def __init__(
-        self,
-        now: float,
-        categories: list[Category],
-        span: float = 8.0,
-        few: int = 3,
-        fair_time: float = 0.35,
-        waste_price: float = 0.1,
-    ) -> None:
+    def __init__(self, now: float, categories: list[Category], span: float = 8.0, few: int = 3,
+                 fair_time: float = 0.35, waste_price: float = 0.1) -> None:
         self.span, self.few, self.fair_time, self.waste_price = span, few, fair_time, waste_price
         self.expected = sum(c.expected_time for c in categories) / max(1, len(categories))
-        self.times = {
-            c.name: (Mean(20.0, c.expected_time / 4), Mean(20.0, c.expected_time**2 / 12)) for c in categories
-        }  # of a hand-off, and of its square
-        self.done = {"": (Decaying(span), now)}  # by server, "" for all; and since when
-        self.slow = {"": Mean(3.0, 0.2)}  # by server and zone; "": for all, by the expected time
-        self.brisk = Low(0.2)  # by the expected time: what an idle server takes
+        self.times = {c.name: (Mean(20.0, c.expected_time / 4), Mean(20.0, c.expected_time ** 2 / 12))
+                      for c in categories}             # of a hand-off, and of its square
+        self.done = {"": (Decaying(span), now)}   # by server, "" for all; and since when
+        self.slow = {"": Mean(3.0, 0.2)}          # by server and zone; "": for all, by the expected time
+        self.brisk = Low(0.2)                     # by the expected time: what an idle server takes
         # By server: when the latest that was answered was sent; by kind: part of a turn, and answers.
         self.passed, self.turn, self.heard = {}, {}, {}
 
@@ -38,16 +30,16 @@
             self.done[server][0].add(now)
             self.done[""][0].add(now)
         elif outcome is Outcome.FULL:
-            self.slow[server].add(now, 8.0)  # it answers at once, looks idle, and would draw all lookups
+            self.slow[server].add(now, 8.0)   # it answers at once, looks idle, and would draw all lookups
             if kind is not None:
                 self._learn(kind, 2.0)
         # What was cut off counts with the time it had, else slow times look ever shorter; not a lost answer.
         cut = outcome.cut_off and took > mean and not self.overtaken(hand_off)
-        if outcome.answered:  # a hung server can still say that it is full
+        if outcome.answered:   # a hung server can still say that it is full
             self.passed[server] = max(hand_off.sent, self.passed.get(server, hand_off.sent))
         if outcome.done or cut:
             self.slow[server].add(now, took / mean)
-            if kind is not None:  # that a cold server is slow says nothing of the rest
+            if kind is not None:   # that a cold server is slow says nothing of the rest
                 self._learn(kind, min(4.0, took / mean))
                 self.slow[hand_off.zone].add(now, took / mean)
                 self.slow[""].add(now, min(1.7 * self.fair(), took / expected))
@@ -63,7 +55,7 @@
     def _learn(self, kind: str, ratio: float) -> None:
         """A kind is known long before each machine: turns move until the times of all kinds are alike."""
         heard = self.heard[kind] = self.heard.get(kind, 0) + 1
-        step = max(0.03, 0.6 / (3 + heard))  # soon at first: servers crowded then stay slow
+        step = max(0.03, 0.6 / (3 + heard))   # soon at first: servers crowded then stay slow
         self.turn[kind] = max(0.05, self.turn.get(kind, 1.0) * math.exp(-step * (ratio - 1)))
         if (top := max(self.turn.values())) != 1.0:
             self.turn.update({each: turn / top for each, turn in self.turn.items()})
@@ -76,12 +68,12 @@
 
     def room_in_all(self, now: float, part: float, spare: float, draw: float, used: int = 0) -> float:
         """The same over all; where that is but a few, a share by chance, the smaller the longer they take."""
-        fair, floor = part * self.fair(), 5 * spare  # so many at each crowd none
+        fair, floor = part * self.fair(), 5 * spare   # so many at each crowd none
         usual = self.room(now, times=fair)
         # Twice the deviation of what comes by chance: 3 in flight are no overload where 2 are usual.
         room = spare + (2 * self.room(now) * part if used else usual + 2 * math.sqrt(usual))
         let_in = draw < (fair / self.slow[""].read(now)) ** (6 if used else 2)
-        few = max(self.few, floor, used)  # one at each of its portion, however low rates have fallen
+        few = max(self.few, floor, used)   # one at each of its portion, however low rates have fallen
         return max(room, floor, used * let_in) if room >= self.few else few * let_in
 
     def fair(self) -> float:
--- a/foxspread/decisions/portion.py
+++ b/foxspread/decisions/portion.py
@@ -9,7 +9,7 @@
 class Portion:
     def __init__(self, now: float, position: int, each: float = 0.5, least: int = 4) -> None:
         self.since, self.each, self.least, self.size = now, each, least, float(least)
-        self.start = position * 0.618034 % 1.0  # multiples of the golden section are spread evenly
+        self.start = position * 0.618034 % 1.0   # multiples of the golden section are spread evenly
 
     def of(self, now: float, servers: ServerList, unsound: set[str]) -> set[str]:
         rate = (servers.asked.read(now) + 1) / (10.2 - 10.0 * math.exp((self.since - now) / 10.0))
--- a/foxspread/logic.py
+++ b/foxspread/logic.py
@@ -22,27 +22,10 @@
 
 
 class Balancer(Flight):
-    def __init__(
-        self,
-        now: float,
-        seed: int,
-        zone: str,
-        sidecars: int,
-        categories: list[Category],
-        customers: list[Customer],
-        surplus_benefit: float,
-        max_hand_offs: int,
-        copies: bool,
-        calling_off: bool,
-        longest_back_in: float,
-        tick: float,
-        asks: bool,
-        keys_remembered: bool,
-        waste_price: float,
-        cold: tuple[float, ...],
-        position: int = 0,
-        streams: int = 1,
-    ) -> None:
+    def __init__(self, now: float, seed: int, zone: str, sidecars: int, categories: list[Category],
+                 customers: list[Customer], surplus_benefit: float, max_hand_offs: int, copies: bool,
+                 calling_off: bool, longest_back_in: float, tick: float, asks: bool, keys_remembered: bool,
+                 waste_price: float, cold: tuple[float, ...], position: int = 0, streams: int = 1) -> None:
         super().__init__()
         chance = self.chance = Chance(seed)
         self.tick, self.longest_back_in, self.keys_remembered = tick, longest_back_in, keys_remembered
@@ -52,39 +35,25 @@
         self.servers = ServerList(*cold, chance=chance)
         self.measures = Measures(now, categories, waste_price=waste_price)
         self.servers.turn, self.servers.orders = self.measures.turn, {} if streams > 1 else None
-        self.servers.slow, self.servers.soon = self.measures.slow, min(0.25, 2 / sidecars)  # soon: for all
+        self.servers.slow, self.servers.soon = self.measures.slow, min(0.25, 2 / sidecars)   # soon: for all
         self.gate = Gate(self.servers, max_hand_offs, copies)
         self.longest = max((c.abandon_time for c in categories), default=0.0)
         self.worth, self.tries, self.plan = Mean(10.0, 0.0), Tries(categories), None
-        self.spread, self.ask_again = min(5.0, 0.04 * sidecars), 0.5  # the list service does not grow
+        self.spread, self.ask_again = min(5.0, 0.04 * sidecars), 0.5   # the list service does not grow
         self.ask_at = now + chance.draw() * self.spread if asks else math.inf
-        self.least = max(1, round(4 / sidecars))  # all floors together must not crowd a server
+        self.least = max(1, round(4 / sidecars))   # all floors together must not crowd a server
         self.marks, self.rotation = Marks(), Rotation(zone, chance, few=min(2, self.least))
         self.portion, self.used = Portion(now, position) if streams > 1 else None, set()
-        self.next_look = self.view_until = now  # at the queue, at all marks
-        self.panic, self.panic_for = False, set()  # are marks ignored: all of them; of which categories
-
-    def lookup_taken(
-        self,
-        now: float,
-        id: str,
-        category: str,
-        time_left: float,
-        customer: str = "",
-        key: str = "",
-        again: bool = False,
-    ) -> None:
+        self.next_look = self.view_until = now   # at the queue, at all marks
+        self.panic, self.panic_for = False, set()   # are marks ignored: all of them; of which categories
+
+    def lookup_taken(self, now: float, id: str, category: str, time_left: float, customer: str = "",
+                     key: str = "", again: bool = False) -> None:
         kind, spent = self.categories[category], self.tries.spent(now, category, time_left, again)
         self.servers.asked.add(now)
-        lookup = Lookup(
-            id,
-            kind,
-            now + min(kind.expected_time - spent, time_left),
-            now + time_left,
-            kind.benefit * self._share_left(now, customer) / self.measures.usual(now, kind),
-            self.chance.draw(),
-            key if self.keys_remembered else "",
-        )
+        lookup = Lookup(id, kind, now + min(kind.expected_time - spent, time_left), now + time_left,
+                        kind.benefit * self._share_left(now, customer) / self.measures.usual(now, kind),
+                        self.chance.draw(), key if self.keys_remembered else "")
         self.lookups[id] = self.waiting[id] = lookup
         self.worth.add(now, lookup.worth)
         self._wake(id, lookup.abandon_at - 2 * self.tick)
@@ -94,20 +63,17 @@
             return
         lookup = self.lookups[id]
         # Slow servers, whose lookups are called off, never time out: overdue or twice that is as bad.
-        overdue = outcome is Outcome.CALLED_OFF and now > min(
-            hand_off.overdue,
-            hand_off.sent
-            + 2 * (self.measures.usual(now, lookup.category)) / self.servers.warmth(now, hand_off.server),
-        )
+        overdue = outcome is Outcome.CALLED_OFF and now > min(hand_off.overdue, hand_off.sent + 2 * (
+            self.measures.usual(now, lookup.category)) / self.servers.warmth(now, hand_off.server))
         self.measures.ended(now, hand_off, lookup.category)
         if outcome.done and hand_off.kind is not None:
             self.servers.served[hand_off.zone, hand_off.kind].add(now)
-        weight = self.marks.max_fails if outcome is Outcome.UNCONNECTED else 1  # the server's own doing
-        late = outcome.done and now > lookup.expected_at  # most of its benefit is gone
+        weight = self.marks.max_fails if outcome is Outcome.UNCONNECTED else 1   # the server's own doing
+        late = outcome.done and now > lookup.expected_at   # most of its benefit is gone
         if not hand_off.judged:
             self._judge(now, lookup, hand_off, overdue or late or outcome.failure, weight)
         lookup.over, self.next_look = lookup.over or closed or outcome.done, now
-        self.waiting[id] = lookup  # to go on, or to call off its other copy
+        self.waiting[id] = lookup   # to go on, or to call off its other copy
         self._settle(lookup)
 
     def _judge(self, now: float, lookup: Lookup, hand_off: HandOff, failed: bool | None, weight=1) -> None:
@@ -147,16 +113,10 @@
         return lookup.abandon_at - now
 
     def next_decision(self, now: float) -> Decision | None:
-        if not (
-            self.plan
-            or self.waiting
-            or self.queue
-            or now >= min(self.ask_at, self.view_until)
-            or self.alarms
-            and self.alarms[0][0] <= now + 1e-6
-        ):
+        if not (self.plan or self.waiting or self.queue or now >= min(self.ask_at, self.view_until)
+                or self.alarms and self.alarms[0][0] <= now + 1e-6):
             self.next_look = now + 4 * self.tick if now >= self.next_look else self.next_look
-            return None  # most ends of hand-offs leave nothing to decide
+            return None   # most ends of hand-offs leave nothing to decide
         decision = next(plan := self.plan or self._decisions(now), None)
         self.plan = plan if decision else None
         return decision
@@ -174,10 +134,10 @@
             self._look(now)
         for lookup in self._alarmed(now + 1e-6):
             self._let_go(now, lookup)
-        if now >= self.next_look:  # not for each lookup that comes: in a burst that would take all of a core
+        if now >= self.next_look:   # not for each lookup that comes: in a burst that would take all of a core
             self.waiting, self.queue, self.next_look = self.queue | self.waiting, {}, now + 4 * self.tick
         waiting, self.waiting = self.waiting.values(), {}
-        for lookup in sorted(waiting, key=lambda each: (-each.worth, each.expected_at)):  # most worth first
+        for lookup in sorted(waiting, key=lambda each: (-each.worth, each.expected_at)):   # most worth first
             if lookup.over:
                 yield from self._close(lookup)
             elif lookup.coming:
@@ -187,7 +147,7 @@
             elif lookup.out() and not self._too_late(now, lookup) and not self._lost(now, lookup):
                 if not self.gate.copies and self._dead(now, lookup.out()[-1]):
                     yield from self._call_off(lookup)
-                else:  # looked at again after the usual time
+                else:   # looked at again after the usual time
                     self._wake(lookup.id, now + self.measures.usual(now, lookup.category))
             elif not lookup.out() and self._worth_waiting(now, lookup, len(self.queue)):
                 self.queue[lookup.id] = lookup
@@ -201,14 +161,14 @@
         """Past its expected time, with no answer to be looked for: its client is told at once."""
         return now + 1e-6 >= lookup.expected_at and all(self._dead(now, h) for h in lookup.out())
 
-    def _dead(self, now: float, hand_off: HandOff) -> bool:  # what is merely slow is not done twice
+    def _dead(self, now: float, hand_off: HandOff) -> bool:   # what is merely slow is not done twice
         lost = hand_off.server in self.hushed or self.marks.down(hand_off.server)
         return now >= hand_off.overdue and (lost or hand_off.late and self.portion is not None)
 
     def _worth_waiting(self, now: float, lookup: Lookup, ahead: int) -> bool:
         mean = self.measures.usual(now, lookup.category)
         in_time = now + mean * ((ahead + 1) / max(1, self._in_flight()) + 1.5) < lookup.expected_at
-        told = self.portion and lookup.sent  # turned away: its client is told at once, not kept waiting
+        told = self.portion and lookup.sent   # turned away: its client is told at once, not kept waiting
         return in_time and not told and not self._too_late(now, lookup) and self.gate.open(now, lookup)
 
     def _give_up(self, now: float, lookup: Lookup) -> Iterator[Decision]:
@@ -229,7 +189,7 @@
     def _choose(self, now: float, lookup: Lookup) -> str | None:
         if not self._may_be_sent(now, lookup):
             return None
-        part = min(1.0, 0.5 + 0.5 * lookup.worth / max(1e-9, self.worth.read(now)))  # less yields first
+        part = min(1.0, 0.5 + 0.5 * lookup.worth / max(1e-9, self.worth.read(now)))   # less yields first
         if self._most_are_full(lookup, part) or not self._has_room(now, lookup, part):
             return None
         return next(self._takers(now, lookup, part), None)
@@ -242,7 +202,7 @@
         zones = self._zones(lookup, mean)
         if zones and not lookup.sent:
             yield from self._due_for_trial(now, lookup, zones[0])
-        name = "" if lookup.category.name in self.panic_for else lookup.category.name  # marks are ignored
+        name = "" if lookup.category.name in self.panic_for else lookup.category.name   # marks are ignored
         only = self.gate.near(lookup) if lookup.sent else None
         fits, turn = partial(self._fits, now, lookup, part, name), partial(self._part_of_turn, now, name)
         for zone in zones if lookup.sent else self._not_full(zones, part):
@@ -252,40 +212,27 @@
                 yield server
 
     def _may_be_sent(self, now: float, lookup: Lookup) -> bool:
-        most = math.inf if lookup.sent else lookup.category.expected_time / 2  # a first one needs half of it
+        most = math.inf if lookup.sent else lookup.category.expected_time / 2   # a first one needs half of it
         short = lookup.useful_until - now <= min(most, self.measures.usual(now, lookup.category))
-        return (
-            not short
-            and not self._too_late(now, lookup)
-            and self.gate.open(now, lookup)
-            and not (lookup.sent and (out := lookup.out()) and not self._dead(now, out[-1]))
-        )
+        return not short and not self._too_late(now, lookup) and self.gate.open(now, lookup) and not (
+            lookup.sent and (out := lookup.out()) and not self._dead(now, out[-1]))
 
     def _most_are_full(self, lookup: Lookup, part: float) -> bool:
-        full = sum(h.outcome is Outcome.FULL for h in lookup.sent)  # where several are: it is to come back
+        full = sum(h.outcome is Outcome.FULL for h in lookup.sent)   # where several are: it is to come back
         return self.portion is not None and full >= 5 * part - 2
 
-    def _has_room(self, now: float, lookup: Lookup, part: float) -> bool:  # further ones have theirs
+    def _has_room(self, now: float, lookup: Lookup, part: float) -> bool:   # further ones have theirs
         return bool(lookup.sent) or self._in_flight() < self.measures.room_in_all(
-            now, part, len(self.servers.ready) / self.sidecars, lookup.draw, len(self.used)
-        )
+            now, part, len(self.servers.ready) / self.sidecars, lookup.draw, len(self.used))
 
-    def _back_by_hand(self, now: float, lookup: Lookup) -> Iterator[str]:  # they get a trial
-        return (
-            server
-            for server, at in self.servers.awaited.items()
-            if now >= at and self.gate.lets(now, lookup, server)
-        )
+    def _back_by_hand(self, now: float, lookup: Lookup) -> Iterator[str]:   # they get a trial
+        return (server for server, at in self.servers.awaited.items()
+                if now >= at and self.gate.lets(now, lookup, server))
 
     def _zones(self, lookup: Lookup, mean: dict[str, float]) -> list[str]:
         """Zones in turn, by key likewise; those where it has found no connection come last."""
-        zones = self.rotation.zones(
-            self.servers.zones,
-            mean,
-            lambda z: self.chance.draw()
-            if not lookup.key
-            else zlib.crc32(f"{lookup.key}:{z}".encode()) / 2**32,
-        )
+        zones = self.rotation.zones(self.servers.zones, mean, lambda z: self.chance.draw() if not lookup.key
+                                    else zlib.crc32(f"{lookup.key}:{z}".encode()) / 2**32)
         lost = {h.zone for h in lookup.sent if h.outcome is Outcome.UNCONNECTED}
         return sorted(zones, key=lost.__contains__) if lost else zones
 
@@ -308,7 +255,7 @@
         mark = self.marks.of.get((server, name))
         sound = 1.0 if mark is None else 1.0 - mark.verdicts.read(now, 0.0)
         entry, largest = self.servers.known[server], self.servers.largest
-        return max(0.005, sound**4) * self.measures.part_of_turn(now, entry, largest)
+        return max(0.005, sound ** 4) * self.measures.part_of_turn(now, entry, largest)
 
     def _let_go(self, now: float, lookup: Lookup) -> None:
         """Guards against lost answers that fill all room: overdue and overtaken, a hand-off has failed."""
@@ -319,11 +266,8 @@
                 self._judge(now, lookup, hand_off, True)
 
     def _sort_in(self, server: str) -> None:
-        sound = (
-            server in self.used
-            if self.portion
-            else server in self.servers.ready and (self.panic or server not in self.marks.marked)
-        )
+        sound = server in self.used if self.portion else server in self.servers.ready and (
+            self.panic or server not in self.marks.marked)
         self._place(server, self.servers.known[server].zone if sound else None)
 
     def _look(self, now: float) -> None:
@@ -332,7 +276,7 @@
         groups, down = self.servers.zones, self.marks.marked & self.servers.ready
         if not self.portion:
             self.servers.in_use = self.servers.warm(now, down)
-        panic = self.marks.in_panic(self.servers.ready)  # by zone, a lone hung one would get all its lookups
+        panic = self.marks.in_panic(self.servers.ready)   # by zone, a lone hung one would get all its lookups
         self.touched, self.panic = self.touched | (down if panic != self.panic else set()), panic
         self.hushed = self._silent_ones(now)
         if self.portion:
@@ -341,10 +285,10 @@
             self._sort_in(server)
         self.panic_for = self.marks.in_panic_for(self.ring_of, len(self.ring_of))
         self._regroup(groups)
-        self.healthy = self._sizes(self.servers.lacking(now, self.ring_of))  # less what the cold ones lack
+        self.healthy = self._sizes(self.servers.lacking(now, self.ring_of))   # less what the cold ones lack
         self._sort_trials(set() if panic else down, self.servers.known, self.marks.of)
-        self._open_all(now)  # what is cold has saved up, what was silent may have spoken
-        if self.portion:  # healthy is a part of those that it would use
+        self._open_all(now)   # what is cold has saved up, what was silent may have spoken
+        if self.portion:   # healthy is a part of those that it would use
             groups = {z: [*ring.names, *self.due.get(z, [])] for z, ring in self.sound.items()}
         self.rotation.weigh(groups, self.healthy, self.measures.slowness(now, self.sound, self.rotation.zone))
         self.view_until = now + 0.25
@@ -356,7 +300,7 @@
 
     def _take_portion(self, now: float, unsound: set[str]) -> None:
         used = self.portion.of(now, self.servers, unsound)
-        self.servers.use(now, used, used - self.used, self.portion.size)  # what fewer do now, more did
+        self.servers.use(now, used, used - self.used, self.portion.size)   # what fewer do now, more did
         self.used, self.touched = used, self.touched | used ^ self.used
 
     def _silent(self, now: float, server: str) -> bool:
@@ -374,20 +318,20 @@
             self.marks.of[trial].trial_out = True
         self._watch(now, lookup, hand_off)
         self._sent(lookup, hand_off)
-        may_wait = self.gate.copies or self.calling_off  # else only a time-out ends it
+        may_wait = self.gate.copies or self.calling_off   # else only a time-out ends it
         end = min(lookup.abandon_at - self.tick, math.inf if may_wait else hand_off.overdue)
         return Decision(Act.HAND_OFF, lookup.id, server, max(end - now, self.tick))
 
     def _watch(self, now: float, lookup: Lookup, hand_off: HandOff) -> None:
         overdue = self.measures.overdue(now, lookup.category)
-        hand_off.overdue = now + overdue / self.servers.warmth(now, hand_off.server)  # cold is not hung
+        hand_off.overdue = now + overdue / self.servers.warmth(now, hand_off.server)   # cold is not hung
         end = lookup.abandon_at - 2 * self.tick
         self._wake(lookup.id, hand_off.overdue, lookup.expected_at, lookup.useful_until, end)
 
     def _share_left(self, now: float, customer: str) -> float:
-        if customer not in self.customers:  # who has no share has none to be over
+        if customer not in self.customers:   # who has no share has none to be over
             return 1.0
         entry, sent = self.customers[customer]
         sent.add(now)
         within = max(entry.quota / self.sidecars * sent.span, entry.share * self.servers.asked.read(now))
-        return self.surplus_benefit if sent.read(now) > within + math.sqrt(within / 2) else 1.0  # by chance
+        return self.surplus_benefit if sent.read(now) > within + math.sqrt(within / 2) else 1.0   # by chance
