--- /dev/null
+++ b/tests/orchard/simulation/test_found.py
@@ -0,0 +1,13 @@
+"""Seeds that found a fault in a core, each with its cause: they stay."""
+
+from testtools import TestCase
+
+from foxspread.orchard.simulation.agreement import play
+from foxspread.orchard.simulation.plan import days
+
+
+class Found(TestCase):
+    def test_a_standby_joins_while_changes_go_on(self) -> None:
+        # Its last report lacks the newest change nearly always: named only where none comes for a moment,
+        # one that was gone for good stayed a member for 12 s, and the next two losses stopped all writing.
+        self.assertEqual([], play(days(5)["members"], 126).breaks)
