A standby is named while changes go on: its report is weighed against what was settled when it was asked for

Ruled out: naming whoever votes, however far behind. Change: Replacement keeps what was settled here in the last 1.5 s and compares as of 0.5 s before the report came.

--- a/foxspread/orchard/replication/replacement.py
+++ b/foxspread/orchard/replication/replacement.py
@@ -25,6 +25,7 @@
 
 LEAST = 3  # members, where there are so many machines: fewer bear nothing
 FRESH_S = 1.0  # a report older than that says nothing
+LAG_S = 0.5  # between an asking here and when its answer is weighed: what was settled since is not in it
 CONTACT_S = 1.0  # whoever has had no contact with a majority for that long decides nothing
 GONE_S = 2.0  # unheard by a majority for so long: gone, and replaced if one stands by
 MUTE_S = 4.0  # heard, but without a vote or with an older set for so long: as good as gone
@@ -114,6 +115,7 @@
         self.well: dict[str, float] = {}  # standbys without a flaw, since when
         self.lost: dict[str, float] = {}  # keepers that were missed, when last; kept for `LATELY_S`
         self.leaving_since: float | None = None
+        self.settled: deque[tuple[float, Ballot]] = deque()  # since when that much is settled here
 
     def tend(
         self,
@@ -163,6 +165,7 @@
         """Whether this machine, which leaves, may end: it is no member any more, or none stands by to take
         its place; in both cases a majority of the members hold what it holds, without it. Or `LEAVE_S` is
         over."""
+        self._note_settled(now, view.upto)
         if self.leaving_since is None:
             self.leaving_since = now
         if now - self.leaving_since >= LEAVE_S:
@@ -173,7 +176,7 @@
             if name != self.me
             and (report := self._fresh(now, view, name)) is not None
             and report.votes
-            and report.settled >= view.upto
+            and self._holds(view, name)
         ]
         if len(others) < view.members.majority:
             return False
@@ -186,6 +189,7 @@
             self.missed, self.dumb, self.well, self.need, self.held = {}, {}, {}, None, None
             self.lease = (-1, 0.0)
         self.stepped = now
+        self._note_settled(now, view.upto)
         version = view.lease.version if view.lease is not None else 0
         if version != self.lease[0]:
             self.lease = version, now
@@ -221,6 +225,19 @@
             else:
                 self.well.pop(name, None)
 
+    def _note_settled(self, now: float, upto: Ballot) -> None:
+        if not self.settled or self.settled[-1][1] != upto:
+            self.settled.append((now, upto))
+        while len(self.settled) > 1 and self.settled[1][0] <= now - FRESH_S - LAG_S:
+            self.settled.popleft()
+
+    def _holds(self, view: View, name: str) -> bool:
+        """Whether that keeper has told that it holds what was settled here when it was asked: while changes
+        go on, its report is always older than the newest of them."""
+        at, report = view.reports[name]
+        before = [upto for since, upto in self.settled if since <= at - LAG_S]
+        return report.settled >= (before[-1] if before else self.settled[0][1])
+
     def _since(self, now: float, of: dict[str, float], holds: Callable[[str], bool], view: View) -> None:
         for name in {*of, *view.members.of}:
             if name in view.members and holds(name):
@@ -288,7 +305,7 @@
             for name, since in sorted(self.well.items())
             if now - since >= (BACK_S if name in self.lost else JOIN_S)
             and _well(view.reports[name][1], view)
-            and view.reports[name][1].settled >= view.upto
+            and self._holds(view, name)
         ]
 
     def _out(
