A whole number beyond 64 bits may be overtaken like any other

Cause: JSON gives such a number as a float; to take 2.0 for 2 it was made a whole number, of which no JSON and so no digest can be made: each change of that item would have raised in every proposer. Found by reading, with orders that hold numbers too large. Change: floats beyond 2^53 stay floats. Measured: test_no_number_is_too_large_to_be_overtaken, which fails without it.

--- a/foxspread/orchard/configuration/orders.py
+++ b/foxspread/orchard/configuration/orders.py
@@ -31,12 +31,13 @@
 REFUSED_KEPT_S = 3600.0  # by the agreed clock: longer than any copy of an order may be under way
 DROPPED_MOST = 20_000  # items that are dropped and known as such
 DROPPED_REST = 15_000  # that stay known when the oldest are collected
+WHOLE_MOST = 2**53  # up to there a whole number is one number, however it is written
 ANYHOW = frozenset({MEMBERS, LEASE, KEPT})  # changed by compare and set
 
 
 def _plain(value: Any) -> Any:
     """2.0 and 2 are one number, as they are where contents are compared."""
-    if isinstance(value, float) and value.is_integer():
+    if isinstance(value, float) and abs(value) <= WHOLE_MOST and value.is_integer():
         return int(value)
     if isinstance(value, dict):
         return {name: _plain(each) for name, each in value.items()}
--- a/tests/orchard/configuration/test_orders.py
+++ b/tests/orchard/configuration/test_orders.py
@@ -88,6 +88,16 @@
         told = [register.told(each) for each in (one, same, service(version=6), same)]
         self.assertEqual([200] * 4, told)
 
+    def test_no_number_is_too_large_to_be_overtaken(self):
+        # Guards: a whole number beyond 64 bits, which JSON gives as a float, and no digest could be made of it.
+        for large in (1e40, -1e300, 2.0**53, 2.0**63, 10**18, 0.1):
+            register = Register()
+            one = Item(SERVICE, "v", 5, {"name": "v", "tag": large})
+            self.assertEqual(
+                [200, 200, 200], [register.told(each) for each in (one, service(version=6), one)]
+            )
+            self.assertEqual(409, register.told(V2))
+
     def test_an_order_is_known_whatever_the_order_of_its_items(self):
         items = [service("a"), service("b"), route("r", "/r/", "a")]
         self.assertEqual(1, len({digest_of_order(each) for each in permutations(items)}))
