--- a/tests/orchard/configuration/test_orders.py
+++ b/tests/orchard/configuration/test_orders.py
@@ -89,7 +89,7 @@
         self.assertEqual([200] * 4, told)
 
     def test_no_number_is_too_large_to_be_overtaken(self):
-        # Guards: a whole number beyond 64 bits, which JSON gives as a float, and no digest could be made of it.
+        # Guards: a whole number beyond 64 bits, which JSON gives as a float: no digest could be made of it.
         for large in (1e40, -1e300, 2.0**53, 2.0**63, 10**18, 0.1):
             register = Register()
             one = Item(SERVICE, "v", 5, {"name": "v", "tag": large})
