An order nested deeper than it could be told on is refused

Cause: JSON is read 1,024 levels deep and written 254: an item with unknown keys nested deeper passed the checks, and each message or row that held it would have raised on every keeper. Found by reading, with orders that are too much. Ruled out: a walk over each content (60 ms for 10,000 routes); one writing of the whole, wrapped 54 levels, is 4 ms. Measured: the new rows of test_reading.

--- a/foxspread/orchard/configuration/reading.py
+++ b/foxspread/orchard/configuration/reading.py
@@ -23,6 +23,8 @@
         error(field, "must be of integer type")
 
 
+DEEPEST = 254  # levels that orjson writes
+ROOM = 54  # of them, for the messages and rows in which an item goes on
 _NAME = {"type": "string", "minlength": 1, "maxlength": 500, "required": True}
 _VERSION = {"type": "string", "regex": VERSION.pattern + r"\Z", "required": True}
 _SECONDS = {"type": "number", "min": 0, "max": LONGEST_S}
@@ -95,6 +97,18 @@
     return f"{'.'.join(path)}: {text if len(text) < 80 else text[:77] + '...'}: {errors}"
 
 
+def _shallow(call: dict) -> bool:
+    """Whether what it holds can be passed on: JSON can be read deeper than it can be written."""
+    wrapped: Any = call
+    for _ in range(ROOM):
+        wrapped = [wrapped]
+    try:
+        orjson.dumps(wrapped)
+    except TypeError:
+        return False
+    return True
+
+
 def version(text: str) -> int:
     return int(VERSION.fullmatch(text)[1])
 
@@ -110,6 +124,9 @@
     if not isinstance(call, dict):
         yield invalid("the body must be an object")
         return
+    if not _shallow(call):
+        yield invalid(f"the body can't be read whole: nested deeper than {DEEPEST - ROOM} levels")
+        return
     lodged, dropped = (_part(call, word, {}) for word in ("lodge", "withdraw"))
     if not isinstance(lodged, dict) or not isinstance(dropped, dict):
         yield invalid("lodge and withdraw must be objects")
--- a/tests/orchard/configuration/test_reading.py
+++ b/tests/orchard/configuration/test_reading.py
@@ -88,6 +88,11 @@
     "nothing": (b"", "body", "read whole"),
     "not of this coding": (b'{"lodge":{"gates":[{"destination":"\xff"}]}}', "body", "read whole"),
     "too deep": (b'{"lodge":' * 5000, "body", "read whole"),
+    "deeper than it can be told on": (
+        orjson.dumps(gates(rule(more=1))).replace(b'"more":1', b'"more":' + b"[" * 250 + b"]" * 250),
+        "body",
+        "nested deeper",
+    ),
     "endless": (orjson.dumps(gates(rule(deadline=77))).replace(b"77", b"1e999"), "body", "read whole"),
 }
 VALID = {
@@ -103,6 +108,9 @@
     "the same twice": gates(rule(), rule()),
     "nothing to do": {"lodge": {}, "withdraw": {"routes": []}},
     "parts left out": {"lodge": None},
+    "as deep as it may be": orjson.dumps(gates(rule(more=1))).replace(
+        b'"more":1', b'"more":' + b"[" * 190 + b"]" * 190
+    ),
     "a large version": gates(rule(version="r999999999999999")),
 }  # fmt: skip
 
