--- a/review/standins.py
+++ b/review/standins.py
@@ -110,6 +110,44 @@
             writer.close()
 
 
+class KeptConnection:
+    """A client's connection that is kept for many requests, one at a time."""
+
+    def __init__(self, address):
+        self.address, self.reader, self.writer = address, None, None
+
+    async def request(self, method, path, headers, body=b"", timeout_s=1.0):
+        """Returns status, headers and body; the status is 0 and the body says why where no whole answer came."""
+        was_open = self.writer is not None
+        try:
+            async with asyncio.timeout(timeout_s):
+                if not was_open:
+                    self.reader, self.writer = await asyncio.open_connection(*self.address)
+                lines = [f"{method} {path} HTTP/1.1", *headers, f"Content-Length: {len(body)}"]
+                self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+                await self.writer.drain()
+                if (head := await read_head(self.reader)) is None:
+                    self.close()
+                    return 0, {}, b"closed without an answer"
+                content = await self.reader.readexactly(int(head[1].get("content-length", 0)))
+                if head[1].get("connection", "").lower() == "close":
+                    self.close()
+                return int(head[0].split(" ")[1]), head[1], content
+        except TimeoutError:
+            why = b"timeout"
+        except asyncio.IncompleteReadError:
+            why = b"closed inside the answer"
+        except OSError:
+            why = b"closed: reset" if was_open or self.writer is not None else b"refused"
+        self.close()
+        return 0, {}, why
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.close()
+        self.reader = self.writer = None
+
+
 class App:
     """A sound application server beside a sidecar: works `work_s` on each request, beats, drops a request whose
     connection has closed."""
@@ -201,6 +239,7 @@
         self.folder = mesh.folder / node
         self.process = None
         self.misses, self.ends, self.sigterm_at, self.ended_at = 0, 0, None, None
+        self.peak_mb, self.memory_kills = 0.0, 0
         self.held_down = False  # a machine without power is not started
         self.folder.mkdir()
 
@@ -264,6 +303,26 @@
         except TimeoutError:
             self.signal(signal.SIGKILL)
 
+    def memory_mb(self):
+        """Anonymous memory of the process in MB (2^20 bytes): less than all that counts as its memory."""
+        try:
+            text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+            return int(text.split("RssAnon:")[1].split()[0]) / 1024
+        except (OSError, IndexError):
+            return 0.0
+
+    async def watch_memory(self, limit_mb=300):
+        """Kills the process when it goes over its memory (DEPLOY, Memory and descriptors)."""
+        while True:
+            if self.process is not None and self.process.returncode is None:
+                self.peak_mb = max(self.peak_mb, used_mb := self.memory_mb())
+                if used_mb > limit_mb:
+                    self.mesh.record.add("over its memory", node=self.node, mb=round(used_mb))
+                    self.memory_kills += 1
+                    self.signal(signal.SIGKILL)
+                    await self.process.wait()
+            await asyncio.sleep(0.03)
+
     async def probe_forever(self):
         """Asks for readiness once a second; after two misses the sidecar is out until it answers 200."""
         while True:
