--- a/review/standins.py
+++ b/review/standins.py
@@ -433,11 +433,17 @@
     """Runs `case(record)`; exits with 1 if it returns a broken rule, 0 if it returns none, else 2."""
     record = Record(pathlib.Path(folder) / "record.txt")
     record.add("case", trouble=int(TROUBLE))
+
+    async def run():
+        # SIGTERM ends the case, and so all processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await case(record)
+
     try:
-        broken = asyncio.run(case(record))
-    except CannotRun as error:
-        record.add("could not run", why=error)
-        print(f"could not run: {error}")
+        broken = asyncio.run(run())
+    except (CannotRun, asyncio.CancelledError, OSError) as error:
+        record.add("could not run", why=repr(error))
+        print(f"could not run: {error!r}")
         raise SystemExit(2) from None
     for line in broken:
         record.add("BROKEN", rule=line)
