--- a/foxspread/mesh/dataplane/outbound_proxy.py
+++ b/foxspread/mesh/dataplane/outbound_proxy.py
@@ -4,10 +4,11 @@
 """
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable
 
-from foxspread.mesh.configuration.routes import RouteTable
+from foxspread.mesh.configuration.routes import Route, RouteTable
 from foxspread.mesh.dataplane import headers
 from foxspread.mesh.dataplane.http_server import Exchange, HttpLimits, HttpServer
 from foxspread.mesh.dataplane.inbound_proxy import (
@@ -17,12 +18,14 @@
 )
 from foxspread.mesh.dataplane.instance_guard import INSTANCE_GONE, RequestHints
 from foxspread.mesh.dataplane.request_attempts import (
+    MAX_RETRY_AFTER_FRACTION,
     ForwardResponse,
     ProxiedRequest,
     RespondWithError,
     RetryAndBalancingPolicy,
     SendAttempt,
     Step,
+    remaining_time,
 )
 from foxspread.mesh.dataplane.upstream_connections import (
     CONNECT_TIMED_OUT,
@@ -39,6 +42,7 @@
 MAX_CLIENT_CONNECTIONS = 1000
 MIN_CONNECT_TIMEOUT_S = 0.05
 MIN_HEDGE_DELAY_FRACTION = 0.5  # of the latency target, before a hedged attempt
+SHUTTING_DOWN = "shutting down"  # why a request was rejected, in its response and in the log
 # Reasons for which a request was not sent, and that the server itself has caused.
 FAILURES_OF_SERVER = (CONNECTION_REFUSED, CONNECT_TIMED_OUT, INSTANCE_GONE)
 
@@ -274,6 +278,7 @@
         self.node, self.service, self.policy, self.routes = node, service, policy, routes
         self.has_configuration = has_configuration
         self.pool, self.forwarder = pool, forwarder
+        self.exit_at = math.inf  # time by which this process may have exited
         # Responses that did not come from a server, by route, status and reason.
         self.errors: Counter[tuple[str, int, str]] = Counter()
         # Attempts that failed, by route, server, outcome and status.
@@ -310,7 +315,16 @@
         repeat_probability = repeats.repeat_probability(message.header(b"x-request-id") or b"")
         waited_s = self.waiting_time(message, route.idempotent)
         timeout_s = headers.parse_deadline(message)
+        remaining_s = remaining_time(route, timeout_s, waited_s)
+        if now + remaining_s > self.exit_at:
+            return self._reject_at_shutdown(exchange, route, remaining_s)
         request = self.policy.begin(now, route, timeout_s, waited_s, repeat_probability)
         outbound = OutboundRequest(self, exchange, request)
         exchange.on_disconnect = outbound.on_client_gone
         outbound.execute(self.policy.next_step(now, request))
+
+    def _reject_at_shutdown(self, exchange: Exchange, route: Route, remaining_s: float) -> None:
+        """Answers that a request, which may outlast this process, has not run; its successor may take it."""
+        self.errors[route.name, 503, SHUTTING_DOWN] += 1
+        retry_after = b"Retry-After: %.3f\r\n" % (MAX_RETRY_AFTER_FRACTION * remaining_s)
+        exchange.respond(503, SHUTTING_DOWN.encode() + b"\n", [retry_after])
--- a/foxspread/mesh/dataplane/request_attempts.py
+++ b/foxspread/mesh/dataplane/request_attempts.py
@@ -99,6 +99,12 @@
 Step = SendAttempt | ForwardResponse | RespondWithError | None  # None: wait
 
 
+def remaining_time(route: Route, timeout_s: float | None, waited_s: float) -> float:
+    """Returns the seconds that a request has left, by its client's timeout and by its route's."""
+    longest_s = route.deadline_s if timeout_s is None else min(timeout_s, route.deadline_s)
+    return longest_s - waited_s
+
+
 class RetryAndBalancingPolicy:
     """Chooses servers, retries, hedged attempts and responses for all requests of a sidecar."""
 
@@ -168,7 +174,7 @@
             self.budget(service).add_request(now)
         if repeat_probability > 0.0:  # it will arrive, in excess of what clients have asked for
             self.budget(service).spend(now, repeat_probability)
-        remaining_s = (route.deadline_s if timeout_s is None else min(timeout_s, route.deadline_s)) - waited_s
+        remaining_s = remaining_time(route, timeout_s, waited_s)
         return ProxiedRequest(
             route,
             service,
--- a/foxspread/mesh/endpoints.py
+++ b/foxspread/mesh/endpoints.py
@@ -60,7 +60,8 @@
             self.peer_pool,
             self.forwarder,
         )
-        self.http_servers: dict[str, HttpServer] = {}
+        self.inbound = InboundProxy(clock, self.forwarder)
+        self.http_servers: dict[str, HttpServer] = {"inbound": self.inbound, "outbound": self.outbound}
         self.servers: list[asyncio.Server] = []  # includes the listener for peers, added by the node
 
     async def listen(
@@ -71,12 +72,7 @@
         readiness: ReadinessApi,
     ) -> None:
         """Opens a listener at each address whose name is the name of an endpoint."""
-        self.http_servers = {
-            "control": control,
-            "ready": readiness,
-            "inbound": InboundProxy(self.clock, self.forwarder),
-            "outbound": self.outbound,
-        }
+        self.http_servers |= {"control": control, "ready": readiness}
         for name, address in addresses.items():
             if (http_server := self.http_servers.get(name)) is not None:
                 server = await loop.create_server(
@@ -91,6 +87,10 @@
         self.peer_pool.sweep()
         self.app_pool.sweep()
 
+    def reject_requests_beyond(self, exit_at: float) -> None:
+        """Rejects each further request for a server whose deadline is later than `exit_at`."""
+        self.outbound.exit_at = exit_at
+
     def disable_keep_alive(self) -> None:
         """Marks each further response as the last one of its connection."""
         for http_server in self.http_servers.values():
@@ -105,7 +105,11 @@
 
     def has_requests_in_progress(self) -> bool:
         """Returns whether any request that was read has not been answered yet."""
-        return any(
+        return self.count_unfinished_connections() > 0
+
+    def count_unfinished_connections(self) -> int:
+        """Returns the number of connections on which a response is due, or not taken by the peer."""
+        return sum(
             connection.has_unfinished_responses
             for http_server in self.http_servers.values()
             for connection in http_server.connections
--- a/foxspread/mesh/node.py
+++ b/foxspread/mesh/node.py
@@ -260,7 +260,12 @@
         self.publish_own_record()
         while (wait_s := shutdown.advance(self.clock())) is not None:
             await asyncio.sleep(wait_s)
-        log_event("end", after=shutdown.elapsed(self.clock()))
+        self.endpoints.outbound.log_failures()
+        log_event(
+            "end",
+            after=shutdown.elapsed(self.clock()),
+            unfinished=self.endpoints.count_unfinished_connections(),
+        )
         self.stopped.set()
 
     def reload_settings(self) -> None:
--- a/foxspread/mesh/shutdown.py
+++ b/foxspread/mesh/shutdown.py
@@ -24,7 +24,9 @@
     """Phases of a shutdown, in order."""
 
     ANNOUNCED = "announced"  # the endpoint record reports that the process is leaving
-    AWAITING_PEERS = "awaiting_peers"  # waits until other sidecars of the zone can take the callers
+    # Waits until other sidecars of the zone can take the callers. Callers that come now come without the
+    # platform's direction, so a request that may outlast the process is rejected.
+    AWAITING_PEERS = "awaiting_peers"
     LEAVING_MEMBERSHIP = "leaving_membership"  # waits until the members no longer need the replica
     DISABLING_KEEP_ALIVE = "disabling_keep_alive"  # responses announce that their connections will be closed
     DRAINING = "draining"  # listeners are closed; requests in progress are answered
@@ -34,6 +36,9 @@
 class Endpoints(Protocol):
     """Operations on the endpoints of the process that a shutdown needs."""
 
+    def reject_requests_beyond(self, exit_at: float) -> None:
+        """Rejects each further request that may still be in progress at that time."""
+
     def disable_keep_alive(self) -> None:
         """Marks each further response as the last one of its connection."""
 
@@ -63,6 +68,7 @@
         self.started_at, self.grace_s, self.is_sidecar, self.endpoints = now, grace_s, is_sidecar, endpoints
         self.callers_have_alternatives = callers_have_alternatives
         self.may_leave_membership = may_leave_membership
+        self.exit_at = now + grace_s - RESERVED_FOR_EXIT_S  # at the latest
         self.phase = Phase.ANNOUNCED if is_sidecar else Phase.LEAVING_MEMBERSHIP
         self.waited = False  # whether the fixed time of the current phase has passed
         self.steps: dict[Phase, Callable[[float], float | None]] = {
@@ -100,6 +106,7 @@
     def _announced(self, now: float) -> float | None:
         wait_s = self._wait_once(min(ANNOUNCED_S, ANNOUNCED_SHARE * self.grace_s))
         if wait_s is None:
+            self.endpoints.reject_requests_beyond(self.exit_at)
             self._enter(Phase.AWAITING_PEERS)
         return wait_s
 
@@ -125,10 +132,7 @@
         return wait_s
 
     def _draining(self, now: float) -> float | None:
-        if (
-            self.elapsed(now) < self.grace_s - RESERVED_FOR_EXIT_S
-            and self.endpoints.has_requests_in_progress()
-        ):
+        if now < self.exit_at and self.endpoints.has_requests_in_progress():
             return DRAINING_POLL_S
         self._enter(Phase.ENDED)
         return None
--- a/tests/mesh/test_shutdown.py
+++ b/tests/mesh/test_shutdown.py
@@ -16,7 +16,10 @@
 
 class Endpoints:
     def __init__(self) -> None:
-        self.actions, self.in_progress = [], False
+        self.actions, self.in_progress, self.exit_at = [], False, None
+
+    def reject_requests_beyond(self, exit_at: float) -> None:
+        self.exit_at = exit_at
 
     def disable_keep_alive(self) -> None:
         self.actions.append("disable_keep_alive")
@@ -69,6 +72,13 @@
         simulated.run()
         self.assertEqual((1.2, Phase.DISABLING_KEEP_ALIVE), simulated.entered[1])
 
+    def test_requests_that_may_outlast_the_process_are_rejected_after_the_announcement(self):
+        simulated = SimulatedShutdown(alternatives=lambda elapsed: False)
+        simulated.now += simulated.shutdown.advance(simulated.now)
+        self.assertIsNone(simulated.endpoints.exit_at)
+        simulated.shutdown.advance(simulated.now)
+        self.assertEqual(100.0 + GRACE_S - RESERVED_FOR_EXIT_S, simulated.endpoints.exit_at)
+
     def test_waiting_for_other_sidecars_ends_when_the_time_for_draining_begins(self):
         simulated = SimulatedShutdown(alternatives=lambda elapsed: elapsed >= 5.0)
         simulated.run()
