A request behind one that may outlast the shutdown is rejected too

Cause: each request was judged by itself; its answer goes out only after those of the requests before it. Change: an exchange knows its deadline; at a shutdown the latest one on the connection decides.

--- a/foxspread/mesh/dataplane/http_server.py
+++ b/foxspread/mesh/dataplane/http_server.py
@@ -98,11 +98,12 @@
 class Exchange:
     """One request and the response to it, once there is one."""
 
-    __slots__ = ("connection", "request", "response_parts", "close", "on_disconnect", "body_size")
+    __slots__ = ("connection", "request", "response_parts", "close", "on_disconnect", "body_size", "deadline")
 
     def __init__(self, connection: "ServerConnection", request: http.Message) -> None:
         self.connection, self.request = connection, request
         self.body_size = 0  # of the response, until it is written
+        self.deadline = 0.0  # time by which the response is given, where the handler knows it
         self.response_parts: list[bytes] | None = None
         self.close = not request.keep_alive
         self.on_disconnect: Callable[[], None] | None = None  # called if the peer leaves before the response
@@ -112,6 +113,10 @@
         """True while a response can still be given."""
         return self.response_parts is None and self.connection.transport is not None
 
+    def latest_response_at(self) -> float:
+        """Returns the latest deadline of this request and of those before it, which are answered first."""
+        return max((each.deadline for each in self.connection.pending), default=self.deadline)
+
     def respond(
         self, status: int, body: bytes = b"", lines: Sequence[bytes] = (), close: bool = False
     ) -> None:
--- a/foxspread/mesh/dataplane/outbound_proxy.py
+++ b/foxspread/mesh/dataplane/outbound_proxy.py
@@ -316,7 +316,8 @@
         waited_s = self.waiting_time(message, route.idempotent)
         timeout_s = headers.parse_deadline(message)
         remaining_s = remaining_time(route, timeout_s, waited_s)
-        if now + remaining_s > self.exit_at:
+        exchange.deadline = now + remaining_s
+        if self.exit_at < math.inf and exchange.latest_response_at() > self.exit_at:
             return self._reject_at_shutdown(exchange, route, remaining_s)
         request = self.policy.begin(now, route, timeout_s, waited_s, repeat_probability)
         outbound = OutboundRequest(self, exchange, request)
--- a/tests/mesh/test_shutdown_requests.py
+++ b/tests/mesh/test_shutdown_requests.py
@@ -28,9 +28,9 @@
     Its requests run on the servers of a simulated mesh, for `work_s` each.
     """
 
-    def __init__(self, loop, work_s, mail_class="unsafe"):
+    def __init__(self, loop, work_s, mail_class="unsafe", route_deadline_s=DEADLINE_S):
         self.loop, self.work_s, self.started_at = loop, work_s, loop.now
-        self.mesh = SimulatedMesh(loop, mail_class=mail_class, deadline=DEADLINE_S)
+        self.mesh = SimulatedMesh(loop, mail_class=mail_class, deadline=route_deadline_s)
         self.mesh.actions = [self.respond_later] * 1000
         for name in self.mesh.inbound:
             self.mesh.send_heartbeat(name, sequence=2, capacity=100)
@@ -76,8 +76,8 @@
         return any(header(each, b"x-request-id") == id for each in self.mesh.received)
 
 
-def pay(id):
-    return request(method=b"POST", body=b"pay", id=id, remaining_ms=int(DEADLINE_S * 1000))
+def pay(id, remaining_s=DEADLINE_S):
+    return request(method=b"POST", body=b"pay", id=id, remaining_ms=int(remaining_s * 1000))
 
 
 class RequestsDuringShutdown(OnLoop):
@@ -114,7 +114,7 @@
         sidecar = ShutDownSidecar(self.loop, 0.2)
         self.loop.advance(4.0)
         transport = sidecar.connect()
-        transport.receive(request(method=b"POST", body=b"pay", id=b"q1", remaining_ms=900))
+        transport.receive(pay(b"q1", 0.9))
         self.loop.advance(0.3)
         self.assertEqual([200], statuses(transport.written))
 
@@ -129,3 +129,15 @@
             self.loop.advance(0.1)
         self.assertEqual([200, 503, 503], statuses(transport.written))
         self.assertFalse(sidecar.ran(b"late-1") or sidecar.ran(b"late-2"))
+
+    def test_a_short_request_behind_one_that_may_outlast_the_process(self):
+        # Guards against cuts of requests that have run, and whose response waits for an earlier one's.
+        sidecar = ShutDownSidecar(self.loop, 3.0, "safe", route_deadline_s=5.0)
+        transport = sidecar.connect()
+        self.loop.advance(2.0)
+        transport.receive(pay(b"long", 5.0))
+        self.loop.advance(2.0)
+        sidecar.work_s = 0.1
+        transport.receive(pay(b"short", 0.9))
+        self.loop.advance(0.9)
+        self.assertFalse(sidecar.ran(b"short"))
