The second hop rejects requests that may outlast its shutdown

What callers saw: nothing in a case yet. A sidecar beside a server that shuts down took requests of other sidecars by the same rule as those of clients, and its exit ended them: 502 for an unsafe request whose server was at work. Cause: as at the first hop; nothing compared a request's deadline with the exit. Change: from the end of the announcement on such a request gets the report "unsent shutting down", so that the sender takes another server.

--- a/foxspread/mesh/dataplane/inbound_proxy.py
+++ b/foxspread/mesh/dataplane/inbound_proxy.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from foxspread.mesh.dataplane import headers
@@ -12,6 +13,7 @@
 from foxspread.mesh.dataplane.instance_guard import (
     INSTANCE_GONE,
     REQUEST_LATE,
+    SHUTTING_DOWN,
     InstanceGuard,
     RequestHints,
 )
@@ -191,6 +193,7 @@
         limits = HttpLimits(MAX_HEAD_BYTES, MAX_BODY_BYTES, HEAD_TIMEOUT_S, IDLE_TIMEOUT_S)
         super().__init__(clock, limits, forwarder.pool.body_memory, MAX_SIDECAR_CONNECTIONS)
         self.forwarder = forwarder
+        self.exit_at = math.inf  # time by which this process may have exited
 
     def rejection_lines(self, request: http.Message, reason: str) -> list[bytes]:
         """Reports that the request was not sent to the server."""
@@ -213,6 +216,8 @@
                 lines = [*headers.forwarded_lines(response), report]
                 exchange.respond(response.status, bytes(response.body), lines)
 
+        if self.clock() + remaining_s > self.exit_at:
+            return on_forwarded(headers.UNSENT, SHUTTING_DOWN, None, 0)
         forwarded = self.forwarder.forward(
             request, headers.forwarded_lines(request), instance_id, caller, remaining_s, hints, on_forwarded
         )
--- a/foxspread/mesh/dataplane/instance_guard.py
+++ b/foxspread/mesh/dataplane/instance_guard.py
@@ -20,6 +20,7 @@
 DRAIN_ADMISSION_FRACTION = 0.6
 # Reasons of rejections, as sidecars send and log them.
 INSTANCE_GONE, INSTANCE_DRAINING, INSTANCE_FULL, REQUEST_LATE = "gone", "draining", "full", "late"
+SHUTTING_DOWN = "shutting down"  # the request may outlast the process
 HIGH_PRIORITY = 1  # priorities up to this number are the last to be rejected
 # Longest expected wait at the server. High priority: a fraction of the remaining time. Others: a fraction of
 # the latency target, for a longer queue delays those behind it and makes the server no busier.
--- a/foxspread/mesh/dataplane/outbound_proxy.py
+++ b/foxspread/mesh/dataplane/outbound_proxy.py
@@ -16,7 +16,7 @@
     ForwardedRequest,
     InstanceForwarder,
 )
-from foxspread.mesh.dataplane.instance_guard import INSTANCE_GONE, RequestHints
+from foxspread.mesh.dataplane.instance_guard import INSTANCE_GONE, SHUTTING_DOWN, RequestHints
 from foxspread.mesh.dataplane.request_attempts import (
     MAX_RETRY_AFTER_FRACTION,
     ForwardResponse,
@@ -42,7 +42,6 @@
 MAX_CLIENT_CONNECTIONS = 1000
 MIN_CONNECT_TIMEOUT_S = 0.05
 MIN_HEDGE_DELAY_FRACTION = 0.5  # of the latency target, before a hedged attempt
-SHUTTING_DOWN = "shutting down"  # why a request was rejected, in its response and in the log
 # Reasons for which a request was not sent, and that the server itself has caused.
 FAILURES_OF_SERVER = (CONNECTION_REFUSED, CONNECT_TIMED_OUT, INSTANCE_GONE)
 
--- a/foxspread/mesh/endpoints.py
+++ b/foxspread/mesh/endpoints.py
@@ -89,7 +89,7 @@
 
     def reject_requests_beyond(self, exit_at: float) -> None:
         """Rejects each further request for a server whose deadline is later than `exit_at`."""
-        self.outbound.exit_at = exit_at
+        self.outbound.exit_at = self.inbound.exit_at = exit_at
 
     def disable_keep_alive(self) -> None:
         """Marks each further response as the last one of its connection."""
--- a/tests/mesh/test_shutdown_requests.py
+++ b/tests/mesh/test_shutdown_requests.py
@@ -65,6 +65,12 @@
     def is_listening(self):
         return self.shutdown.phase not in (Phase.DRAINING, Phase.ENDED)
 
+    def add_local_server(self):
+        """Adds a server beside the sidecar, to which other sidecars send; returns its id."""
+        self.loop.listeners["127.0.0.1", 80] = self.mesh.make_server
+        self.mesh.send_heartbeat("me", capacity=100)
+        return b"i-me"
+
     def connect(self, endpoint="outbound"):
         connection = ServerConnection(self.endpoints.http_servers[endpoint])
         transport = Transport(self.loop, connection)
@@ -141,3 +147,21 @@
         transport.receive(pay(b"short", 0.9))
         self.loop.advance(0.9)
         self.assertFalse(sidecar.ran(b"short"))
+
+    def test_a_request_of_another_sidecar_that_may_outlast_the_process(self):
+        # Guards against cuts at the second hop: the sender must learn that the request has not run.
+        sidecar = ShutDownSidecar(self.loop, 1.6)
+        extra = b"X-Expect-Instance: %b\r\nX-Orchard: 500 1 unsafe first a1\r\n" % sidecar.add_local_server()
+        sent = []
+        while sidecar.exited_at is None:
+            if sidecar.is_listening:
+                transport, id = sidecar.connect("inbound"), b"q%d" % len(sent)
+                transport.receive(request(id=id, remaining_ms=int(DEADLINE_S * 1000), extra=extra))
+                sent.append((self.loop.now - sidecar.started_at, id, transport))
+            self.loop.advance(0.4)
+        for sent_at, id, transport in sent:
+            is_accepted = sent_at < 3.0
+            self.assertEqual([200 if is_accepted else 503], statuses(transport.written), sent_at)
+            report = header(transport.written, b"x-orchard")
+            self.assertTrue(report.startswith(b"sent " if is_accepted else b"unsent "), report)
+            self.assertEqual(is_accepted, sidecar.ran(id), sent_at)
