A sidecar that shuts down waits for requests that it has begun to read

A request of which only a part had been read when the listeners closed did not count as in progress: the process could exit between its first and last byte, or take the last byte while it exited and hand the request to a server. Cause: has_unfinished_responses looked at whole requests and at unsent responses only. Change: a request that is being read counts as well, until the latest time of the exit. Evidence: test_a_request_that_is_being_read_when_the_listeners_close fails on the code before (no answer), passes now.

--- a/foxspread/mesh/dataplane/http_server.py
+++ b/foxspread/mesh/dataplane/http_server.py
@@ -253,8 +253,10 @@
 
     @property
     def has_unfinished_responses(self) -> bool:
-        """True while a request is not answered, or a response not taken by the peer."""
-        return bool(self.pending) or self.transport is not None and self.transport.get_write_buffer_size() > 0
+        """True while a request is read or not answered, or a response not taken by the peer."""
+        if self.transport is None:
+            return bool(self.pending)
+        return bool(self.pending) or self.reader.in_message or self.transport.get_write_buffer_size() > 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Registers the connection, or resets it if there are too many."""
--- a/foxspread/mesh/endpoints.py
+++ b/foxspread/mesh/endpoints.py
@@ -104,11 +104,11 @@
             http_server.close_idle()
 
     def has_requests_in_progress(self) -> bool:
-        """Returns whether any request that was read has not been answered yet."""
+        """Returns whether any request is being read, or has not been answered yet."""
         return self.count_unfinished_connections() > 0
 
     def count_unfinished_connections(self) -> int:
-        """Returns the number of connections on which a response is due, or not taken by the peer."""
+        """Returns the number of connections with a request in progress or a response not yet taken."""
         return sum(
             connection.has_unfinished_responses
             for http_server in self.http_servers.values()
--- a/foxspread/mesh/shutdown.py
+++ b/foxspread/mesh/shutdown.py
@@ -46,7 +46,7 @@
         """Stops accepting connections and closes those without a request in progress."""
 
     def has_requests_in_progress(self) -> bool:
-        """Returns whether any request that was read has not been answered yet."""
+        """Returns whether any request is being read, or has not been answered yet."""
 
 
 class Shutdown:
--- a/tests/mesh/test_shutdown_requests.py
+++ b/tests/mesh/test_shutdown_requests.py
@@ -23,12 +23,19 @@
 
 
 class ShutDownSidecar:
-    """A sidecar that gets SIGTERM now, while no other sidecar of its zone is up, and its clients.
+    """A sidecar that gets SIGTERM now, and its clients; no other sidecar of its zone is up by default.
 
     Its requests run on the servers of a simulated mesh, for `work_s` each.
     """
 
-    def __init__(self, loop, work_s, mail_class="unsafe", route_deadline_s=DEADLINE_S):
+    def __init__(
+        self,
+        loop,
+        work_s,
+        mail_class="unsafe",
+        route_deadline_s=DEADLINE_S,
+        callers_have_alternatives=False,
+    ):
         self.loop, self.work_s, self.started_at = loop, work_s, loop.now
         self.mesh = SimulatedMesh(loop, mail_class=mail_class, deadline=route_deadline_s)
         self.mesh.actions = [self.respond_later] * 1000
@@ -45,9 +52,14 @@
             lambda: 4,
         )
         self.shutdown = Shutdown(
-            loop.now, GRACE_S, True, self.endpoints, lambda now, up_for_s: False, lambda now: True
+            loop.now,
+            GRACE_S,
+            True,
+            self.endpoints,
+            lambda now, up_for_s: callers_have_alternatives,
+            lambda now: True,
         )
-        self.exited_at = None
+        self.exited_at, self.transports = None, []
         self.advance_shutdown()
 
     def respond_later(self, peer):
@@ -58,6 +70,8 @@
         wait_s = self.shutdown.advance(self.loop.now)
         if wait_s is None:
             self.exited_at = self.loop.now
+            for transport in self.transports:
+                transport.abort()  # as the end of a process does
         else:
             self.loop.call_later(wait_s, self.advance_shutdown)
 
@@ -75,6 +89,7 @@
         connection = ServerConnection(self.endpoints.http_servers[endpoint])
         transport = Transport(self.loop, connection)
         connection.connection_made(transport)
+        self.transports.append(transport)
         return transport
 
     def ran(self, id):
@@ -136,6 +151,18 @@
         self.assertEqual([200, 503, 503], statuses(transport.written))
         self.assertFalse(sidecar.ran(b"late-1") or sidecar.ran(b"late-2"))
 
+    def test_a_request_that_is_being_read_when_the_listeners_close(self):
+        # Guards against an exit between the first and the last byte of a request.
+        sidecar = ShutDownSidecar(self.loop, 0.2, callers_have_alternatives=True)
+        transport, whole = sidecar.connect(), pay(b"q1")
+        self.loop.advance(2.35)
+        transport.receive(whole[:-1])
+        self.loop.advance(0.3)
+        transport.receive(whole[-1:])
+        while sidecar.exited_at is None:
+            self.loop.advance(0.1)
+        self.assertEqual([[200], True], [statuses(transport.written), transport.eof])
+
     def test_a_short_request_behind_one_that_may_outlast_the_process(self):
         # Guards against cuts of requests that have run, and whose response waits for an earlier one's.
         sidecar = ShutDownSidecar(self.loop, 3.0, "safe", route_deadline_s=5.0)
