A sidecar that shuts down waits for peers to close their side of its last responses

What callers saw: nothing in a case yet. After its last response a connection is half closed and reads on, since a close with bytes unread resets it and the response may be lost; the exit of the process did not wait for that. Cause: the wait at the end of a shutdown ended once the responses were written. Change: a connection that lingers keeps the process, as long as it may linger in service (1 s after the last byte), and until the latest time of the exit.

--- a/foxspread/mesh/dataplane/http_server.py
+++ b/foxspread/mesh/dataplane/http_server.py
@@ -258,6 +258,11 @@
             return bool(self.pending)
         return bool(self.pending) or self.reader.in_message or self.transport.get_write_buffer_size() > 0
 
+    @property
+    def is_lingering(self) -> bool:
+        """True from the end of the last response until the peer has closed the connection as well."""
+        return self.write_ended_at is not None and self.transport is not None
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Registers the connection, or resets it if there are too many."""
         self.transport = transport
--- a/foxspread/mesh/endpoints.py
+++ b/foxspread/mesh/endpoints.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-from collections.abc import Callable
+import itertools
+from collections.abc import Callable, Iterator
 
 from foxspread.mesh.configuration.routes import RouteTable
 from foxspread.mesh.control_api.handlers import ControlApi, ReadinessApi
@@ -104,13 +105,19 @@
             http_server.close_idle()
 
     def has_requests_in_progress(self) -> bool:
-        """Returns whether any request is being read, or has not been answered yet."""
-        return self.count_unfinished_connections() > 0
+        """Returns whether any request is being read, has not been answered yet, or may lose its response.
+
+        A peer that has not closed its side may have sent more; an exit with bytes unread resets the
+        connection, and the last response is lost.
+        """
+        return any(
+            connection.has_unfinished_responses or connection.is_lingering
+            for connection in self._connections()
+        )
 
     def count_unfinished_connections(self) -> int:
         """Returns the number of connections with a request in progress or a response not yet taken."""
-        return sum(
-            connection.has_unfinished_responses
-            for http_server in self.http_servers.values()
-            for connection in http_server.connections
-        )
+        return sum(connection.has_unfinished_responses for connection in self._connections())
+
+    def _connections(self) -> Iterator[ServerConnection]:
+        return itertools.chain.from_iterable(each.connections for each in self.http_servers.values())
--- a/tests/mesh/test_shutdown_requests.py
+++ b/tests/mesh/test_shutdown_requests.py
@@ -1,6 +1,6 @@
 """Requests that arrive while a sidecar shuts down, in virtual time, through its real endpoints."""
 
-from foxspread.mesh.dataplane.http_server import ServerConnection
+from foxspread.mesh.dataplane.http_server import LINGER_S, ServerConnection
 from foxspread.mesh.endpoints import Endpoints
 from foxspread.mesh.settings import parse_settings
 from foxspread.mesh.shutdown import Phase, Shutdown
@@ -163,6 +163,29 @@
             self.loop.advance(0.1)
         self.assertEqual([[200], True], [statuses(transport.written), transport.eof])
 
+    def test_the_exit_waits_for_peers_to_close_their_side(self):
+        # Guards against a last response that is lost, since the exit resets a connection with bytes unread.
+        for peer_closes in (True, False):
+            sidecar = ShutDownSidecar(self.loop, 0.2, callers_have_alternatives=True)
+            transport = sidecar.connect()
+            self.loop.advance(2.3)
+            transport.receive(pay(b"q1"))
+            self.loop.advance(0.3)
+            self.assertEqual([[200], True], [statuses(transport.written), transport.eof])
+            transport.receive(pay(b"q2"))
+            if peer_closes:
+                transport.receive_eof()
+                self.loop.advance(0.1)
+                self.assertIsNotNone(sidecar.exited_at)
+            else:
+                self.assertIsNone(sidecar.exited_at)
+                for _ in range(4):
+                    self.loop.advance(0.5)
+                    sidecar.endpoints.sweep(self.loop.now)
+                self.loop.advance(0.1)
+                self.assertLess(sidecar.exited_at - sidecar.started_at, 2.6 + LINGER_S + 0.7)
+            self.assertFalse(sidecar.ran(b"q2"))
+
     def test_a_short_request_behind_one_that_may_outlast_the_process(self):
         # Guards against cuts of requests that have run, and whose response waits for an earlier one's.
         sidecar = ShutDownSidecar(self.loop, 3.0, "safe", route_deadline_s=5.0)
