Sidecars that leave together go in turn, and don't wait for each other

Cause: a leaving sidecar waits until half of its zone's sidecars are up; where all of them leave within a few seconds, each waits for the others, none restarts, and all stay until their time runs out. Change: a sidecar that began to leave later counts as an alternative, for it waits in its turn until this one is up again. Evidence: test_sidecars_that_leave_together_wait_only_for_those_that_left_before fails on the code before.

--- a/foxspread/mesh/registry/endpoint_records.py
+++ b/foxspread/mesh/registry/endpoint_records.py
@@ -91,12 +91,25 @@
         return True
 
     def callers_have_alternatives(self, now: float, node: str, zone: str, up_for_s: float) -> bool:
-        """Returns whether half of the zone's sidecars are others that have been up for `up_for_s` seconds.
+        """Returns whether half of the zone's sidecars are others that can take this one's callers.
 
-        With fewer, the platform sends a sidecar's callers to any sidecar that there is. The only sidecar of a
-        zone has no others to wait for, so the result is true.
+        These are sidecars that have been up for `up_for_s` seconds, and those that began to leave after this
+        one: they wait until it is up again, so it must not wait for them. With fewer, the platform sends a
+        sidecar's callers to any sidecar that there is. The only sidecar of a zone has no others to wait for,
+        so the result is true.
         """
         sidecars = [self.by_node[each] for each in self.sidecars_of_zone.get(zone, ())]
-        others_up = [each.node for each in sidecars if each.node != node and each.state == UP]
-        ready = sum(now - self.in_state_since[each] >= up_for_s for each in others_up)
+        others = [each for each in sidecars if each.node != node]
+        ready = sum(
+            self._began_to_leave_after(each, node)
+            if each.state == LEAVING
+            else each.state == UP and now - self.in_state_since[each.node] >= up_for_s
+            for each in others
+        )
         return len(sidecars) < 2 or 2 * ready >= len(sidecars)
+
+    def _began_to_leave_after(self, record: EndpointRecord, node: str) -> bool:
+        own = self.by_node.get(node)
+        if own is None or own.state != LEAVING:
+            return False
+        return self.in_state_since[record.node] > self.in_state_since[node]
--- a/tests/mesh/registry/test_endpoint_records.py
+++ b/tests/mesh/registry/test_endpoint_records.py
@@ -52,6 +52,22 @@
         # The only sidecar of a zone has no others to wait for.
         self.assertTrue(records.callers_have_alternatives(9.0, "far", "y", 1.5))
 
+    def test_sidecars_that_leave_together_wait_only_for_those_that_left_before(self) -> None:
+        # Guards against sidecars that wait for each other: each would stay until its grace period ends.
+        records = EndpointRecords()
+        for state, number, nodes in (("up", 1, "abc"), ("leaving", 2, "bca")):
+            for at, node in enumerate(nodes):
+                records.update(10.0 * number + at, unpack_record([node, [1, number], "z", state, "a:1", []]))
+
+        def may_leave(now: float) -> list[str]:
+            return [node for node in "abc" if records.callers_have_alternatives(now, node, "z", 1.5)]
+
+        self.assertEqual(["b"], may_leave(30.0))
+        for now, node, next_to_leave in ((31.0, "b", "c"), (33.0, "c", "a")):
+            records.update(now, unpack_record([node, [2, 1], "z", "up", "a:1", []]))
+            self.assertNotIn(next_to_leave, may_leave(now + 1.0))
+            self.assertIn(next_to_leave, may_leave(now + 1.6))
+
     def test_the_count_of_sidecars_follows_the_records(self) -> None:
         # Whatever the order of arrival, the count is that of the records in force.
         rows = [
