SIGHUP while a process loads no longer ends it

What callers saw: nothing in a case; the review saw processes end by a SIGHUP within some 0.1 s of their start. Cause: the handler is set once the node runs; until then the signal's default action ends the process. Change: the module that the platform starts ignores SIGHUP before it imports the rest (serving.py, cut out of it); the settings are read after that anyway.

--- a/foxspread/mesh/cli.py
+++ b/foxspread/mesh/cli.py
@@ -53,7 +53,7 @@
 @click.option("--settings", "path", help="Settings file; by default the one that FOXSPREAD_NODE_FILE names.")
 def node(path: str | None) -> None:
     """Run one process, as a sidecar or as a replica according to its settings."""
-    from foxspread.mesh.process import serve
+    from foxspread.mesh.serving import serve
 
     sys.exit(serve(path))
 
--- a/foxspread/mesh/process.py
+++ b/foxspread/mesh/process.py
@@ -1,42 +1,20 @@
 """Runs one process of the mesh: `python -m foxspread.mesh.process`, the command that the platform starts.
 
-`foxspread mesh node` runs the same process. This module does not import the command line's libraries, which
-saves memory in each sidecar.
+`foxspread mesh node` runs the same process.
 """
 
-import asyncio
-import os
+import signal
 import sys
 
-import uvloop
 
-from foxspread.mesh.errors import Failure
-from foxspread.mesh.log import configure_logging, log_event
-from foxspread.mesh.node import Node
-from foxspread.mesh.settings import FILE_VARIABLE, read_settings
+def main() -> int:
+    """Runs a node until it has shut down; returns the exit code."""
+    # By default SIGHUP ends a process. While this one is loading, it has no settings to reload yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from foxspread.mesh.serving import serve
 
-EXIT_OK, EXIT_SETTINGS_REFUSED = 0, 2
-
-
-def serve(path: str | None = None) -> int:
-    """Runs a node until it has shut down; returns the exit code.
-
-    `path` is the settings file; if it is None, the environment variable FOXSPREAD_NODE_FILE names the file.
-    """
-    if path is not None:
-        os.environ[FILE_VARIABLE] = path  # the running process rereads the file
-    settings = read_settings()
-    configure_logging(settings.node if settings else "unknown")
-    if isinstance(settings, Failure):
-        log_event("settings_refused", why=settings.reason)
-        return EXIT_SETTINGS_REFUSED
-
-    async def run() -> None:
-        await Node(settings, asyncio.get_running_loop()).run()
-
-    uvloop.run(run())
-    return EXIT_OK
+    return serve()
 
 
 if __name__ == "__main__":
-    sys.exit(serve())
+    sys.exit(main())
--- a/foxspread/orchard/process.py
+++ b/foxspread/orchard/process.py
@@ -2,8 +2,8 @@
 
 import sys
 
-from foxspread.mesh.process import serve
+from foxspread.mesh.process import main
 
 if __name__ == "__main__":
     print("foxspread.orchard.process is now foxspread.mesh.process", file=sys.stderr)
-    sys.exit(serve())
+    sys.exit(main())
--- a/tests/mesh/test_cli.py
+++ b/tests/mesh/test_cli.py
@@ -1,6 +1,7 @@
 """The commands of the mesh: their present and former names, and which modules listing them imports."""
 
 import asyncio
+import os
 import subprocess
 import sys
 from types import SimpleNamespace
@@ -75,4 +76,26 @@
         self.assertEqual("['click']", self.loaded("import foxspread.mesh.cli"))
 
     def test_a_process_of_the_mesh_loads_neither_click_nor_cerberus(self):
-        self.assertEqual("['uvloop', 'orjson']", self.loaded("import foxspread.mesh.process"))
+        self.assertEqual("['uvloop', 'orjson']", self.loaded("import foxspread.mesh.serving"))
+
+    def test_sighup_while_a_process_loads_does_not_end_it(self):
+        # Guards against an end by a signal that says no more than that the settings have changed.
+        code = """
+import os, runpy, signal, sys
+
+class Signaller:
+    def find_spec(self, name, path=None, target=None):
+        if name == "uvloop":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Signaller())
+sys.argv = ["process"]
+runpy.run_module("foxspread.mesh.process", run_name="__main__")
+"""
+        run = subprocess.run(
+            [sys.executable, "-c", code],
+            capture_output=True,
+            text=True,
+            env={**os.environ, "FOXSPREAD_NODE_FILE": "/nonexistent/node.json"},
+        )
+        self.assertEqual(2, run.returncode, run.stderr)  # the settings are refused, since there are none
