--- a/foxspread/mesh/dataplane/http_server.py
+++ b/foxspread/mesh/dataplane/http_server.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Sequence
 
 from foxspread.mesh.dataplane.body_memory import BodyMemory
+from foxspread.mesh.dataplane.counted_reader import CountedReader
 from foxspread.net import http
 
 MAX_PIPELINED_REQUESTS = 32  # of one connection that were read and are not answered
@@ -52,13 +53,12 @@
         self.head_bytes, self.body_bytes, self.head_s, self.idle_s = head_bytes, body_bytes, head_s, idle_s
 
 
-class RequestReader(http.RequestReader):
+class RequestReader(CountedReader, http.RequestReader):
     """Reads requests within the server's limits, and keeps bodies whole."""
 
     def __init__(self, limits: HttpLimits, memory: BodyMemory) -> None:
-        super().__init__()
-        self.limits, self.memory = limits, memory
-        self.held_bytes = 0  # of bodies that were read and are not answered
+        super().__init__(memory)
+        self.limits = limits
         self._apply_limits()
 
     def _apply_limits(self) -> None:
@@ -70,18 +70,6 @@
         super().on_message_begin()
         self._apply_limits()
 
-    def on_body(self, part: bytes) -> None:
-        """Keeps a part of a body; rejects the request if there is no memory for it."""
-        if not self.memory.reserve(len(part)):
-            raise http.BadMessage(503, "no memory for this body now")
-        self.held_bytes += len(part)
-        super().on_body(part)
-
-    def release(self, size: int) -> None:
-        """Gives back that many of the held bytes."""
-        self.held_bytes -= size
-        self.memory.adjust(-size)
-
     def discard(self) -> None:
         """Drops what was read of a body that is rejected."""
         if self.in_message:
@@ -277,7 +265,8 @@
         """Releases all memory, and tells the handlers of unanswered requests."""
         self.transport = None
         self.server.connections.discard(self)
-        self.reader.release(self.reader.held_bytes)
+        self.reader.close()
+        self.continue_sent_for = None
         self._count_unsent()
         pending, self.pending = self.pending, deque()
         for exchange in pending:
@@ -310,9 +299,10 @@
     def _send_continue(self) -> None:
         """Sends `100 Continue` once for a request that waits for it, after the responses before it."""
         message = self.reader.message
-        if self.input_ignored or self.pending or message is self.continue_sent_for:
+        if message is self.continue_sent_for:
             return
-        if self.reader.expects_continue:
+        self.continue_sent_for = None
+        if not self.input_ignored and not self.pending and self.reader.expects_continue:
             self.continue_sent_for = message
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
--- a/foxspread/mesh/dataplane/upstream_connections.py
+++ b/foxspread/mesh/dataplane/upstream_connections.py
@@ -15,6 +15,7 @@
 
 from foxspread.mesh.dataplane import headers
 from foxspread.mesh.dataplane.body_memory import BodyMemory
+from foxspread.mesh.dataplane.counted_reader import CountedReader
 from foxspread.mesh.settings import Address
 from foxspread.net import http
 
@@ -32,36 +33,21 @@
 KEEP_ALIVE_TIMEOUT = re.compile(rb"\btimeout\s*=\s*\"?([0-9]{1,9})", re.IGNORECASE)  # in Keep-Alive: seconds
 
 
-class ResponseReader(http.ResponseReader):
+class ResponseReader(CountedReader, http.ResponseReader):
     """Reads responses whole, and counts their bodies in the body memory."""
 
     max_body_bytes = max_buffered_bytes = MAX_RESPONSE_BYTES
     max_head_bytes = MAX_HEAD_BYTES
+    no_memory_status, no_memory_reason = 502, "no memory for its body"
     without_body = False  # the next response has no body, whatever its headers say
 
-    def __init__(self, memory: BodyMemory) -> None:
-        super().__init__()
-        self.memory, self.held_bytes = memory, 0
-
-    def on_body(self, part: bytes) -> None:
-        """Keeps a part of a body; fails if there is no memory for it."""
-        if not self.memory.reserve(len(part)):
-            raise http.BadMessage(502, "no memory for its body")
-        self.held_bytes += len(part)
-        super().on_body(part)
-
-    def release(self, size: int | None = None) -> None:
-        """Gives back that many of the held bytes, or all."""
-        size = self.held_bytes if size is None else size
-        self.held_bytes -= size
-        self.memory.adjust(-size)
-
     def on_headers_complete(self) -> None:
         """Ends a response that has no body, as one to HEAD."""
         super().on_headers_complete()
-        if self.without_body and self.message.status >= 200 and self.message.length != 0:
+        message = self.message
+        if self.without_body and message.status >= 200 and message.length != 0:
             self.on_message_complete()
-            self.message.keep_alive = False  # the parser waits for a body
+            message.keep_alive = False  # the parser waits for a body
 
 
 @dataclass(slots=True)
@@ -172,7 +158,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Ends the request in progress without a response."""
         self.transport = None
-        self.reader.release()
+        self.reader.close()
         self.pool.discard(self)
         if self.on_result is not None:  # the end of a connection proves no response whole
             self._finish(CallResult(None, True, f"broke: {error or 'closed'}"))
@@ -189,7 +175,7 @@
 
     def close(self) -> None:
         """Resets the connection."""
-        self.reader.release()
+        self.reader.close()
         self.pool.discard(self)
         if self.transport is not None:
             transport, self.transport = self.transport, None
