--- a/foxspread/mesh/event_log.py
+++ b/foxspread/mesh/event_log.py
@@ -1,8 +1,8 @@
 """An ordered log of the events of this process, and the subscription of views to them.
 
 Parts of the process do not set shared state directly: they append an event, and each subscribed view updates
-itself from it (event sourcing). The newest events are kept for debugging; older ones are dropped, since the
-views hold all state that is needed.
+itself from it (event sourcing). The views hold all state that is needed: of the newest events only summaries
+are kept, for debugging, whatever the size of their bodies.
 """
 
 from collections import defaultdict, deque
@@ -11,7 +11,8 @@
 from enum import StrEnum
 from typing import Any
 
-TAIL_LENGTH = 512  # events kept for debugging: a few minutes of a quiet process
+TAIL_LENGTH = 512  # summaries kept for debugging: a few minutes of a quiet process
+MAX_SUMMARY_CHARACTERS = 120
 
 
 class EventKind(StrEnum):
@@ -31,15 +32,30 @@
     body: Any  # of the type that `EventKind` gives
 
 
+@dataclass(frozen=True, slots=True)
+class EventSummary:
+    """What is kept of an event after it has been dispatched; `at` is in seconds on the clock of the log."""
+
+    number: int
+    at: float
+    kind: EventKind
+    body: str  # number of items or name of the node, shortened to `MAX_SUMMARY_CHARACTERS`
+
+
 EventHandler = Callable[[Event], None]
 
 
+def _summary(event: Event) -> EventSummary:
+    body = f"{len(event.body)} items" if isinstance(event.body, list) else str(event.body)
+    return EventSummary(event.number, event.at, event.kind, body[:MAX_SUMMARY_CHARACTERS])
+
+
 class EventLog:
     """Ordered log of events in memory that passes each event to the views subscribed to its kind."""
 
     def __init__(self, clock: Callable[[], float], tail_length: int = TAIL_LENGTH) -> None:
         self.clock, self.count = clock, 0
-        self.tail: deque[Event] = deque(maxlen=tail_length)
+        self.tail: deque[EventSummary] = deque(maxlen=tail_length)
         self._handlers: dict[EventKind, list[EventHandler]] = defaultdict(list)
         self._pending: deque[Event] | None = None  # None: no event is being dispatched
 
@@ -55,7 +71,7 @@
         """
         self.count += 1
         event = Event(self.count, self.clock(), kind, body)
-        self.tail.append(event)
+        self.tail.append(_summary(event))
         if self._pending is not None:
             self._pending.append(event)
             return
--- a/tests/mesh/test_event_log.py
+++ b/tests/mesh/test_event_log.py
@@ -1,8 +1,10 @@
 """The event log and its subscribed views."""
 
+import weakref
+
 import testtools
 
-from foxspread.mesh.event_log import EventKind, EventLog
+from foxspread.mesh.event_log import MAX_SUMMARY_CHARACTERS, EventKind, EventLog
 
 ITEMS, RECORD = EventKind.ITEMS_COMMITTED, EventKind.RECORD_UPDATED
 
@@ -41,3 +43,19 @@
         for _ in range(5):
             log.append(RECORD, "n")
         self.assertEqual([3, 4, 5], [event.number for event in log.tail])
+
+    def test_bodies_are_not_kept(self) -> None:
+        # Guards against a memory that grows with each change of the configuration, by the size of the change.
+        class Body(list):
+            pass  # a list to which there can be weak references
+
+        log, references = EventLog(lambda: 0.0), []
+        for _ in range(3):
+            body = Body(["item"] * 700)
+            references.append(weakref.ref(body))
+            log.append(ITEMS, body)
+        del body
+        self.assertEqual([None] * 3, [reference() for reference in references])
+        self.assertEqual(["700 items"] * 3, [event.body for event in log.tail])
+        log.append(RECORD, "n" * 1000)
+        self.assertEqual(MAX_SUMMARY_CHARACTERS, len(log.tail[-1].body))
