Local cluster: bounds, servers' work and a process's command may be given, and its ends observed

Cause: a soak needs the sites' grace period, slower servers, mutants of the process, and to tell its own signals from ends. Change: fields of the layout, arguments of the supervisor; defaults as before. Up to 150 machines.

--- a/foxspread/mesh/local_cluster/layout.py
+++ b/foxspread/mesh/local_cluster/layout.py
@@ -2,7 +2,8 @@
 
 import os
 import pathlib
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from typing import Any
 
 import orjson
@@ -11,7 +12,7 @@
 
 LAYOUT_FILE = "plot.json"
 DEFAULT_NET = "127.0.1"
-MAX_MACHINES = 40
+MAX_MACHINES = 150  # each has a process, and one with a sidecar a server's process too
 ZONES = ("north-slope", "south-slope", "valley")
 SERVICES = ("press", "cellar")
 # The same on all machines, and below the range from which the system assigns ports to outgoing connections.
@@ -21,6 +22,7 @@
 MAX_SEEDS = 3
 BOUNDS = {"drain_s": 1, "grace_s": 4, "in_touch_s": 3, "config_s": 2, "back_s": 0.25, "budget_slack": 50}
 HEARTBEAT_S = 0.5
+DEFAULT_WORK_S = 0.004
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +46,8 @@
 
     folder: pathlib.Path
     machines: tuple[Machine, ...]
+    bounds: Mapping[str, float] = field(default_factory=lambda: dict(BOUNDS))  # of the platform, by name
+    server_work_s: float = DEFAULT_WORK_S  # mean processing time of the emulated servers
 
     def machines_of_kind(self, kind: str) -> list[Machine]:
         """Returns the machines of this kind, in the order of their numbers."""
@@ -145,7 +149,7 @@
         "data_dir": str(layout.path(machine.node, "data")) if is_core else None,
         "heartbeat_s": HEARTBEAT_S,
         "tolerate": {"machines": 1},
-        "bounds": [f"{name}={value}" for name, value in BOUNDS.items()],
+        "bounds": [f"{name}={value}" for name, value in layout.bounds.items()],
     }
     if not is_core:
         settings |= {"app": f"{machine.ip}:{SERVER_PORT}", "service": machine.service}
@@ -165,7 +169,8 @@
         "control": f"{machine.ip}:{PORTS['control']}",
         "zone": machine.zone,
         "heartbeat_s": HEARTBEAT_S,
-        "drain_s": BOUNDS["drain_s"],
+        "drain_s": layout.bounds["drain_s"],
+        "work_s": layout.server_work_s,
         "seed": seed,
         "faults": faults,
         "ledger": str(layout.path(machine.node, "server.jsonl")),
--- a/foxspread/mesh/local_cluster/supervisor.py
+++ b/foxspread/mesh/local_cluster/supervisor.py
@@ -7,7 +7,8 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from signal import SIGKILL, SIGTERM, Signals
 
 import foxspread
 from foxspread.mesh.dataplane.upstream_connections import ConnectionPool
@@ -33,6 +34,7 @@
 SERVERS_END_TIMEOUT_S = 6.0  # enough to drain and to have the end acknowledged by the sidecar
 NODES_END_TIMEOUT_S = 6.0
 POLL_INTERVAL_S = 0.03
+NODE_COMMAND = ("foxspread.mesh", "node")
 Echo = Callable[[str], None]
 
 
@@ -70,32 +72,62 @@
         self.pid_file.unlink(missing_ok=True)
         return code
 
+    @property
+    def pid(self) -> int | None:
+        """Id of the process; None if it does not run."""
+        return self.process.pid if self.process is not None and self.process.returncode is None else None
+
     def signal(self, kill: bool = False) -> None:
         """Sends SIGTERM, or SIGKILL to `kill`, if the process runs."""
-        if self.process is not None and self.process.returncode is None:
-            (self.process.kill if kill else self.process.terminate)()
+        self.send_signal(SIGKILL if kill else SIGTERM)
+
+    def send_signal(self, number: Signals) -> None:
+        """Sends a signal, if the process runs."""
+        if self.pid is not None:
+            self.process.send_signal(number)
 
-    def record_end(self) -> bool:
+    def record_end(self, max_ends: int) -> bool:
         """Records that the process has ended; returns whether it ends too often to be restarted."""
         now = time.monotonic()
         self.end_times = [*(each for each in self.end_times if now - each < ENDS_WINDOW_S), now]
-        return len(self.end_times) > MAX_ENDS
+        return len(self.end_times) > max_ends
+
+
+class ProcessObserver:
+    """Is told of the starts and ends of processes, by name; this one ignores them."""
+
+    def process_started(self, name: str) -> None:
+        """A process was started."""
+
+    def process_ended(self, name: str, code: int) -> None:
+        """A process has ended; a negative `code` is that of the signal that ended it."""
 
 
 class Supervisor:
     """Runs the processes of a layout: a node for each machine and a server beside each sidecar."""
 
-    def __init__(self, layout: Layout, echo: Echo, faults: dict[str, float] | None = None) -> None:
+    def __init__(
+        self,
+        layout: Layout,
+        echo: Echo,
+        faults: dict[str, float] | None = None,
+        node_command: Sequence[str] = NODE_COMMAND,
+        max_ends: int = MAX_ENDS,
+        observer: ProcessObserver | None = None,
+    ) -> None:
         """Creates the processes without starting them.
 
         `faults` has the share of requests at which the servers inject each fault, by the fault's name.
+        `node_command` is the module of a node's process with its arguments, `max_ends` how often one may end
+        within `ENDS_WINDOW_S`.
         """
         self.layout, self.echo, self.faults = layout, echo, faults or {}
+        self.max_ends, self.observer = max_ends, observer or ProcessObserver()
         self.nodes, self.servers = [], []
         for machine in layout.machines:
             folder = layout.path(machine.node, "")
             variables = {FILE_VARIABLE: str(folder / "node.json")}
-            self.nodes.append(ChildProcess(machine.node, folder, ["foxspread.mesh", "node"], variables))
+            self.nodes.append(ChildProcess(machine.node, folder, list(node_command), variables))
             if machine.kind == SIDE:
                 arguments = ["foxspread.mesh.emulators.server", str(folder / "server.json")]
                 self.servers.append(ChildProcess(f"server-of-{machine.node}", folder, arguments, {}))
@@ -115,7 +147,7 @@
         stopped = asyncio.get_running_loop().create_task(stop.wait())
         try:
             for child in (*self.nodes, *self.servers):
-                await child.start()
+                await self._start(child)
                 self.restart_tasks[child] = asyncio.get_running_loop().create_task(
                     self._restart_when_ended(child)
                 )
@@ -172,11 +204,12 @@
     async def _restart_when_ended(self, child: ChildProcess) -> None:
         while True:
             code = await child.wait_until_ended()
+            self.observer.process_ended(child.name, code)
             if self.ending:
                 return
-            if child.record_end():
+            if child.record_end(self.max_ends):
                 if not self.failed.done():
-                    ends = f"{MAX_ENDS + 1} times within {ENDS_WINDOW_S:g} s"
+                    ends = f"{self.max_ends + 1} times within {ENDS_WINDOW_S:g} s"
                     self.failed.set_exception(
                         LocalClusterError(f"{child.name} ended {ends}; see {child.log}")
                     )
@@ -185,7 +218,11 @@
             await asyncio.sleep(RESTART_DELAY_S)
             if self.ending:
                 return
-            await child.start()
+            await self._start(child)
+
+    async def _start(self, child: ChildProcess) -> None:
+        await child.start()
+        self.observer.process_started(child.name)
 
     async def _end(self) -> None:
         """Ends the servers and then the nodes, as the platform does; kills those that do not end in time."""
