--- /dev/null
+++ b/foxspread/mesh/soak/command.py
@@ -0,0 +1,65 @@
+"""What `foxspread mesh soak` does: plays plans one after another, keeps them and their reports."""
+
+import asyncio
+import os
+import pathlib
+import shutil
+import signal
+from collections.abc import Callable, Iterable, Sequence
+
+import orjson
+
+from foxspread.mesh.local_cluster.supervisor import NODE_COMMAND
+from foxspread.mesh.soak.plan import SoakPlan, plan_from_json
+from foxspread.mesh.soak.report import SoakReport, make_report
+from foxspread.mesh.soak.run import Soak
+
+PLAN_FILE, REPORT_FILE = "plan.json", "report.json"
+NETS = 240  # loopback networks among which that of a process is taken, so that soaks may run side by side
+
+
+def read_plan(path: pathlib.Path) -> SoakPlan:
+    """Returns the plan in a file; raises OSError, or ValueError if it can't be read."""
+    return plan_from_json(orjson.loads(path.read_bytes()))
+
+
+def own_net() -> str:
+    """Returns the first three numbers of loopback addresses that hardly any other process uses."""
+    return f"127.{10 + os.getpid() // NETS % NETS}.{1 + os.getpid() % NETS}"
+
+
+async def play(
+    plan: SoakPlan,
+    folder: pathlib.Path,
+    echo: Callable[[str], None],
+    node_command: Sequence[str] = NODE_COMMAND,
+) -> SoakReport:
+    """Plays one plan in an empty folder below `folder`; SIGTERM and SIGINT end it and all its processes."""
+    place = folder / f"seed-{plan.seed}"
+    shutil.rmtree(place, ignore_errors=True)
+    place.mkdir(parents=True)
+    (place / PLAN_FILE).write_bytes(orjson.dumps(plan.to_json(), option=orjson.OPT_INDENT_2))
+    task, loop = asyncio.current_task(), asyncio.get_running_loop()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    report = make_report(plan, await Soak(plan, place, own_net(), echo, node_command).run())
+    (place / REPORT_FILE).write_bytes(orjson.dumps(report.to_json(), option=orjson.OPT_INDENT_2))
+    return report
+
+
+def play_all(
+    plans: Iterable[SoakPlan],
+    folder: pathlib.Path,
+    echo: Callable[[str], None],
+    run: Callable,
+    node_command: Sequence[str] = NODE_COMMAND,
+) -> bool:
+    """Plays all plans, each by a call of `run` (as `uvloop.run`); returns whether no rule was broken."""
+    passed = True
+    for plan in plans:
+        report = run(play(plan, folder, echo, node_command))
+        for line in report.lines():
+            echo(line)
+        passed = passed and report.passed
+    return passed
--- a/tests/mesh/test_cli.py
+++ b/tests/mesh/test_cli.py
@@ -13,7 +13,7 @@
 from foxspread.cli.main import foxspread
 from foxspread.mesh.cli import ALIASES, mesh
 
-COMMANDS = ["hollow", "node", "simulate", "sizing", "smoke-test", "up"]
+COMMANDS = ["hollow", "node", "simulate", "sizing", "smoke-test", "soak", "up"]
 
 
 class Names(testtools.TestCase):
