--- a/foxspread/mesh/cli.py
+++ b/foxspread/mesh/cli.py
@@ -54,6 +54,7 @@
 @click.option("--settings", "path", help="Settings file; by default the one that FOXSPREAD_NODE_FILE names.")
 def node(path: str | None) -> None:
     """Run one process, as a sidecar or as a replica according to its settings."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the settings are read
     from foxspread.mesh.serving import serve
 
     sys.exit(serve(path))
@@ -147,6 +148,7 @@
 )
 @click.option("--folder", metavar="DIR", help="Folder for plans, reports and logs; by default a new one.")
 @click.option("--mutant", metavar="NAME", help="Runs a faulty process of the mesh, to test the soak itself.")
+@click.option("--shrink", is_flag=True, help="Plays a failing plan again with fewer disruptions.")
 def soak(
     seeds: range,
     seconds: float,
@@ -154,6 +156,7 @@
     plan_file: pathlib.Path | None,
     folder: str | None,
     mutant: str | None,
+    shrink: bool,
 ) -> None:
     """Run real processes under load, signals and changes drawn from seeds; judge what was seen.
 
@@ -174,11 +177,13 @@
     click.echo(f"plans, reports and logs: {place}")
     try:
         plans = [read_plan(plan_file)] if plan_file else (draw_plan(n, seconds, max_machines) for n in seeds)
-        passed = play_all(plans, place, click.echo, uvloop.run, command)
+        passed = play_all(plans, place, click.echo, uvloop.run, command, shrink)
     except (OSError, ValueError) as error:
         raise click.UsageError(str(error)) from None
     except (LocalClusterError, RuntimeError) as error:
         raise click.ClickException(str(error)) from None
+    except asyncio.CancelledError:
+        raise click.ClickException("ended by a signal, and all processes with it") from None
     sys.exit(0 if passed else 1)
 
 
--- a/foxspread/mesh/local_cluster/supervisor.py
+++ b/foxspread/mesh/local_cluster/supervisor.py
@@ -34,7 +34,7 @@
 SERVERS_END_TIMEOUT_S = 6.0  # enough to drain and to have the end acknowledged by the sidecar
 NODES_END_TIMEOUT_S = 6.0
 POLL_INTERVAL_S = 0.03
-NODE_COMMAND = ("foxspread.mesh", "node")
+NODE_COMMAND = ("foxspread.mesh.process",)  # as in deploy/system.toml
 Echo = Callable[[str], None]
 
 
--- a/foxspread/mesh/soak/client_connection.py
+++ b/foxspread/mesh/soak/client_connection.py
@@ -35,7 +35,7 @@
         self.transport: asyncio.Transport | None = None
         self.waiting: deque[asyncio.Future[Answer]] = deque()
         self.carried = 0  # requests that were sent on it
-        self.is_usable = True
+        self.is_usable, self.was_aborted = True, False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Keeps the transport."""
@@ -88,7 +88,7 @@
 
     def abort(self) -> None:
         """Resets the connection, as a client that does not wait any longer."""
-        self.is_usable = False
+        self.is_usable, self.was_aborted = False, True
         if self.transport is not None:
             self.transport.abort()
 
--- a/foxspread/mesh/soak/command.py
+++ b/foxspread/mesh/soak/command.py
@@ -13,7 +13,9 @@
 from foxspread.mesh.soak.plan import SoakPlan, plan_from_json
 from foxspread.mesh.soak.report import SoakReport, make_report
 from foxspread.mesh.soak.run import Soak
+from foxspread.mesh.soak.shrink import shrink
 
+MAX_SHRINK_RUNS = 20
 PLAN_FILE, REPORT_FILE = "plan.json", "report.json"
 NETS = 240  # loopback networks among which that of a process is taken, so that soaks may run side by side
 
@@ -48,18 +50,46 @@
     return report
 
 
+def shrink_failing(
+    plan: SoakPlan,
+    folder: pathlib.Path,
+    echo: Callable[[str], None],
+    run: Callable,
+    node_command: Sequence[str] = NODE_COMMAND,
+) -> SoakPlan:
+    """Plays a failing plan with ever fewer disruptions; keeps the shortest one that fails in `folder`."""
+
+    def fails(shorter: SoakPlan) -> bool:
+        report = run(play(shorter, folder / "shrink", lambda line: None, node_command))
+        echo(f"  {len(shorter.disruptions)} disruptions: {'passed' if report.passed else 'fails'}")
+        return not report.passed
+
+    shortest = shrink(plan, fails, MAX_SHRINK_RUNS)
+    path = folder / f"seed-{plan.seed}-shortest.json"
+    path.write_bytes(orjson.dumps(shortest.to_json(), option=orjson.OPT_INDENT_2))
+    echo(f"  fails with {len(shortest.disruptions)} of {len(plan.disruptions)} disruptions: {path}")
+    return shortest
+
+
 def play_all(
     plans: Iterable[SoakPlan],
     folder: pathlib.Path,
     echo: Callable[[str], None],
     run: Callable,
     node_command: Sequence[str] = NODE_COMMAND,
+    shrinks: bool = False,
 ) -> bool:
-    """Plays all plans, each by a call of `run` (as `uvloop.run`); returns whether no rule was broken."""
-    passed = True
-    for plan in plans:
+    """Plays all plans, each by a call of `run` (as `uvloop.run`); returns whether no rule was broken.
+
+    With `shrinks`, each plan that fails is played again with fewer disruptions.
+    """
+    failed = 0
+    for count, plan in enumerate(plans, 1):
         report = run(play(plan, folder, echo, node_command))
         for line in report.lines():
             echo(line)
-        passed = passed and report.passed
-    return passed
+        failed += not report.passed
+        echo(f"{count} played, {failed} with a rule broken")
+        if shrinks and not report.passed:
+            shrink_failing(plan, folder, echo, run, node_command)
+    return not failed
--- a/foxspread/mesh/soak/load.py
+++ b/foxspread/mesh/soak/load.py
@@ -102,7 +102,8 @@
         timer = asyncio.get_running_loop().call_later(wait_s, connection.abort)
         for draft, future in zip(drafts, futures, strict=True):
             answer = await future
-            ending = self._ending(answer, time.monotonic() - sent_at, leave_after_s)
+            gives_up = Ending.TIMED_OUT if leave_after_s is None else Ending.LEFT
+            ending = _ending(answer, gives_up if connection.was_aborted else Ending.CLOSED)
             self._record(draft, sent_at, kept, ending, answer)
         timer.cancel()
 
@@ -111,16 +112,6 @@
             self.connection = await connect(self.machine.address("outbound"))
         return self.connection
 
-    @staticmethod
-    def _ending(answer: Answer, lasted_s: float, leave_after_s: float | None) -> Ending:
-        if answer.message is not None:
-            return Ending.RESPONSE
-        if answer.overtaken:
-            return Ending.OVERTAKEN
-        if leave_after_s is not None and lasted_s >= leave_after_s:
-            return Ending.LEFT
-        return Ending.TIMED_OUT if lasted_s >= DEADLINE_S else Ending.CLOSED
-
     def _record(self, draft: Draft, sent_at: float, kept: bool, ending: Ending, answer: Answer) -> None:
         message = answer.message
         error, _ = validate_response(Reply(message), draft.id)
@@ -143,6 +134,12 @@
         )
 
 
+def _ending(answer: Answer, without_response: Ending) -> Ending:
+    if answer.message is not None:
+        return Ending.RESPONSE
+    return Ending.OVERTAKEN if answer.overtaken else without_response
+
+
 def make_workers(
     sidecars: list[Machine], platform: ClientPlatform, history: History, requests_per_s: float, seed: int
 ) -> list[Worker]:
--- a/foxspread/mesh/soak/mutants.py
+++ b/foxspread/mesh/soak/mutants.py
@@ -3,6 +3,7 @@
 Each mutant changes one part of the process as it once was, or as it must never be.
 """
 
+import signal
 import sys
 from collections.abc import Callable
 
@@ -82,6 +83,7 @@
 
 def main(name: str) -> int:
     """Runs a process of the mesh with one change; returns its exit code."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     MUTANTS[name]()
     return serve()
 
--- a/foxspread/mesh/soak/plan.py
+++ b/foxspread/mesh/soak/plan.py
@@ -55,11 +55,6 @@
     gap_s: float = 0.0
     for_s: float = 0.0
 
-    @property
-    def ends_at_s(self) -> float:
-        """Time at which the last of its signals is sent, without those of a grace period that runs out."""
-        return self.at_s + self.gap_s * (len(self.nodes) - 1) + self.for_s
-
 
 @dataclass(frozen=True, slots=True)
 class SoakPlan:
@@ -78,11 +73,6 @@
         """Returns the plan as a JSON object."""
         return asdict(self)
 
-    def without(self, number: int) -> "SoakPlan":
-        """Returns the plan without one of its disruptions."""
-        kept = (*self.disruptions[:number], *self.disruptions[number + 1 :])
-        return replace(self, disruptions=kept)
-
 
 def plan_from_json(data: dict[str, Any]) -> SoakPlan:
     """Returns the plan of a JSON object made by `to_json`; raises PlanError."""
