Sidecars that were taken away are not waited for at a shutdown

Cause: the record of a machine that was taken away says leaving for good. Change: a sidecar that has been leaving for 15 s, longer than any grace period and a restart, doesn't count in its zone. Evidence: test_sidecars_that_were_taken_away_are_not_waited_for fails on the code before, passes now.

--- a/foxspread/mesh/registry/endpoint_records.py
+++ b/foxspread/mesh/registry/endpoint_records.py
@@ -22,6 +22,9 @@
 UP, LEAVING = NodeState
 _STATES = {state.value: state for state in NodeState}
 
+# For which a process may be leaving and not be up again: the longest grace period of the platform, and a restart.
+MAX_LEAVING_S = 15.0
+
 # The incarnation (microseconds of the wall clock, or one more than a known incarnation) and a counter.
 RecordVersion = tuple[int, int]
 
@@ -96,9 +99,10 @@
         These are sidecars that have been up for `up_for_s` seconds, and those that began to leave after this
         one: they wait until it is up again, so it must not wait for them. With fewer, the platform sends a
         sidecar's callers to any sidecar that there is. The only sidecar of a zone has no others to wait for,
-        so the result is true.
+        so the result is true. Machines that were taken away do not count.
         """
-        sidecars = [self.by_node[each] for each in self.sidecars_of_zone.get(zone, ())]
+        zone_records = (self.by_node[each] for each in self.sidecars_of_zone.get(zone, ()))
+        sidecars = [each for each in zone_records if each.node == node or not self._is_gone(now, each)]
         others = [each for each in sidecars if each.node != node]
         ready = sum(
             self._began_to_leave_after(each, node)
@@ -108,6 +112,10 @@
         )
         return len(sidecars) < 2 or 2 * ready >= len(sidecars)
 
+    def _is_gone(self, now: float, record: EndpointRecord) -> bool:
+        """Returns whether a sidecar has left and would have been restarted by now, were it to come back."""
+        return record.state == LEAVING and now - self.in_state_since[record.node] > MAX_LEAVING_S
+
     def _began_to_leave_after(self, record: EndpointRecord, node: str) -> bool:
         own = self.by_node.get(node)
         if own is None or own.state != LEAVING:
--- a/tests/mesh/registry/test_endpoint_records.py
+++ b/tests/mesh/registry/test_endpoint_records.py
@@ -4,7 +4,12 @@
 
 import testtools
 
-from foxspread.mesh.registry.endpoint_records import EndpointRecord, EndpointRecords, unpack_record
+from foxspread.mesh.registry.endpoint_records import (
+    MAX_LEAVING_S,
+    EndpointRecord,
+    EndpointRecords,
+    unpack_record,
+)
 from foxspread.mesh.registry.heartbeat import READY
 from foxspread.mesh.registry.incarnations import unpack_instance
 
@@ -68,6 +73,18 @@
             self.assertNotIn(next_to_leave, may_leave(now + 1.0))
             self.assertIn(next_to_leave, may_leave(now + 1.6))
 
+    def test_sidecars_that_were_taken_away_are_not_waited_for(self) -> None:
+        # Guards against a zone that has shrunk: its last sidecars would wait in vain whenever they leave.
+        records = EndpointRecords()
+        for state, number, nodes in (("up", 1, "abcde"), ("leaving", 2, "cde")):
+            for node in nodes:
+                records.update(10.0 * number, unpack_record([node, [1, number], "z", state, "a:1", []]))
+        gone_at = 20.0 + MAX_LEAVING_S
+        self.assertFalse(records.callers_have_alternatives(gone_at, "a", "z", 1.5))
+        self.assertTrue(records.callers_have_alternatives(gone_at + 0.1, "a", "z", 1.5))
+        records.update(gone_at + 1.0, unpack_record(["c", [2, 1], "z", "up", "a:1", []]))  # one comes back
+        self.assertFalse(records.callers_have_alternatives(gone_at + 1.1, "a", "z", 1.5))
+
     def test_the_count_of_sidecars_follows_the_records(self) -> None:
         # Whatever the order of arrival, the count is that of the records in force.
         rows = [
