--- a/foxspread/mesh/registry/endpoint_records.py
+++ b/foxspread/mesh/registry/endpoint_records.py
@@ -22,7 +22,7 @@
 UP, LEAVING = NodeState
 _STATES = {state.value: state for state in NodeState}
 
-# For which a process may be leaving and not be up again: the longest grace period of the platform, and a restart.
+# A process that has been leaving for longer than any grace period and a restart is gone.
 MAX_LEAVING_S = 15.0
 
 # The incarnation (microseconds of the wall clock, or one more than a known incarnation) and a counter.
