--- a/foxspread/mesh/soak/history.py
+++ b/foxspread/mesh/soak/history.py
@@ -62,6 +62,14 @@
     name: str  # as SIGTERM
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessStart:
+    """The platform started the process of a node."""
+
+    at: float
+    node: str
+
+
 @dataclass(frozen=True, slots=True)
 class ProcessEnd:
     """The process of a node ended; a negative code is that of the signal that ended it."""
@@ -117,6 +125,7 @@
     requests: list[Request] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     signals: list[SignalSent] = field(default_factory=list)
+    process_starts: list[ProcessStart] = field(default_factory=list)
     process_ends: list[ProcessEnd] = field(default_factory=list)
     memory: list[MemorySample] = field(default_factory=list)
     changes: list[Change] = field(default_factory=list)
--- a/foxspread/mesh/soak/run.py
+++ b/foxspread/mesh/soak/run.py
@@ -10,7 +10,7 @@
 from foxspread.mesh.local_cluster.layout import SIDE, Layout, create_layout
 from foxspread.mesh.local_cluster.supervisor import NODE_COMMAND, ProcessObserver, Supervisor
 from foxspread.mesh.soak.disruption import Disruptor
-from foxspread.mesh.soak.history import Bounds, History, ProcessEnd, Run
+from foxspread.mesh.soak.history import Bounds, History, ProcessEnd, ProcessStart, Run
 from foxspread.mesh.soak.load import make_workers
 from foxspread.mesh.soak.memory import watch_memory
 from foxspread.mesh.soak.operator_load import OperatorLoad
@@ -39,16 +39,24 @@
 
 
 class HistoryObserver(ProcessObserver):
-    """Records the ends of nodes while the load goes on."""
+    """Records the starts and ends of nodes while the load goes on."""
 
     def __init__(self, history: History) -> None:
         self.history, self.is_recording = history, True
 
+    def process_started(self, name: str) -> None:
+        """Records the start of a node's process."""
+        if self._is_recorded(name):
+            self.history.process_starts.append(ProcessStart(time.monotonic(), name))
+
     def process_ended(self, name: str, code: int) -> None:
         """Records the end of a node's process."""
-        if self.is_recording and not name.startswith("server-of-"):
+        if self._is_recorded(name):
             self.history.process_ends.append(ProcessEnd(time.monotonic(), name, code))
 
+    def _is_recorded(self, name: str) -> bool:
+        return self.is_recording and not name.startswith("server-of-")
+
 
 class Soak:
     """One run of a plan in a folder; `net` is the first three numbers of its loopback addresses."""
--- a/tests/mesh/soak/test_judges.py
+++ b/tests/mesh/soak/test_judges.py
@@ -12,6 +12,7 @@
     History,
     MemorySample,
     ProcessEnd,
+    ProcessStart,
     Request,
     Run,
     SignalSent,
@@ -143,6 +144,12 @@
         second = replace(ORDERLY_END, at=TERM_AT + 9.0)  # one signal explains one end
         self.assertEqual(["Fault"], self.rules(process_ends=[ORDERLY_END, second], signals=[TERM]))
 
+    def test_an_end_within_a_second_of_the_start(self):
+        end = replace(ORDERLY_END, code=-1)
+        for after_s, rules in ((0.9, []), (1.1, ["Fault"])):
+            starts = [ProcessStart(end.at - after_s, "side-1"), ProcessStart(end.at, "side-2")]
+            self.assertEqual(rules, self.rules(process_ends=[end], process_starts=starts))
+
     def test_memory(self):
         for mib, rules in ((299.0, []), (301.0, ["Fault"])):
             samples = [MemorySample(1.0, "side-1", mib), MemorySample(2.0, "side-1", mib)]
