--- a/foxspread/mesh/soak/run.py
+++ b/foxspread/mesh/soak/run.py
@@ -28,7 +28,7 @@
 MEMORY_MIB = 300.0
 # Shares of requests at which servers show a fault.
 SERVER_FAULTS = {
-    "slow": 0.05,
+    "slow": 0.1,
     "lose_answer": 0.004,
     "cut_answer": 0.002,
     "garble": 0.002,
