Soak: seeds with uploads that rest on their connections, and with large changes

Cause: mutants that keep bodies or whole changes couldn't be caught: nothing in the load was large enough.

--- a/foxspread/mesh/soak/load.py
+++ b/foxspread/mesh/soak/load.py
@@ -59,37 +59,42 @@
                 continue
             await self._act()
             await asyncio.sleep(self.draw.expovariate(1 / self.pause_s))
+        self.close()
+
+    def close(self) -> None:
+        """Closes the connection, if there is one."""
         if self.connection is not None:
             self.connection.close()
 
     async def _act(self) -> None:
         share = self.draw.random()
         if share < PIPELINE_SHARE:
-            drafts = [self._draft(idempotent=True) for _ in range(self.draw.randint(2, MAX_PIPELINED))]
-            return await self._send(drafts)
+            drafts = [self.draft_request(idempotent=True) for _ in range(self.draw.randint(2, MAX_PIPELINED))]
+            return await self.send(drafts)
         share -= PIPELINE_SHARE
         if share < UPLOAD_SHARE:
             size = int(MAX_BODY_BYTES ** self.draw.uniform(0.1, 1.0))
-            return await self._send([self._draft(body=bytes(size))])
+            return await self.send([self.draft_request(body=bytes(size))])
         share -= UPLOAD_SHARE
         if share < LEAVE_SHARE:
-            return await self._send([self._draft()], leave_after_s=self.draw.uniform(0.0, 0.3))
+            return await self.send([self.draft_request()], leave_after_s=self.draw.uniform(0.0, 0.3))
         share -= LEAVE_SHARE
         if share < REST_SHARE:
             return await asyncio.sleep(self.draw.uniform(0.0, MAX_REST_S))
-        return await self._send([self._draft()])
+        return await self.send([self.draft_request()])
 
-    def _draft(self, idempotent: bool | None = None, body: bytes = b"") -> Draft:
+    def draft_request(self, idempotent: bool | None = None, body: bytes = b"") -> Draft:
+        """Returns a new request, of a drawn kind unless it is given."""
         if idempotent is None:
             idempotent = self.draw.random() >= UNSAFE_SHARE
         id = os.urandom(8).hex()
         prefix = SAFE_PREFIX if idempotent else UNSAFE_PREFIX
         return Draft(id, f"{prefix}{id[:6]}", idempotent, body or (b"" if idempotent else id.encode()))
 
-    async def _send(self, drafts: list[Draft], leave_after_s: float | None = None) -> None:
+    async def send(self, drafts: list[Draft], leave_after_s: float | None = None) -> None:
         """Sends requests one behind another, and waits until all have ended."""
-        if self.draw.random() < NEW_CONNECTION_SHARE and self.connection is not None:
-            self.connection.close()
+        if self.draw.random() < NEW_CONNECTION_SHARE:
+            self.close()
         sent_at = time.monotonic()
         connection = await self._usable_connection()
         if connection is None:
--- a/foxspread/mesh/soak/operator_load.py
+++ b/foxspread/mesh/soak/operator_load.py
@@ -9,10 +9,10 @@
 from foxspread.mesh.local_cluster.layout import CORE, Layout
 from foxspread.mesh.soak.configuration import change, first_configuration, route_versions, rule
 from foxspread.mesh.soak.history import Change, ConfigurationRead, History
+from foxspread.mesh.soak.plan import SoakPlan
 
 CHANGED_ROUTES = 20  # beside the two that carry requests
-LARGE_CHANGE_ROUTES = 350
-LARGE_CHANGE_SHARE = 0.03
+LARGE_CHANGE_ROUTES = 700
 AT_ONCE = 8
 READ_INTERVAL_S = 0.3
 CALL_TIMEOUT_S = 8.0
@@ -22,9 +22,9 @@
 class OperatorLoad:
     """Sends changes and reads, and records them."""
 
-    def __init__(self, layout: Layout, history: History, changes_per_s: float, seed: int) -> None:
-        self.layout, self.history, self.changes_per_s = layout, history, changes_per_s
-        self.draw = random.Random(f"{seed}/operator")
+    def __init__(self, layout: Layout, history: History, plan: SoakPlan) -> None:
+        self.layout, self.history, self.plan = layout, history, plan
+        self.draw = random.Random(f"{plan.seed}/operator")
         self.pool = ConnectionPool(time.monotonic, 5.0)
         self.version = 1
         self.under_way: set[asyncio.Task[None]] = set()
@@ -44,7 +44,7 @@
         """Sends changes and reads until that time on the monotonic clock."""
         reading = asyncio.get_running_loop().create_task(self._read_until(until))
         while time.monotonic() < until:
-            await asyncio.sleep(self.draw.expovariate(self.changes_per_s))
+            await asyncio.sleep(self.draw.expovariate(self.plan.changes_per_s))
             if len(self.under_way) < AT_ONCE:
                 task = asyncio.get_running_loop().create_task(self._change())
                 self.under_way.add(task)
@@ -53,7 +53,7 @@
 
     async def _change(self) -> None:
         self.version += self.draw.randint(1, 3)
-        version, is_large = self.version, self.draw.random() < LARGE_CHANGE_SHARE
+        version, is_large = self.version, self.draw.random() < self.plan.large_change_share
         numbers = range(LARGE_CHANGE_ROUTES) if is_large else [self.draw.randrange(CHANGED_ROUTES)]
         names = [f"r-{number}" for number in numbers]
         rules = [rule(name, f"/{name}/", True, version) for name in names]
--- a/foxspread/mesh/soak/plan.py
+++ b/foxspread/mesh/soak/plan.py
@@ -14,6 +14,9 @@
 MAX_REPLICAS = 5
 MIN_REPLICAS_FOR_WIPE = 3  # the platform tolerates the loss of one disk, if others have its content
 WIPE_INTERVAL_S = 8.0  # within it a replica with an empty disk has caught up
+UPLOADS_SHARE, UPLOADERS = 0.2, 24  # share of the seeds with uploaders, and their number on a machine
+LARGE_CHANGES_SHARE = 0.2  # share of the other seeds, in which most changes are large
+USUAL_LARGE_CHANGE_SHARE, MOST_LARGE_CHANGE_SHARE = 0.03, 0.9
 CHANGES_PER_S = (0.2, 8.0)
 REQUESTS_PER_S = (40.0, 250.0)
 
@@ -68,6 +71,8 @@
     changes_per_s: float
     work_s: float  # mean processing time of the servers
     disruptions: tuple[Disruption, ...] = ()
+    uploaders: int = 0  # clients on each of two machines that upload in turn, and rest on their connections
+    large_change_share: float = USUAL_LARGE_CHANGE_SHARE  # of the changes, which set many routes at once
 
     def to_json(self) -> dict[str, Any]:
         """Returns the plan as a JSON object."""
@@ -102,7 +107,12 @@
         changes_per_s=round(draw.uniform(*CHANGES_PER_S), 2),
         work_s=draw.choice((0.01, 0.05, 0.3)),
     )
-    return replace(plan, disruptions=tuple(_draw_disruptions(draw, plan)))
+    plan = replace(plan, disruptions=tuple(_draw_disruptions(draw, plan)))
+    if draw.random() < UPLOADS_SHARE:
+        return replace(plan, uploaders=UPLOADERS)
+    if draw.random() < LARGE_CHANGES_SHARE:
+        return replace(plan, large_change_share=MOST_LARGE_CHANGE_SHARE, changes_per_s=CHANGES_PER_S[1])
+    return plan
 
 
 def _draw_disruptions(draw: random.Random, plan: SoakPlan) -> Sequence[Disruption]:
--- a/foxspread/mesh/soak/run.py
+++ b/foxspread/mesh/soak/run.py
@@ -16,6 +16,7 @@
 from foxspread.mesh.soak.operator_load import OperatorLoad
 from foxspread.mesh.soak.plan import SoakPlan
 from foxspread.mesh.soak.platform import ClientPlatform
+from foxspread.mesh.soak.uploads import upload_in_turn
 
 PLATFORM_BOUNDS = {
     "drain_s": 2,
@@ -35,6 +36,7 @@
     "extra_answer": 0.004,
 }
 ENOUGH_ENDS = 1000  # ends are the plan's, and judged
+UPLOADING_MACHINES = 2
 READY_TIMEOUT_S = 30.0
 
 
@@ -86,7 +88,7 @@
         )
         self.nodes = {each.name: each for each in self.supervisor.nodes}
         self.platform = ClientPlatform(self.layout.machines_of_kind(SIDE))
-        self.operator = OperatorLoad(self.layout, self.history, plan.changes_per_s, plan.seed)
+        self.operator = OperatorLoad(self.layout, self.history, plan)
 
     async def run(self) -> History:
         """Runs the plan; all processes are ended in any case before it returns."""
@@ -126,6 +128,8 @@
             async with asyncio.TaskGroup() as tasks:
                 for worker in workers:
                     tasks.create_task(worker.run(until))
+                for machine in sidecars[:UPLOADING_MACHINES] if self.plan.uploaders else ():
+                    tasks.create_task(upload_in_turn(machine, self.platform, self.history, self.plan, until))
                 for disruption in self.plan.disruptions:
                     tasks.create_task(disruptor.run(disruption, began_at))
                 tasks.create_task(self.operator.run(until))
