--- a/foxspread/mesh/emulators/server.py
+++ b/foxspread/mesh/emulators/server.py
@@ -45,6 +45,7 @@
 SHUTDOWN_POLL_S = 0.02
 SLOW_FAULT_FACTOR, SLOW_START_FACTOR = 20.0, 3.0  # multiply the processing time
 IDLE_TIMEOUT_S = 30.0  # of connections to the server
+MAX_BODY_BYTES = 64 * 1024 * 1024
 HEARTBEAT_CONNECTION_IDLE_S = 10.0
 CRASH_EXIT_CODE = 70
 
@@ -131,7 +132,7 @@
         crash: Callable[[], None] = lambda: os._exit(CRASH_EXIT_CODE),
     ) -> None:
         self.loop = asyncio.get_running_loop()
-        super().__init__(self.loop.time, HttpLimits(idle_s=IDLE_TIMEOUT_S))
+        super().__init__(self.loop.time, HttpLimits(body_bytes=MAX_BODY_BYTES, idle_s=IDLE_TIMEOUT_S))
         self.settings, self.event_record, self.crash = settings, event_record, crash
         self.id = f"i-{os.urandom(4).hex()}"
         self.random_source = SeededRandom(settings.seed + int.from_bytes(os.urandom(3), "big"))
--- a/foxspread/mesh/soak/plan.py
+++ b/foxspread/mesh/soak/plan.py
@@ -107,7 +107,12 @@
         changes_per_s=round(draw.uniform(*CHANGES_PER_S), 2),
         work_s=draw.choice((0.01, 0.05, 0.3)),
     )
-    plan = replace(plan, disruptions=tuple(_draw_disruptions(draw, plan)))
+    return _with_large_bodies(replace(plan, disruptions=tuple(_draw_disruptions(draw, plan))))
+
+
+def _with_large_bodies(plan: SoakPlan) -> SoakPlan:
+    """Adds uploads or large changes to some plans, whatever the length of the load."""
+    draw = random.Random(f"{plan.seed}/bodies")
     if draw.random() < UPLOADS_SHARE:
         return replace(plan, uploaders=UPLOADERS)
     if draw.random() < LARGE_CHANGES_SHARE:
