--- a/foxspread/mesh/soak/report.py
+++ b/foxspread/mesh/soak/report.py
@@ -4,12 +4,13 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
-from foxspread.mesh.soak.history import History
+from foxspread.mesh.soak.history import History, MemorySample
 from foxspread.mesh.soak.judge import violations
 from foxspread.mesh.soak.judge.violation import Violation
 from foxspread.mesh.soak.plan import SoakPlan
 
 MAX_VIOLATIONS_SHOWN = 20
+PARTS_OF_TIME = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +26,7 @@
     changes_acknowledged: int
     reads: int
     peak_mib: dict[str, float]  # by node
+    peak_mib_over_time: tuple[float, ...]  # of all nodes, in equal parts of the time
     violations: tuple[Violation, ...]
 
     @property
@@ -43,6 +45,9 @@
             f"  changes    {self.changes_acknowledged} of {self.changes} acknowledged, {self.reads} reads",
             f"  memory     {self.peak_mib.get(most, 0.0):.0f} MiB at most, {most}",
         ]
+        lines.append(
+            f"  over time  {' '.join(f'{each:.0f}' for each in self.peak_mib_over_time)} MiB at most"
+        )
         shown = self.violations[:MAX_VIOLATIONS_SHOWN]
         lines += [f"  broken     {each.rule} {each.what}" for each in shown]
         lines.append(f"  {'passed' if self.passed else f'{len(self.violations)} violations'}")
@@ -70,10 +75,23 @@
         changes_acknowledged=sum(each.acknowledged_at is not None for each in history.changes),
         reads=len(history.reads),
         peak_mib=peaks,
+        peak_mib_over_time=_peaks_over_time(history.memory),
         violations=tuple(violations(history)),
     )
 
 
+def _peaks_over_time(samples: list[MemorySample]) -> tuple[float, ...]:
+    if not samples:
+        return ()
+    first, last = samples[0].at, samples[-1].at
+    peaks = [0.0] * PARTS_OF_TIME
+    for sample in samples:
+        part = int(PARTS_OF_TIME * (sample.at - first) / (last - first)) if last > first else 0
+        part = min(part, PARTS_OF_TIME - 1)
+        peaks[part] = max(peaks[part], sample.mib)
+    return tuple(peaks)
+
+
 def _counts(counts: dict[str, int]) -> str:
     ordered = sorted(counts.items(), key=lambda each: -each[1])
     return ", ".join(f"{name} {count}" for name, count in ordered)
