--- a/foxspread/mesh/soak/command.py
+++ b/foxspread/mesh/soak/command.py
@@ -41,15 +41,26 @@
     shutil.rmtree(place, ignore_errors=True)
     place.mkdir(parents=True)
     (place / PLAN_FILE).write_bytes(orjson.dumps(plan.to_json(), option=orjson.OPT_INDENT_2))
-    task, loop = asyncio.current_task(), asyncio.get_running_loop()
-    assert task is not None
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, task.cancel)
+    cancel_on_signal(asyncio.current_task())
     report = make_report(plan, await Soak(plan, place, own_net(), echo, node_command).run())
     (place / REPORT_FILE).write_bytes(orjson.dumps(report.to_json(), option=orjson.OPT_INDENT_2))
     return report
 
 
+def cancel_on_signal(task: asyncio.Task) -> None:
+    """Has the first SIGTERM or SIGINT cancel the task.
+
+    Further ones must not interrupt it while it ends its processes.
+    """
+
+    def cancel_once() -> None:
+        if not task.cancelling():
+            task.cancel()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, cancel_once)
+
+
 def shrink_failing(
     plan: SoakPlan,
     folder: pathlib.Path,
