--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -307,7 +307,7 @@
         self.berths, self.queue_limit = berths, 4 * berths
         self.free = asyncio.Semaphore(berths)
         self.waiting = self.running = self.sequence = 0
-        self.state = "ready"
+        self.state, self.body_bytes = "ready", 1500
         self.work = lambda headers: 0.02
         self.runs = {}  # by request id: [began, ended or None, how it ended]
         self.listener, self.writers = None, set()
@@ -396,7 +396,7 @@
         in_time = began + seconds <= deadline
         run[2] = "200" if in_time else "504"
         self.record.add("server", self.machine.name, "answers", id, run[2])
-        text = f"{self.machine.service} {self.id} {id}\n".encode().ljust(1500, b".")
+        text = f"{self.machine.service} {self.id} {id}\n".encode().ljust(self.body_bytes, b".")
         writer.write(self._answer(200 if in_time else 504, headers, text if in_time else b""))
         return True
 
