--- a/review/5/case.py
+++ b/review/5/case.py
@@ -17,7 +17,7 @@
 ANSWER_BYTES = 9000  # the largest answer of estado-servicio
 BYTES_PER_S = ANSWER_BYTES / GAP_S  # of the client's reading: as fast as its answers come, but behind them
 WINDOW_BYTES = 8192
-WARM_S = 3.0
+START_S, WARM_S = 2.0, 4.0
 
 
 class SlowClient:
@@ -29,7 +29,7 @@
         self.sent = {}  # by id: [sent at, ended at, how]
 
     async def run(self, end):
-        await asyncio.sleep(self.draw.uniform(0, GAP_S))
+        await asyncio.sleep(self.draw.uniform(0, START_S))
         while time.monotonic() < end:
             if not self.deployment.gets_work(self.machine):
                 await asyncio.sleep(0.05)
