--- a/review/5/case.py
+++ b/review/5/case.py
@@ -113,7 +113,8 @@
                         await asyncio.sleep(0.02)
             except TimeoutError:
                 pass
-            task.cancel()
+            task.cancel()  # and waited for: the loop must forget the socket before it is closed
+            await asyncio.wait([task])
 
 
 async def case(record, trouble):
